Add the thin whole path

Cause: nothing ran yet.

Change: a node (starlette on uvicorn) that authenticates callers, places a request on a prefill and a decode engine, relays the answer and resumes it after an engine's failure; plain services by path prefix; objects with checks and revisions in the object service; authenticated CBOR messages between nodes; stand-ins, load and measures in lab.

--- /dev/null
+++ b/flamingoshelf/callers/_admission.py
@@ -0,0 +1,94 @@
+"""Checks that every endpoint makes before it serves a request."""
+
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+from starlette.requests import Request
+from starlette.responses import Response
+
+from flamingoshelf.callers._authentication import Caller, KeyFilter, authenticate, read_key
+from flamingoshelf.callers._bodies import read_body
+from flamingoshelf.callers._problems import problem_response
+from flamingoshelf.objects import Catalog
+from flamingoshelf.refusals import Refusal, RefusalReason
+from flamingoshelf.telemetry import Metrics
+
+__all__ = ["Admission"]
+
+
+class Admission:
+    """Checks that all endpoints share.
+
+    Parameters
+    ----------
+    catalog : callable
+        Returns the catalog in force.
+    is_fresh : callable
+        Returns whether keys of that catalog may be honoured now.
+    metrics : Metrics
+        Counters of refusals.
+    max_body_bytes : int
+        Largest body of a request.
+    """
+
+    def __init__(
+        self,
+        *,
+        catalog: Callable[[], Catalog],
+        is_fresh: Callable[[], bool],
+        metrics: Metrics,
+        max_body_bytes: int,
+    ) -> None:
+        self._catalog = catalog
+        self._is_fresh = is_fresh
+        self._metrics = metrics
+        self._max_body_bytes = max_body_bytes
+
+    @property
+    def catalog(self) -> Catalog:
+        """The catalog in force."""
+        return self._catalog()
+
+    @property
+    def key_filter(self) -> KeyFilter:
+        """Filter for the keys in the catalog in force."""
+        return KeyFilter(catalog=self._catalog())
+
+    def authenticate(self, request: Request) -> Result[Caller, Refusal]:
+        """Return who sent `request`, or why it is refused."""
+        if not self._is_fresh():
+            return Err(_stale())
+        return authenticate(read_key(request.headers.items()), self._catalog())
+
+    async def read_body(self, request: Request) -> Result[bytes, Refusal]:
+        """Return the body of `request`, or why it is refused."""
+        outcome = await read_body(request, max_bytes=self._max_body_bytes)
+        if isinstance(outcome, Ok) and self.key_filter.holds_key(outcome.ok_value):
+            return Err(_key_in_body())
+        return outcome
+
+    def refuse(self, refusal: Refusal) -> Response:
+        """Count `refusal` and return its response."""
+        self._metrics.count_refusal(refusal.reason)
+        return problem_response(refusal)
+
+
+def _stale() -> Refusal:
+    return Refusal(
+        reason=RefusalReason.CONFIGURATION_STALE,
+        status=503,
+        detail="This node can't confirm that its configuration is the newest.",
+        not_run=True,
+        retry_after_s=2.0,
+        step="authenticate",
+    )
+
+
+def _key_in_body() -> Refusal:
+    return Refusal(
+        reason=RefusalReason.MALFORMED_REQUEST,
+        status=400,
+        detail="The body contains a key. Keys belong into the Authorization header only.",
+        not_run=True,
+        step="read",
+    )
--- /dev/null
+++ b/flamingoshelf/callers/_app.py
@@ -0,0 +1,23 @@
+"""The application that callers reach."""
+
+from starlette.applications import Starlette
+from starlette.routing import Route
+
+from flamingoshelf.callers._completions import CompletionEndpoints
+from flamingoshelf.callers._services import ServiceEndpoint
+
+__all__ = ["build_caller_app"]
+
+_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
+
+
+def build_caller_app(*, completions: CompletionEndpoints, services: ServiceEndpoint) -> Starlette:
+    """Return the ASGI application for callers."""
+    return Starlette(
+        routes=[
+            Route("/v1/chat/completions", completions.chat, methods=["POST"]),
+            Route("/v1/completions", completions.text, methods=["POST"]),
+            Route("/v1/models", completions.models, methods=["GET"]),
+            Route("/{path:path}", services.call, methods=_METHODS),
+        ]
+    )
--- /dev/null
+++ b/flamingoshelf/callers/_problems.py
@@ -0,0 +1,31 @@
+"""Refusals as problem documents (RFC 9457)."""
+
+import json
+import math
+
+from starlette.responses import Response
+
+from flamingoshelf.refusals import Refusal
+
+__all__ = ["problem_response"]
+
+
+def problem_response(refusal: Refusal) -> Response:
+    """Return the problem document of `refusal`."""
+    document: dict[str, object] = {
+        "type": f"urn:flamingoshelf:problem:{refusal.reason.value}",
+        "title": refusal.reason.value.replace("_", " ").capitalize(),
+        "status": refusal.status,
+        "detail": refusal.detail,
+        "reason": refusal.reason.value,
+    }
+    document |= {"not_run": True} if refusal.not_run else {"outcome": "unknown"}
+    headers = {}
+    if refusal.retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, math.ceil(refusal.retry_after_s)))
+    return Response(
+        json.dumps(document),
+        status_code=refusal.status,
+        media_type="application/problem+json",
+        headers=headers,
+    )
--- /dev/null
+++ b/flamingoshelf/dispatch/_local.py
@@ -0,0 +1,121 @@
+"""Placement by this node alone."""
+
+import asyncio
+from collections import Counter, deque
+from collections.abc import Callable, Iterator
+
+import attrs
+from result import Err, Ok, Result
+
+from flamingoshelf.dispatch._types import Grant, PlacementRequest
+from flamingoshelf.objects import BackendServer, BackendState, Catalog, Model
+from flamingoshelf.refusals import Refusal, RefusalReason
+
+__all__ = ["LocalPlacer"]
+
+
+@attrs.define(kw_only=True)
+class _Waiter:
+    request: PlacementRequest
+    future: asyncio.Future[Grant]
+
+
+class LocalPlacer:
+    """Grants places from counts that this node keeps; implements `Placer`.
+
+    Parameters
+    ----------
+    catalog : callable
+        Returns the catalog in force.
+    """
+
+    def __init__(self, *, catalog: Callable[[], Catalog]) -> None:
+        self._catalog = catalog
+        self._places: Counter[str] = Counter()
+        self._prefills: Counter[str] = Counter()
+        self._waiting: deque[_Waiter] = deque()
+
+    async def acquire(self, request: PlacementRequest) -> Result[Grant, Refusal]:
+        """Wait for a place; a refusal costs the engines nothing."""
+        future: asyncio.Future[Grant] = asyncio.get_running_loop().create_future()
+        waiter = _Waiter(request=request, future=future)
+        self._waiting.append(waiter)
+        self._grant_waiting()
+        try:
+            async with asyncio.timeout(request.max_wait_s):
+                return Ok(await future)
+        except TimeoutError:
+            return Err(_no_place(request))
+        finally:
+            self._withdraw(waiter)
+
+    def release_prefill(self, grant: Grant) -> None:
+        """Report that the prefill engine's turn is over."""
+        self._prefills[grant.prefill_server] -= 1
+        self._grant_waiting()
+
+    def release(self, grant: Grant) -> None:
+        """Give the place back."""
+        self._places[grant.decode_server] -= 1
+        self._grant_waiting()
+
+    def _withdraw(self, waiter: _Waiter) -> None:
+        if waiter in self._waiting:
+            self._waiting.remove(waiter)
+
+    def _grant_waiting(self) -> None:
+        for waiter in list(self._waiting):
+            grant = self._choose(waiter.request)
+            if grant is None:
+                continue
+            self._waiting.remove(waiter)
+            self._places[grant.decode_server] += 1
+            self._prefills[grant.prefill_server] += 1
+            waiter.future.set_result(grant)
+
+    def _choose(self, request: PlacementRequest) -> Grant | None:
+        catalog = self._catalog()
+        model = catalog.model(request.model)
+        if model is None:
+            return None
+        decode = min(self._free_decoders(catalog, model, request), default=None)
+        prefill = min(self._prefillers(catalog, model, request), default=None)
+        if decode is None or prefill is None:
+            return None
+        return Grant(
+            request_id=request.request_id,
+            prefill_server=prefill[1],
+            prefill_address=prefill[2],
+            decode_server=decode[1],
+            decode_address=decode[2],
+        )
+
+    def _free_decoders(
+        self, catalog: Catalog, model: Model, request: PlacementRequest
+    ) -> Iterator[tuple[float, str, str]]:
+        for name, server in catalog.servers(model.decode_pools):
+            used = self._places[name]
+            if _is_allowed(name, server, request) and used < server.places:
+                yield used / server.places, name, server.address
+
+    def _prefillers(
+        self, catalog: Catalog, model: Model, request: PlacementRequest
+    ) -> Iterator[tuple[float, str, str]]:
+        for name, server in catalog.servers(model.prefill_pools):
+            if _is_allowed(name, server, request):
+                yield self._prefills[name], name, server.address
+
+
+def _is_allowed(name: str, server: BackendServer, request: PlacementRequest) -> bool:
+    return server.state is BackendState.LIVE and name not in request.avoid
+
+
+def _no_place(request: PlacementRequest) -> Refusal:
+    return Refusal(
+        reason=RefusalReason.DEADLINE_UNREACHABLE,
+        status=503,
+        detail=f"No engine of model {request.model!r} had a free place in time.",
+        not_run=True,
+        retry_after_s=1.0,
+        step="place",
+    )
--- /dev/null
+++ b/flamingoshelf/exceptions.py
@@ -0,0 +1,85 @@
+"""Errors that every package raises.
+
+Each error carries the step at which it arose and the peer that was involved, so that a log line
+or a problem document can name both.
+"""
+
+__all__ = [
+    "ConfigurationError",
+    "ConflictError",
+    "EngineError",
+    "FlamingoshelfError",
+    "ObjectServiceError",
+    "OutcomeUnknownError",
+    "PeerUnreachableError",
+    "ProtocolError",
+    "RemoteError",
+]
+
+
+class FlamingoshelfError(Exception):
+    """Base class of all errors.
+
+    Parameters
+    ----------
+    message : str
+        What went wrong.
+    step : str
+        The step at which it went wrong, such as ``"prefill"``.
+    peer : str
+        The peer that was involved, or an empty string when there was none.
+    """
+
+    def __init__(self, message: str, *, step: str, peer: str = "") -> None:
+        super().__init__(message)
+        self.message = message
+        self.step = step
+        self.peer = peer
+
+    def __str__(self) -> str:
+        where = f"{self.step} with {self.peer}" if self.peer else self.step
+        return f"{where}: {self.message}"
+
+
+class ConfigurationError(FlamingoshelfError):
+    """Settings or objects are not valid."""
+
+
+class ConflictError(FlamingoshelfError):
+    """A conditional update found another version than the expected one."""
+
+
+class ObjectServiceError(FlamingoshelfError):
+    """The platform's object service refused a call or could not be reached before it was sent."""
+
+
+class OutcomeUnknownError(FlamingoshelfError):
+    """A call may have taken effect, but its answer was lost."""
+
+
+class PeerUnreachableError(FlamingoshelfError):
+    """Another node could not be reached; nothing was sent."""
+
+
+class RemoteError(FlamingoshelfError):
+    """Another node answered a request with an error."""
+
+
+class ProtocolError(FlamingoshelfError):
+    """A peer sent something that its protocol does not allow."""
+
+
+class EngineError(FlamingoshelfError):
+    """A model engine failed or refused a step.
+
+    Parameters
+    ----------
+    message, step, peer : str
+        As in `FlamingoshelfError`.
+    crashed : bool
+        Whether the engine's process went away while it held the request.
+    """
+
+    def __init__(self, message: str, *, step: str, peer: str = "", crashed: bool = False) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.crashed = crashed
--- /dev/null
+++ b/flamingoshelf/limits/_per_node.py
@@ -0,0 +1,90 @@
+"""Baseline: each node grants an equal part of every limit by itself."""
+
+from collections.abc import Callable
+
+import attrs
+from result import Err, Ok, Result
+
+from flamingoshelf.limits._types import Charge
+from flamingoshelf.objects import Catalog, Workspace
+from flamingoshelf.refusals import Refusal, RefusalReason
+from flamingoshelf.utils import now_s
+
+__all__ = ["PerNodeLimiter"]
+
+
+@attrs.define(kw_only=True)
+class _Bucket:
+    level: float
+    updated_s: float
+
+
+class PerNodeLimiter:
+    """Buckets of ``rate / nodes`` and ``burst / nodes`` on every node; implements `Limiter`.
+
+    Parameters
+    ----------
+    catalog : callable
+        Returns the catalog in force.
+    node_count : callable
+        Returns the number of nodes.
+    """
+
+    def __init__(self, *, catalog: Callable[[], Catalog], node_count: Callable[[], int]) -> None:
+        self._catalog = catalog
+        self._node_count = node_count
+        self._buckets: dict[str, _Bucket] = {}
+
+    async def charge(
+        self, *, request_id: str, workspace: str, tokens: int
+    ) -> Result[Charge, Refusal]:
+        """Take `tokens` from this node's part."""
+        spec = self._catalog().workspace(workspace)
+        if spec is None:
+            return Err(_unavailable(workspace))
+        bucket = self._refilled(workspace, spec)
+        if bucket.level < tokens:
+            missing = tokens - bucket.level
+            return Err(_exceeded(missing * self._node_count() / spec.rate_tokens_s))
+        bucket.level -= tokens
+        return Ok(
+            Charge(request_id=request_id, workspace=workspace, tokens=tokens, home="", epoch="")
+        )
+
+    def settle(self, charge: Charge, *, used_tokens: int) -> None:
+        """Refund what was not used."""
+        bucket = self._buckets.get(charge.workspace)
+        if bucket is not None:
+            bucket.level += max(0, charge.tokens - used_tokens)
+
+    def _refilled(self, workspace: str, spec: Workspace) -> _Bucket:
+        nodes = max(1, self._node_count())
+        capacity = spec.burst_tokens / nodes
+        now = now_s()
+        bucket = self._buckets.setdefault(workspace, _Bucket(level=capacity, updated_s=now))
+        earned = (now - bucket.updated_s) * spec.rate_tokens_s / nodes
+        bucket.level = min(capacity, bucket.level + earned)
+        bucket.updated_s = now
+        return bucket
+
+
+def _unavailable(workspace: str) -> Refusal:
+    return Refusal(
+        reason=RefusalReason.LIMIT_UNAVAILABLE,
+        status=503,
+        detail=f"The limit of workspace {workspace!r} can't be read now.",
+        not_run=True,
+        retry_after_s=1.0,
+        step="charge",
+    )
+
+
+def _exceeded(wait_s: float) -> Refusal:
+    return Refusal(
+        reason=RefusalReason.RATE_EXCEEDED,
+        status=429,
+        detail="The workspace is above its rate and burst.",
+        not_run=True,
+        retry_after_s=wait_s,
+        step="charge",
+    )
--- /dev/null
+++ b/flamingoshelf/membership/__init__.py
@@ -0,0 +1,5 @@
+"""Which VMs belong to the fleet and which duties they have."""
+
+from flamingoshelf.membership._view import VmView
+
+__all__ = ["VmView"]
--- /dev/null
+++ b/flamingoshelf/settings/_schema.py
@@ -0,0 +1,74 @@
+"""JSON schema of a node's settings."""
+
+from typing import Any
+
+__all__ = ["SETTINGS_SCHEMA"]
+
+_ADDRESS = {"type": "string", "pattern": r"^[0-9.]+:[0-9]{1,5}$", "description": "ip:port"}
+_SECONDS = {"type": "number", "exclusiveMinimum": 0, "maximum": 86400}
+
+SETTINGS_SCHEMA: dict[str, Any] = {
+    "$schema": "https://json-schema.org/draft/2020-12/schema",
+    "title": "flamingoshelfd settings",
+    "type": "object",
+    "additionalProperties": False,
+    "required": [
+        "node_name",
+        "data_centre",
+        "caller_address",
+        "peer_address",
+        "operator_address",
+        "object_service_address",
+        "vm_list_address",
+        "cluster_secret_file",
+    ],
+    "properties": {
+        "node_name": {
+            "type": "string",
+            "minLength": 1,
+            "maxLength": 63,
+            "description": "Name of the VM as in the platform's VM list.",
+        },
+        "data_centre": {"type": "string", "minLength": 1, "description": "Data centre of the VM."},
+        "caller_address": {**_ADDRESS, "description": "Address at which callers are served."},
+        "peer_address": {**_ADDRESS, "description": "Address at which other nodes are served."},
+        "operator_address": {
+            **_ADDRESS,
+            "description": "Address of health checks, metrics and status reads.",
+        },
+        "object_service_address": {**_ADDRESS, "description": "The platform's object service."},
+        "vm_list_address": {**_ADDRESS, "description": "The platform's VM list."},
+        "cluster_secret_file": {
+            "type": "string",
+            "minLength": 1,
+            "description": "File with the secret that the nodes share.",
+        },
+        "max_body_bytes": {
+            "type": "integer",
+            "minimum": 1024,
+            "maximum": 67108864,
+            "default": 4194304,
+            "description": "Largest body of a caller's request.",
+        },
+        "shutdown_timeout_s": {
+            **_SECONDS,
+            "default": 60,
+            "description": "Longest time a graceful shutdown waits for running requests.",
+        },
+        "vm_list_lag_s": {
+            **_SECONDS,
+            "default": 5,
+            "description": "Lag of the VM list that the platform states.",
+        },
+        "log_format": {
+            "enum": ["text", "json"],
+            "default": "text",
+            "description": "Format of the log lines.",
+        },
+        "log_level": {
+            "enum": ["DEBUG", "INFO", "WARNING", "ERROR"],
+            "default": "INFO",
+            "description": "Lowest level that is logged.",
+        },
+    },
+}
--- /dev/null
+++ b/flamingoshelf/utils/__init__.py
@@ -0,0 +1,18 @@
+"""Validators, identifiers and task helpers that several packages use."""
+
+from flamingoshelf.utils._ids import new_apply_id, new_incarnation, rendezvous_rank, stable_hash
+from flamingoshelf.utils._tasks import TaskGroup, now_s
+from flamingoshelf.utils._validation import check_choice, check_name, check_positive, check_range
+
+__all__ = [
+    "TaskGroup",
+    "check_choice",
+    "check_name",
+    "check_positive",
+    "check_range",
+    "new_apply_id",
+    "new_incarnation",
+    "now_s",
+    "rendezvous_rank",
+    "stable_hash",
+]
--- /dev/null
+++ b/lab/engine.py
@@ -0,0 +1,357 @@
+"""Stand-in for a model engine: prefill or decode.
+
+A prefill engine processes prompts one after the other and keeps each result for less than a
+second. A decode engine pulls a result over a link of limited rate, holds up to `places` requests,
+and gives every running request one token a step. What it holds for a request stays held until its
+answer was read to the end or the request was cancelled, also when the reader went away.
+"""
+
+import asyncio
+import json
+import math
+import os
+from collections import Counter, OrderedDict, deque
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiosonic
+import attrs
+from aiosonic.exceptions import AiosonicError
+from starlette.applications import Starlette
+from starlette.middleware import Middleware
+from starlette.requests import Request
+from starlette.responses import Response, StreamingResponse
+from starlette.routing import Route
+
+from lab.language import answer_length, count_tokens, digest_of, token_text
+from lab.server import KeyWatch, handler
+
+__all__ = ["EngineOptions", "build_engine_app"]
+
+_BLOCK_CHARS = 1024
+_CACHED_BLOCKS = 4096
+_POISON_MARK = "[poison]"
+_RESULT_LIFETIME_S = 0.8
+_CRASH_STATUS = 3
+
+
+@attrs.define(kw_only=True)
+class EngineOptions:
+    """How an engine behaves; ``POST /control`` changes it at run time.
+
+    Parameters
+    ----------
+    role : {"prefill", "decode"}
+        What the engine does.
+    places, kv_pieces, piece_tokens : int
+        Memory of a decode engine.
+    prefill_tokens_s : float
+        Tokens a second of a prefill engine.
+    link_bytes_s : float
+        Rate of a prefill engine's link.
+    kv_bytes_per_token : int
+        Size of the KV cache for a token.
+    step_s, step_per_request_s : float
+        Duration of a decode step, alone and for each running request.
+    load_lag_s : float
+        Age of the reported load.
+    stalled : bool
+        Whether nothing moves any more.
+    """
+
+    role: str
+    places: int = 20
+    kv_pieces: int = 64
+    piece_tokens: int = 4096
+    prefill_tokens_s: float = 8000.0
+    link_bytes_s: float = 2.5e9
+    kv_bytes_per_token: int = 163_840
+    step_s: float = 0.015
+    step_per_request_s: float = 0.0008
+    load_lag_s: float = 0.5
+    stalled: bool = False
+
+
+@attrs.define(kw_only=True)
+class _Prefilled:
+    digest: str
+    prompt_tokens: int
+    generated: int
+    poison: bool
+    ready_s: float
+    kv_bytes: int
+
+
+@attrs.define(kw_only=True)
+class _Running:
+    digest: str
+    pieces: int
+    length: int
+    first_index: int
+    poison: bool
+    tokens: list[str] = attrs.field(factory=list)
+    started: bool = False
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    @property
+    def is_complete(self) -> bool:
+        return self.first_index + len(self.tokens) >= self.length
+
+
+class Engine:
+    """State of one engine."""
+
+    def __init__(self, options: EngineOptions) -> None:
+        self.options = options
+        self.records: Counter[str] = Counter()
+        self.prompts: dict[str, str] = {}
+        self._results: dict[str, _Prefilled] = {}
+        self._cancelled: OrderedDict[str, None] = OrderedDict()
+        self._running: dict[str, _Running] = {}
+        self._freed = asyncio.Condition()
+        self._prefill_turn = asyncio.Lock()
+        self._link_turn = asyncio.Lock()
+        self._cache: OrderedDict[str, None] = OrderedDict()
+        self._loads: deque[tuple[float, dict[str, Any]]] = deque()
+        self._client = aiosonic.HTTPClient()
+        self._stepper: asyncio.Task[None] | None = None
+
+    async def prefill(self, task: dict[str, Any]) -> Any:
+        """Process a prompt."""
+        request_id = task["request_id"]
+        generated = len(task.get("generated", ()))
+        async with self._prefill_turn:
+            if request_id in self._cancelled:
+                return Response("cancelled", 409)
+            cached = self._cached_tokens(task["prompt"])
+            prompt_tokens = count_tokens(task["prompt"])
+            work = max(1, prompt_tokens + generated - cached)
+            await self._work(work / self.options.prefill_tokens_s)
+        self._remember(task["prompt"])
+        self.records["prefills"] += 1
+        kv_bytes = (prompt_tokens + generated) * self.options.kv_bytes_per_token
+        if request_id in self._cancelled:
+            self.records["wasted_cancelled"] += 1
+            return Response("cancelled", 409)
+        self._results[request_id] = _Prefilled(
+            digest=digest_of(task["prompt"]),
+            prompt_tokens=prompt_tokens,
+            generated=generated,
+            poison=_POISON_MARK in task["prompt"],
+            ready_s=_now_s(),
+            kv_bytes=kv_bytes,
+        )
+        asyncio.get_running_loop().call_later(_RESULT_LIFETIME_S, self._expire, request_id)
+        return {
+            "request_id": request_id,
+            "prompt_tokens": prompt_tokens,
+            "cached_tokens": cached,
+            "kv_bytes": kv_bytes,
+            "lifetime_s": _RESULT_LIFETIME_S,
+        }
+
+    async def fetch(self, order: dict[str, Any]) -> Any:
+        """Hand a result over to a decode engine; it takes the time that the link needs."""
+        result = self._results.get(order["request_id"])
+        if result is None:
+            return Response("expired", 410)
+        async with self._link_turn:
+            if self._results.pop(order["request_id"], None) is None:
+                return Response("expired", 410)
+            await self._work(result.kv_bytes / self.options.link_bytes_s)
+        self.records["transfers"] += 1
+        return {
+            "digest": result.digest,
+            "prompt_tokens": result.prompt_tokens,
+            "generated": result.generated,
+            "poison": result.poison,
+        }
+
+    async def import_kv(self, order: dict[str, Any]) -> Any:
+        """Wait for memory and pull a result from a prefill engine."""
+        request_id = order["request_id"]
+        tokens = order.get("tokens", 1) + order["max_tokens"]
+        pieces = math.ceil(tokens / self.options.piece_tokens)
+        try:
+            async with asyncio.timeout(_RESULT_LIFETIME_S), self._freed:
+                await self._freed.wait_for(lambda: self._fits(pieces))
+                placeholder = _Running(
+                    digest="", pieces=pieces, length=0, first_index=0, poison=False
+                )
+                self._running[request_id] = placeholder
+        except TimeoutError:
+            return Response("no memory", 503)
+        result = await self._pull(order["source"], request_id)
+        if result is None or request_id in self._cancelled:
+            await self._free(request_id)
+            return Response("no result", 410)
+        self._running[request_id] = _Running(
+            digest=result["digest"],
+            pieces=pieces,
+            length=answer_length(result["digest"], order["max_tokens"]),
+            first_index=result["generated"],
+            poison=result["poison"],
+        )
+        return {"request_id": request_id}
+
+    async def decode(self, request: Request) -> Response:
+        """Stream the tokens of an imported request from an index on."""
+        order = json.loads(await request.body())
+        running = self._running.get(order["request_id"])
+        if running is None or running.length == 0:
+            return Response("not held", 404)
+        if running.poison:
+            asyncio.get_running_loop().call_later(0.02, _crash)
+        running.started = True
+        if self._stepper is None or self._stepper.done():
+            self._stepper = asyncio.create_task(self._step())
+        index = order.get("from_index", running.first_index)
+        return StreamingResponse(
+            self._events(order["request_id"], running, index), media_type="text/event-stream"
+        )
+
+    async def cancel(self, order: dict[str, Any]) -> Any:
+        """Free whatever is held for a request."""
+        request_id = order["request_id"]
+        self._cancelled[request_id] = None
+        while len(self._cancelled) > 10_000:
+            self._cancelled.popitem(last=False)
+        if self._results.pop(request_id, None) is not None:
+            self.records["wasted_cancelled"] += 1
+        running = self._running.get(request_id)
+        await self._free(request_id)
+        if running is not None:
+            self.records["cancelled"] += 1
+            running.changed.set()
+        return {"request_id": request_id}
+
+    async def load(self, _: dict[str, Any]) -> Any:
+        """Return the load as it was some time ago."""
+        now = _now_s()
+        self._loads.append((now, self._load_now()))
+        while len(self._loads) > 1 and self._loads[1][0] <= now - self.options.load_lag_s:
+            self._loads.popleft()
+        return self._loads[0][1]
+
+    async def control(self, order: dict[str, Any]) -> Any:
+        """Change options and return the records."""
+        for name, value in order.items():
+            setattr(self.options, name, value)
+        return {
+            "role": self.options.role,
+            "records": dict(self.records),
+            "held": sorted(self._running),
+            "keys_seen": KeyWatch.seen,
+        }
+
+    def _load_now(self) -> dict[str, Any]:
+        return {
+            "held": sorted([*self._running, *self._results]),
+            "used_pieces": sum(entry.pieces for entry in self._running.values()),
+            "queued": 0,
+        }
+
+    def _fits(self, pieces: int) -> bool:
+        used = sum(entry.pieces for entry in self._running.values())
+        has_place = len(self._running) < self.options.places
+        return has_place and used + pieces <= self.options.kv_pieces
+
+    async def _pull(self, source: str, request_id: str) -> Any:
+        try:
+            response = await self._client.post(
+                f"http://{source}/fetch", json={"request_id": request_id}
+            )
+            return json.loads(await response.content()) if response.status_code == 200 else None
+        except (AiosonicError, OSError):
+            return None
+
+    async def _free(self, request_id: str) -> None:
+        async with self._freed:
+            self._running.pop(request_id, None)
+            self._freed.notify_all()
+
+    async def _work(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        while self.options.stalled:
+            await asyncio.sleep(0.05)
+
+    async def _step(self) -> None:
+        """Give every running request one token a step."""
+        while active := [e for e in self._running.values() if e.started and not e.is_complete]:
+            options = self.options
+            await self._work(options.step_s + options.step_per_request_s * len(active))
+            for entry in active:
+                index = entry.first_index + len(entry.tokens)
+                entry.tokens.append(token_text(entry.digest, index))
+                entry.changed.set()
+
+    async def _events(self, request_id: str, entry: _Running, index: int) -> AsyncIterator[bytes]:
+        while index < entry.length:
+            position = index - entry.first_index
+            if position < len(entry.tokens):
+                event = {"request_id": request_id, "index": index, "text": entry.tokens[position]}
+                yield _encode(event)
+                index += 1
+                continue
+            if self._running.get(request_id) is not entry:
+                raise ConnectionAbortedError("cancelled")
+            entry.changed.clear()
+            await entry.changed.wait()
+        end = {"done": True, "finish_reason": "stop", "completion_tokens": entry.length}
+        yield _encode({"request_id": request_id, **end})
+        await self._free(request_id)
+        self.records["completed"] += 1
+        self.records["tokens"] += len(entry.tokens)
+
+    def _expire(self, request_id: str) -> None:
+        if self._results.pop(request_id, None) is not None:
+            self.records["wasted_expired"] += 1
+
+    def _cached_tokens(self, prompt: str) -> int:
+        count = 0
+        for key in _block_keys(prompt):
+            if key not in self._cache:
+                break
+            self._cache.move_to_end(key)
+            count += 1
+        return count * count_tokens("x" * _BLOCK_CHARS)
+
+    def _remember(self, prompt: str) -> None:
+        for key in _block_keys(prompt):
+            self._cache[key] = None
+        while len(self._cache) > _CACHED_BLOCKS:
+            self._cache.popitem(last=False)
+
+
+def _block_keys(prompt: str) -> list[str]:
+    count = len(prompt) // _BLOCK_CHARS
+    return [digest_of(prompt[: (block + 1) * _BLOCK_CHARS]) for block in range(count)]
+
+
+def _encode(document: dict[str, Any]) -> bytes:
+    return b"data: " + json.dumps(document).encode() + b"\n\n"
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _crash() -> None:
+    os._exit(_CRASH_STATUS)
+
+
+def build_engine_app(options: EngineOptions) -> Starlette:
+    """Return an engine as an ASGI application."""
+    engine = Engine(options)
+    return Starlette(
+        routes=[
+            Route("/prefill", handler(engine.prefill), methods=["POST"]),
+            Route("/fetch", handler(engine.fetch), methods=["POST"]),
+            Route("/import", handler(engine.import_kv), methods=["POST"]),
+            Route("/decode", engine.decode, methods=["POST"]),
+            Route("/cancel", handler(engine.cancel), methods=["POST"]),
+            Route("/load", handler(engine.load), methods=["POST"]),
+            Route("/control", handler(engine.control), methods=["GET", "POST"]),
+        ],
+        middleware=[Middleware(KeyWatch)],
+    )
--- /dev/null
+++ b/lab/platform.py
@@ -0,0 +1,158 @@
+"""Stand-in for the platform: the versioned object service and the VM list.
+
+Faults are set with ``POST /control``; ``GET /control`` returns the call counts.
+"""
+
+import asyncio
+import json
+from collections import Counter, deque
+from typing import Any
+
+import attrs
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+__all__ = ["Platform", "build_platform_app"]
+
+_MAX_VALUE_BYTES = 1_000_000
+
+
+@attrs.define(kw_only=True)
+class _Stored:
+    value: bytes
+    version: int
+
+
+@attrs.define(kw_only=True)
+class Faults:
+    """Faults in force.
+
+    Parameters
+    ----------
+    down : bool
+        Every call is refused with status 503.
+    delay_s : float
+        Seconds before a call is served.
+    lose_answers : int
+        Number of coming writes that take effect and whose connection is then cut.
+    vm_list_lag_s : float
+        Seconds by which the VM list lags.
+    """
+
+    down: bool = False
+    delay_s: float = 0.0
+    lose_answers: int = 0
+    vm_list_lag_s: float = 1.0
+
+
+class Platform:
+    """State of the platform."""
+
+    def __init__(self) -> None:
+        self._objects: dict[str, _Stored] = {}
+        self._next_version = 1
+        self._changed = asyncio.Condition()
+        self._vm_lists: deque[tuple[float, list[dict[str, Any]]]] = deque()
+        self._vm_version = 0
+        self._seen_vms: list[dict[str, Any]] = []
+        self.faults = Faults()
+        self.calls: Counter[str] = Counter()
+
+    async def objects(self, request: Request) -> Response:
+        """Serve ``/objects`` and ``/objects/KEY``."""
+        if self.faults.down:
+            return Response("down", 503)
+        await asyncio.sleep(self.faults.delay_s)
+        key = request.path_params.get("key")
+        if key is None:
+            return self._keys(request.query_params.get("prefix", ""))
+        match request.method:
+            case "PUT":
+                return await self._write(key, await request.body(), request)
+            case "DELETE":
+                return await self._write(key, None, request)
+        if "wait" in request.query_params:
+            return await self._watch(key, request)
+        self.calls["read"] += 1
+        return self._read(key)
+
+    async def vms(self, request: Request) -> Response:
+        """Serve ``/vms``."""
+        self.calls["vm_list"] += 1
+        now = asyncio.get_running_loop().time()
+        while self._vm_lists and self._vm_lists[0][0] <= now - self.faults.vm_list_lag_s:
+            self._seen_vms = self._vm_lists.popleft()[1]
+            self._vm_version += 1
+        return JSONResponse({"version": self._vm_version, "vms": self._seen_vms})
+
+    async def control(self, request: Request) -> Response:
+        """Serve ``/control``: faults, VMs and call counts."""
+        if request.method == "POST":
+            order = json.loads(await request.body())
+            for name, value in order.get("faults", {}).items():
+                setattr(self.faults, name, value)
+            if "vms" in order:
+                now = asyncio.get_running_loop().time()
+                self._vm_lists.append((now, order["vms"]))
+        return JSONResponse({"calls": dict(self.calls), "faults": attrs.asdict(self.faults)})
+
+    def _keys(self, prefix: str) -> Response:
+        self.calls["list"] += 1
+        return JSONResponse([key for key in self._objects if key.startswith(prefix)])
+
+    def _read(self, key: str) -> Response:
+        stored = self._objects.get(key)
+        if stored is None:
+            return Response("no such object", 404)
+        return Response(stored.value, headers={"ETag": str(stored.version)})
+
+    async def _watch(self, key: str, request: Request) -> Response:
+        self.calls["watch"] += 1
+        after = int(request.query_params["after"])
+
+        def is_newer() -> bool:
+            return key in self._objects and self._objects[key].version > after
+
+        try:
+            async with asyncio.timeout(float(request.query_params["wait"])), self._changed:
+                await self._changed.wait_for(is_newer)
+        except TimeoutError:
+            return Response(status_code=204)
+        return self._read(key)
+
+    async def _write(self, key: str, value: bytes | None, request: Request) -> Response:
+        self.calls["write"] += 1
+        stored = self._objects.get(key)
+        version = 0 if stored is None else stored.version
+        if request.headers.get("if-match") != str(version):
+            return Response("another version", 412)
+        if value is not None and len(value) > _MAX_VALUE_BYTES:
+            return Response("too large", 413)
+        new_version = self._next_version
+        self._next_version += 1
+        if value is None:
+            self._objects.pop(key, None)
+        else:
+            self._objects[key] = _Stored(value=value, version=new_version)
+        async with self._changed:
+            self._changed.notify_all()
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            raise ConnectionAbortedError("answer lost")
+        return Response(headers={"ETag": str(new_version)})
+
+
+def build_platform_app() -> Starlette:
+    """Return the platform as an ASGI application."""
+    platform = Platform()
+    methods = ["GET", "PUT", "DELETE"]
+    return Starlette(
+        routes=[
+            Route("/objects", platform.objects),
+            Route("/objects/{key:path}", platform.objects, methods=methods),
+            Route("/vms", platform.vms),
+            Route("/control", platform.control, methods=["GET", "POST"]),
+        ]
+    )
