Use connection pools that do not limit running answers; load decode engines

Ruled out: placement (the engines reported a token gap of 0.022 s, so at most half full), the limits (no refusal).

The configuration watch lasts 3 s, so a confirmed revision is at most 6 s old, under the limit of 10 s. The scenarios now fill decode engines: longer answers, faster prefill.

--- a/flamingoshelf/backends/_engine.py
+++ b/flamingoshelf/backends/_engine.py
@@ -17,6 +17,7 @@
 from aiosonic.timeout import Timeouts
 
 from flamingoshelf.exceptions import EngineError, ProtocolError
+from flamingoshelf.utils import new_http_client
 
 __all__ = [
     "DecodeEnd",
@@ -171,7 +172,7 @@
     """Engines over HTTP; implements `EngineClient`."""
 
     def __init__(self) -> None:
-        self._client = aiosonic.HTTPClient()
+        self._client = new_http_client()
         self._converter = cattrs.Converter()
 
     async def prefill(self, address: str, task: PrefillTask, *, timeout_s: float) -> PrefillResult:
--- a/flamingoshelf/backends/_plain.py
+++ b/flamingoshelf/backends/_plain.py
@@ -3,12 +3,17 @@
 import asyncio
 from collections.abc import Mapping, Sequence
 
-import aiosonic
 import attrs
-from aiosonic.exceptions import AiosonicError, BaseTimeout, ConnectTimeout
+from aiosonic.exceptions import (
+    AiosonicError,
+    BaseTimeout,
+    ConnectionPoolAcquireTimeout,
+    ConnectTimeout,
+)
 from aiosonic.timeout import Timeouts
 
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
+from flamingoshelf.utils import new_http_client
 
 __all__ = ["PlainCall", "PlainReply", "PlainServiceClient"]
 
@@ -44,7 +49,7 @@
     """
 
     def __init__(self) -> None:
-        self._client = aiosonic.HTTPClient()
+        self._client = new_http_client()
 
     async def call(self, address: str, call: PlainCall, *, timeout_s: float) -> PlainReply:
         """Send `call` to the server at `address` once.
@@ -68,7 +73,7 @@
                 ),
             )
             body = await response.content()
-        except (ConnectTimeout, ConnectionRefusedError) as error:
+        except (ConnectTimeout, ConnectionPoolAcquireTimeout, ConnectionRefusedError) as error:
             raise PeerUnreachableError(repr(error), step="call", peer=address) from error
         except (AiosonicError, BaseTimeout, OSError, asyncio.IncompleteReadError) as error:
             raise OutcomeUnknownError(repr(error), step="call", peer=address) from error
--- a/flamingoshelf/configuration/_follower.py
+++ b/flamingoshelf/configuration/_follower.py
@@ -13,7 +13,7 @@
 
 __all__ = ["ConfigurationFollower"]
 
-_WATCH_S = 5.0
+_WATCH_S = 3.0  # a revision is at most two watches old; 5 s reached the freshness limit
 _RETRY_S = 0.5
 
 
--- a/flamingoshelf/daemon/_node.py
+++ b/flamingoshelf/daemon/_node.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from flamingoshelf.backends import HttpEngineClient, PlainServiceClient
+from flamingoshelf.base import Service
 from flamingoshelf.callers import (
     Admission,
     CompletionEndpoints,
@@ -18,7 +19,7 @@
 from flamingoshelf.daemon._http_server import HttpServer
 from flamingoshelf.dispatch import LocalPlacer
 from flamingoshelf.limits import PerNodeLimiter
-from flamingoshelf.membership import VmView
+from flamingoshelf.membership import ListedOwnership, VmView
 from flamingoshelf.nodes import WebsocketNodeLink
 from flamingoshelf.objects import Catalog
 from flamingoshelf.operators import build_operator_app
@@ -52,7 +53,11 @@
         self._vms = VmView(vm_list=HttpVmList(address=settings.vm_list_address))
         self._configuration = ConfigurationFollower(store=self._store)
         self._link = self._build_link()
+        self._ownership = ListedOwnership(vms=self._vms, node_name=settings.node_name)
         self._engines = HttpEngineClient()
+        self._placer = LocalPlacer(catalog=self._catalog)
+        self._limiter = PerNodeLimiter(catalog=self._catalog, node_count=self._node_count)
+        self._parts: tuple[Service, ...] = (self._vms, self._link, self._configuration)
         self._callers = HttpServer(
             app=self._build_caller_app(),
             address=settings.caller_address,
@@ -72,9 +77,8 @@
     async def start(self) -> None:
         """Start all parts, the one for callers last."""
         await self._operators.start()
-        await self._vms.start()
-        await self._link.start()
-        await self._configuration.start()
+        for part in self._parts:
+            await part.start()
         await self._callers.start()
         logger.info("started, incarnation {}", self._incarnation)
 
@@ -85,9 +89,8 @@
         await asyncio.sleep(_READINESS_NOTICE_S)
         await self._callers.stop()
         await self._background.drain()
-        await self._configuration.stop()
-        await self._link.stop()
-        await self._vms.stop()
+        for part in reversed(self._parts):
+            await part.stop()
         await self._operators.stop()
         logger.info("stopped")
 
@@ -118,8 +121,8 @@
         )
         runner = CompletionRunner(
             engines=self._engines,
-            placer=LocalPlacer(catalog=self._catalog),
-            limiter=PerNodeLimiter(catalog=self._catalog, node_count=self._node_count),
+            placer=self._placer,
+            limiter=self._limiter,
             metrics=self._metrics,
             background=self._background,
         )
--- a/flamingoshelf/daemon/tests/test_whole_path.py
+++ b/flamingoshelf/daemon/tests/test_whole_path.py
@@ -3,9 +3,9 @@
 import json
 import signal
 
-import aiosonic
 import pytest
 
+from flamingoshelf.utils import new_http_client
 from lab.language import expected_answer
 from lab.scenarios import key_of
 
@@ -17,7 +17,7 @@
 
 @pytest.fixture
 async def client():
-    client = aiosonic.HTTPClient()
+    client = new_http_client()
     yield client
     await client.connector.cleanup()
 
--- a/flamingoshelf/objects/_kinds.py
+++ b/flamingoshelf/objects/_kinds.py
@@ -255,7 +255,7 @@
     places: int = attrs.field(default=20, validator=_positive)
     kv_pieces: int = attrs.field(default=64, validator=_positive)
     piece_tokens: int = attrs.field(default=4096, validator=_positive)
-    prefill_tokens_s: float = attrs.field(default=8000.0, validator=_positive)
+    prefill_tokens_s: float = attrs.field(default=16000.0, validator=_positive)
     link_bytes_s: float = attrs.field(default=2.5e9, validator=_positive)
     checks_fencing: bool = False
 
--- a/flamingoshelf/platform/_http.py
+++ b/flamingoshelf/platform/_http.py
@@ -3,12 +3,17 @@
 import asyncio
 from collections.abc import Mapping
 
-import aiosonic
 import attrs
-from aiosonic.exceptions import AiosonicError, BaseTimeout, ConnectTimeout
+from aiosonic.exceptions import (
+    AiosonicError,
+    BaseTimeout,
+    ConnectionPoolAcquireTimeout,
+    ConnectTimeout,
+)
 from aiosonic.timeout import Timeouts
 
 from flamingoshelf.exceptions import ObjectServiceError, OutcomeUnknownError
+from flamingoshelf.utils import new_http_client
 
 __all__ = ["HttpAnswer", "PlatformHttp"]
 
@@ -38,7 +43,7 @@
     def __init__(self, *, address: str, timeout_s: float = 3.0) -> None:
         self._address = address
         self._timeout_s = timeout_s
-        self._client = aiosonic.HTTPClient()
+        self._client = new_http_client()
 
     async def call(
         self,
@@ -73,7 +78,7 @@
                 ),
             )
             content = await response.content()
-        except (ConnectTimeout, ConnectionRefusedError) as error:
+        except (ConnectTimeout, ConnectionPoolAcquireTimeout, ConnectionRefusedError) as error:
             raise ObjectServiceError(repr(error), step=step, peer=self._address) from error
         except (AiosonicError, BaseTimeout, OSError, asyncio.IncompleteReadError) as error:
             raise OutcomeUnknownError(repr(error), step=step, peer=self._address) from error
--- a/flamingoshelf/utils/__init__.py
+++ b/flamingoshelf/utils/__init__.py
@@ -1,5 +1,6 @@
 """Validators, identifiers and task helpers that several packages use."""
 
+from flamingoshelf.utils._http import new_http_client
 from flamingoshelf.utils._ids import new_apply_id, new_incarnation, rendezvous_rank, stable_hash
 from flamingoshelf.utils._tasks import TaskGroup, now_s
 from flamingoshelf.utils._validation import check_choice, check_name, check_positive, check_range
@@ -11,6 +12,7 @@
     "check_positive",
     "check_range",
     "new_apply_id",
+    "new_http_client",
     "new_incarnation",
     "now_s",
     "rendezvous_rank",
--- a/lab/engine.py
+++ b/lab/engine.py
@@ -14,7 +14,6 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
-import aiosonic
 import attrs
 from aiosonic.exceptions import AiosonicError
 from starlette.applications import Starlette
@@ -23,6 +22,7 @@
 from starlette.responses import Response, StreamingResponse
 from starlette.routing import Route
 
+from flamingoshelf.utils import new_http_client
 from lab.language import answer_length, count_tokens, digest_of, token_text
 from lab.server import KeyWatch, handler
 
@@ -63,7 +63,7 @@
     places: int = 20
     kv_pieces: int = 64
     piece_tokens: int = 4096
-    prefill_tokens_s: float = 8000.0
+    prefill_tokens_s: float = 16000.0
     link_bytes_s: float = 2.5e9
     kv_bytes_per_token: int = 163_840
     step_s: float = 0.015
@@ -113,7 +113,7 @@
         self._link_turn = asyncio.Lock()
         self._cache: OrderedDict[str, None] = OrderedDict()
         self._loads: deque[tuple[float, dict[str, Any]]] = deque()
-        self._client = aiosonic.HTTPClient()
+        self._client = new_http_client()
         self._stepper: asyncio.Task[None] | None = None
 
     async def prefill(self, task: dict[str, Any]) -> Any:
--- a/lab/load.py
+++ b/lab/load.py
@@ -13,6 +13,7 @@
 from aiosonic.exceptions import AiosonicError
 from aiosonic.timeout import Timeouts
 
+from flamingoshelf.utils import new_http_client
 from lab.language import expected_answer
 from lab.scenarios import Scenario, key_of
 
@@ -118,7 +119,7 @@
         self._addresses = addresses
         self._options = options
         self._random = random.Random(options.seed)
-        self._client = aiosonic.HTTPClient()
+        self._client = new_http_client()
         self._result = LoadResult(options=options)
         self._shared = {
             workspace.name: self._text(_SHARED_CHARS) for workspace in scenario.workspaces
--- a/lab/scenarios.py
+++ b/lab/scenarios.py
@@ -66,9 +66,11 @@
     unfairness_tokens: int
     capacity_per_s: float
 
-    def resized(self, **counts: int) -> "Scenario":
-        """Return the same site with other numbers of nodes or backend servers."""
-        return attrs.evolve(self, **counts)
+    def resized(self, *, node_count: int, prefill_count: int, decode_count: int) -> "Scenario":
+        """Return the same site with other numbers of nodes and engines."""
+        return attrs.evolve(
+            self, node_count=node_count, prefill_count=prefill_count, decode_count=decode_count
+        )
 
     def objects(self, prefill: list[str], decode: list[str], plain: list[str]) -> list[Any]:
         """Return the documents of all objects, for engines at the given addresses."""
@@ -140,16 +142,16 @@
     plain_count=3,
     route_prefix="/bookings",
     workspaces=(
-        WorkspaceLoad(name="kathmandu-north", share=0.35, rate_tokens_s=9000.0),
-        WorkspaceLoad(name="kathmandu-south", share=0.3, rate_tokens_s=8000.0),
-        WorkspaceLoad(name="pokhara-lake", share=0.2, rate_tokens_s=6000.0),
-        WorkspaceLoad(name="pokhara-road", share=0.1, rate_tokens_s=4000.0),
+        WorkspaceLoad(name="kathmandu-north", share=0.35, rate_tokens_s=14000.0),
+        WorkspaceLoad(name="kathmandu-south", share=0.3, rate_tokens_s=12000.0),
+        WorkspaceLoad(name="pokhara-lake", share=0.2, rate_tokens_s=8000.0),
+        WorkspaceLoad(name="pokhara-road", share=0.1, rate_tokens_s=4500.0),
         WorkspaceLoad(name="workshop", share=0.05, rate_tokens_s=3000.0),
     ),
     prompt_chars=(800, 8000),
-    max_tokens=(40, 160),
+    max_tokens=(120, 480),
     unfairness_tokens=16384,
-    capacity_per_s=20.0,
+    capacity_per_s=17.0,
 )
 
 _SECOND_HEARTH = Scenario(
@@ -168,9 +170,9 @@
         WorkspaceLoad(name="chapel-shop", share=0.1, rate_tokens_s=3000.0),
     ),
     prompt_chars=(800, 8000),
-    max_tokens=(40, 160),
+    max_tokens=(120, 480),
     unfairness_tokens=2048,
-    capacity_per_s=12.0,
+    capacity_per_s=8.5,
 )
 
 SCENARIOS = {scenario.name: scenario for scenario in (_HIMAL, _SECOND_HEARTH)}
--- a/lab/site.py
+++ b/lab/site.py
@@ -6,12 +6,12 @@
 from pathlib import Path
 from typing import Any
 
-import aiosonic
 import attrs
 
 from flamingoshelf.configuration import Repository
 from flamingoshelf.objects import parse_document
 from flamingoshelf.platform import HttpObjectService
+from flamingoshelf.utils import new_http_client
 from lab.processes import AddressPool, Process, wait_until_listening
 from lab.scenarios import Scenario
 
@@ -53,7 +53,7 @@
         self._folder = folder
         self._node_settings = node_settings or {}
         self._addresses = AddressPool()
-        self._client = aiosonic.HTTPClient()
+        self._client = new_http_client()
         self.platform_address = self._addresses.take()[0]
         self.platform = self._process("platform", ["lab", "platform", self.platform_address])
         self.engines: dict[str, Process] = {}
