Put a fault-injecting proxy between real processes

Cause: the proofs need cuts, stalls, lost answers and partitions between processes.

In a site, other nodes reach a node, and a node reaches the platform, through proxies; engines on request. Nodes bind outgoing connections to their own IP number, so that a proxy can tell who dials and cut a node off in both directions.

--- a/flamingoshelf/nodes/_link.py
+++ b/flamingoshelf/nodes/_link.py
@@ -151,8 +151,10 @@
         return connection
 
     async def _open(self, address: str, peer: str) -> NodeConnection:
+        own_ip = self._listen_address.rpartition(":")[0]
         socket = await connect(
             f"ws://{address}",
+            local_addr=(own_ip, 0),
             max_size=_MAX_FRAME_BYTES,
             compression=None,
             ping_interval=_PING_INTERVAL_S,
--- a/lab/site.py
+++ b/lab/site.py
@@ -13,6 +13,7 @@
 from flamingoshelf.platform import HttpObjectService
 from flamingoshelf.utils import new_http_client
 from lab.processes import AddressPool, Process, wait_until_listening
+from lab.proxy import FaultProxy, ProxyMode
 from lab.scenarios import Scenario
 
 __all__ = ["NodeProcess", "Site"]
@@ -23,7 +24,10 @@
 
 @attrs.define(kw_only=True)
 class NodeProcess:
-    """One node with its addresses."""
+    """One node with its addresses.
+
+    Other nodes reach it through `peer_proxy`, and it reaches the platform through `store_proxy`.
+    """
 
     name: str
     data_centre: str
@@ -31,6 +35,8 @@
     peer_address: str
     operator_address: str
     process: Process
+    peer_proxy: FaultProxy
+    store_proxy: FaultProxy
 
 
 class Site:
@@ -44,10 +50,17 @@
         Folder for settings and logs.
     node_settings : dict, optional
         Settings of every node beside its addresses.
+    proxies_engines : bool
+        Whether nodes and engines reach backend servers through `engine_proxies`.
     """
 
     def __init__(
-        self, *, scenario: Scenario, folder: Path, node_settings: dict[str, Any] | None = None
+        self,
+        *,
+        scenario: Scenario,
+        folder: Path,
+        node_settings: dict[str, Any] | None = None,
+        proxies_engines: bool = False,
     ) -> None:
         self._scenario = scenario
         self._folder = folder
@@ -58,6 +71,8 @@
         self.platform = self._process("platform", ["lab", "platform", self.platform_address])
         self.engines: dict[str, Process] = {}
         self.engine_addresses: dict[str, str] = {}
+        self.engine_proxies: dict[str, FaultProxy] = {}
+        self._proxies_engines = proxies_engines
         self.nodes: dict[str, NodeProcess] = {}
         for role, count in (
             ("prefill", scenario.prefill_count),
@@ -97,6 +112,8 @@
         self.platform.start()
         for engine in self.engines.values():
             engine.start()
+        for proxy in self._proxies():
+            await proxy.start()
         await wait_until_listening(self.platform_address)
         await self.list_vms(list(self.nodes))
         await self.publish(self.documents())
@@ -110,6 +127,8 @@
         await asyncio.gather(*(node.process.stop(5.0) for node in self.nodes.values()))
         await asyncio.gather(*(engine.stop(3.0) for engine in self.engines.values()))
         await self.platform.stop(3.0)
+        for proxy in self._proxies():
+            await proxy.stop()
         await self._client.connector.cleanup()
 
     def start_node(self, name: str) -> None:
@@ -121,8 +140,8 @@
             "caller_address": node.caller_address,
             "peer_address": node.peer_address,
             "operator_address": node.operator_address,
-            "object_service_address": self.platform_address,
-            "vm_list_address": self.platform_address,
+            "object_service_address": node.store_proxy.address,
+            "vm_list_address": node.store_proxy.address,
             "cluster_secret_file": "secret",
             **self._node_settings,
         }
@@ -141,7 +160,7 @@
         vms = [
             {
                 "name": name,
-                "address": self.nodes[name].peer_address,
+                "address": self.nodes[name].peer_proxy.address,
                 "data_centre": self.nodes[name].data_centre,
                 "state": "leaving" if name in leaving else "live",
             }
@@ -159,6 +178,20 @@
         response = await self._client.get(f"http://{self.nodes[name].operator_address}/status")
         return json.loads(await response.content())
 
+    def cut_off(self, name: str, *, from_store: bool, from_peers: bool) -> None:
+        """Cut a node off from the platform, from the messages of its peers, or from both."""
+        node = self.nodes[name]
+        node.store_proxy.mode = ProxyMode.REFUSE if from_store else ProxyMode.PASS
+        node.store_proxy.cut()
+        node.peer_proxy.mode = ProxyMode.REFUSE if from_peers else ProxyMode.PASS
+        own_ip = node.peer_address.rpartition(":")[0]
+        for other in self.nodes.values():
+            if from_peers:
+                other.peer_proxy.refused_sources.add(own_ip)
+            else:
+                other.peer_proxy.refused_sources.discard(own_ip)
+            other.peer_proxy.cut()
+
     async def wait_ready(self, name: str) -> None:
         """Wait until a node serves callers."""
         node = self.nodes[name]
@@ -170,14 +203,21 @@
 
     def _addresses_of(self, role: str) -> list[str]:
         return [
-            address
+            self.engine_proxies[name].address if self._proxies_engines else address
             for name, address in self.engine_addresses.items()
             if name.startswith(f"{role}-")
         ]
 
+    def _proxies(self) -> list[FaultProxy]:
+        proxies = list(self.engine_proxies.values()) if self._proxies_engines else []
+        for node in self.nodes.values():
+            proxies += [node.peer_proxy, node.store_proxy]
+        return proxies
+
     def _add_engine(self, role: str, number: int) -> None:
         name = f"{role}-{number}"
-        address = self._addresses.take()[0]
+        address, listen = self._addresses.take(2)
+        self.engine_proxies[name] = FaultProxy(listen_address=listen, target_address=address)
         program = "booking" if role == "plain" else "engine"
         arguments = ["lab", program, address] + ([] if role == "plain" else ["--role", role])
         self.engine_addresses[name] = address
@@ -185,7 +225,7 @@
 
     def _add_node(self, number: int) -> None:
         name = f"node-{number}"
-        caller, peer, operator = self._addresses.take(3)
+        caller, peer, operator, peer_listen, store_listen = self._addresses.take(5)
         settings = str(self._folder / f"{name}.json")
         self.nodes[name] = NodeProcess(
             name=name,
@@ -194,6 +234,10 @@
             peer_address=peer,
             operator_address=operator,
             process=self._process(name, ["flamingoshelf.daemon", "--settings", settings]),
+            peer_proxy=FaultProxy(listen_address=peer_listen, target_address=peer),
+            store_proxy=FaultProxy(
+                listen_address=store_listen, target_address=self.platform_address
+            ),
         )
 
     def _process(self, name: str, arguments: list[str]) -> Process:
