Answer status reads before the first revision

Cause: the age of the configuration is infinite until the first confirmation, which JSON can't carry, so /status answered 500; one of six runs of the real-process tests met it. Change: the age is null until then. Figures: the new test fails without the change and passes with it.

--- a/flamingoshelf/daemon/_node.py
+++ b/flamingoshelf/daemon/_node.py
@@ -1,6 +1,7 @@
 """Puts the parts of a node together."""
 
 import asyncio
+import math
 import random
 from typing import Any
 
@@ -142,6 +143,11 @@
             is_ready=lambda: self.is_ready, metrics=self._metrics, status=self._status
         )
 
+    def _configuration_age_s(self) -> float | None:
+        """Return the age, or None before the first confirmation."""
+        age_s = self._configuration.age_s
+        return round(age_s, 3) if math.isfinite(age_s) else None
+
     def _status(self) -> dict[str, Any]:
         return {
             "node": self._settings.node_name,
@@ -149,6 +155,6 @@
             "incarnation": self._incarnation,
             "ready": self.is_ready,
             "revision": self._catalog().revision,
-            "configuration_age_s": round(self._configuration.age_s, 3),
+            "configuration_age_s": self._configuration_age_s(),
             "vm_list_version": self._vms.snapshot.version,
         }
--- /dev/null
+++ b/flamingoshelf/daemon/tests/test_node.py
@@ -0,0 +1,49 @@
+"""A node without anything around it."""
+
+import json
+
+import aiosonic
+import pytest
+
+from flamingoshelf.daemon import Node
+from flamingoshelf.settings import Settings
+from lab.processes import AddressPool, wait_until_listening
+
+pytestmark = pytest.mark.processes
+
+
+@pytest.fixture
+async def lonely_node():
+    caller, peer, operator, absent = AddressPool().take(4)
+    settings = Settings(
+        node_name="node-0",
+        data_centre="kathmandu-a",
+        caller_address=caller,
+        peer_address=peer,
+        operator_address=operator,
+        object_service_address=absent,
+        vm_list_address=absent,
+        cluster_secret=b"0123456789abcdef",
+        max_body_bytes=1024,
+        shutdown_timeout_s=1,
+        vm_list_lag_s=1,
+        log_format="text",
+        log_level="INFO",
+    )
+    node = Node(settings=settings)
+    await node.start()
+    await wait_until_listening(operator)
+    yield operator
+    await node.stop()
+
+
+@pytest.mark.parametrize(
+    ("path", "status"), [("/healthz", 200), ("/readyz", 503), ("/metrics", 200), ("/status", 200)]
+)
+async def test_operators_are_answered_before_the_first_revision(lonely_node, path, status):
+    client = aiosonic.HTTPClient()
+    response = await client.get(f"http://{lonely_node}{path}")
+    assert response.status_code == status
+    if path == "/status":
+        assert json.loads(await response.content())["ready"] is False
+    await client.connector.cleanup()
