Cancel what a caller no longer waits for, and read answers at the engine's speed

Cause, found by reading: a caller that went away while its streamed request waited for a place was noticed only after prefill; a caller that read slowly kept its place at the decode engine; a failed handler answered plain text instead of a problem document.

The endpoint is split into endpoint, pump, documents and streams.

--- a/flamingoshelf/callers/_admission.py
+++ b/flamingoshelf/callers/_admission.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from loguru import logger
 from result import Err, Ok, Result
 from starlette.requests import Request
 from starlette.responses import Response
@@ -72,6 +73,21 @@
         self._metrics.count_refusal(refusal.reason)
         return problem_response(refusal)
 
+    async def answer_failure(self, request: Request, error: Exception) -> Response:
+        """Answer a request whose handler failed."""
+        logger.opt(exception=error).bind(step="answer").error("{} failed", request.url.path)
+        return self.refuse(_internal_error())
+
+
+def _internal_error() -> Refusal:
+    return Refusal(
+        reason=RefusalReason.INTERNAL_ERROR,
+        status=500,
+        detail="The node failed while it served the request.",
+        not_run=False,
+        step="answer",
+    )
+
 
 def _stale() -> Refusal:
     return Refusal(
--- a/flamingoshelf/callers/_app.py
+++ b/flamingoshelf/callers/_app.py
@@ -3,6 +3,7 @@
 from starlette.applications import Starlette
 from starlette.routing import Route
 
+from flamingoshelf.callers._admission import Admission
 from flamingoshelf.callers._completions import CompletionEndpoints
 from flamingoshelf.callers._services import ServiceEndpoint
 
@@ -11,7 +12,9 @@
 _METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 
 
-def build_caller_app(*, completions: CompletionEndpoints, services: ServiceEndpoint) -> Starlette:
+def build_caller_app(
+    *, admission: Admission, completions: CompletionEndpoints, services: ServiceEndpoint
+) -> Starlette:
     """Return the ASGI application for callers."""
     return Starlette(
         routes=[
@@ -19,5 +22,6 @@
             Route("/v1/completions", completions.text, methods=["POST"]),
             Route("/v1/models", completions.models, methods=["GET"]),
             Route("/{path:path}", services.call, methods=_METHODS),
-        ]
+        ],
+        exception_handlers={Exception: admission.answer_failure},
     )
--- a/flamingoshelf/callers/_completion_run.py
+++ b/flamingoshelf/callers/_completion_run.py
@@ -100,6 +100,11 @@
         self._charge: Charge | None = None
         self._arrived_s = now_s()
 
+    @property
+    def request(self) -> CompletionRequest:
+        """The checked request."""
+        return self._request
+
     @property
     def request_id(self) -> str:
         """Identifier of the request."""
--- a/flamingoshelf/callers/_completions.py
+++ b/flamingoshelf/callers/_completions.py
@@ -1,33 +1,29 @@
 """Endpoints for completions, in the shape of the OpenAI API."""
 
-import asyncio
 import itertools
-import json
-from collections.abc import AsyncGenerator, AsyncIterator
-from contextlib import aclosing
-from typing import Any
+from collections.abc import AsyncIterator
 
-import attrs
-from result import Err
+from result import Err, Ok, Result
 from starlette.requests import Request
-from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.responses import JSONResponse, Response
 
 from flamingoshelf.backends import DecodedToken, DecodeEnd
 from flamingoshelf.callers._admission import Admission
+from flamingoshelf.callers._answer_pump import AnswerPump
 from flamingoshelf.callers._authentication import Caller
+from flamingoshelf.callers._completion_documents import END_OF_STREAM, AnswerWriter
 from flamingoshelf.callers._completion_request import CompletionRequest, parse_completion
 from flamingoshelf.callers._completion_run import CompletionRun, CompletionRunner, RefusedError
+from flamingoshelf.callers._streams import (
+    CallerGoneError,
+    TimedStreamingResponse,
+    unless_caller_leaves,
+)
 from flamingoshelf.refusals import Refusal, RefusalReason
 
 __all__ = ["CompletionEndpoints"]
 
-
-@attrs.define(kw_only=True)
-class _Answer:
-    """Texts of an answer and its end."""
-
-    texts: list[str] = attrs.field(factory=list)
-    end: DecodeEnd | None = None
+_CALLER_GONE_STATUS = 499
 
 
 class CompletionEndpoints:
@@ -67,152 +63,93 @@
         return JSONResponse({"object": "list", "data": entries})
 
     async def _complete(self, request: Request, *, is_chat: bool) -> Response:
+        prepared = await self._prepare(request, is_chat=is_chat)
+        if isinstance(prepared, Err):
+            return self._admission.refuse(prepared.err_value)
+        run = prepared.ok_value
+        writer = AnswerWriter(request_id=run.request_id, request=run.request)
+        pump = AnswerPump(source=run)
+        pump.start()
+        try:
+            if run.request.stream:
+                return await self._stream(request, run, pump, writer)
+            return await self._whole(request, run, pump, writer)
+        except RefusedError as error:
+            await pump.stop()
+            return self._admission.refuse(error.refusal)
+        except CallerGoneError:
+            await pump.stop()
+            return Response(status_code=_CALLER_GONE_STATUS)
+        except BaseException:
+            await pump.stop()
+            raise
+
+    async def _prepare(self, request: Request, *, is_chat: bool) -> Result[CompletionRun, Refusal]:
         admitted = self._admission.authenticate(request)
         if isinstance(admitted, Err):
-            return self._admission.refuse(admitted.err_value)
+            return admitted
         body = await self._admission.read_body(request)
         if isinstance(body, Err):
-            return self._admission.refuse(body.err_value)
+            return body
         catalog = self._admission.catalog
         parsed = parse_completion(body.ok_value, is_chat=is_chat, catalog=catalog)
         if isinstance(parsed, Err):
-            return self._admission.refuse(parsed.err_value)
-        completion = parsed.ok_value
-        run = self._new_run(completion, admitted.ok_value)
-        if isinstance(run, Refusal):
-            return self._admission.refuse(run)
-        if completion.stream:
-            return await self._stream(completion, run)
-        return await self._whole(request, completion, run)
-
-    def _new_run(self, completion: CompletionRequest, caller: Caller) -> CompletionRun | Refusal:
+            return parsed
+        return self._new_run(parsed.ok_value, admitted.ok_value)
+
+    def _new_run(
+        self, completion: CompletionRequest, caller: Caller
+    ) -> Result[CompletionRun, Refusal]:
         workspace = self._admission.catalog.workspace(caller.workspace)
         if workspace is None:
-            return Refusal(
-                reason=RefusalReason.UNKNOWN_KEY,
-                status=401,
-                detail="The key's workspace does not exist.",
-                not_run=True,
-            )
-        return CompletionRun(
+            return Err(_no_workspace())
+        run = CompletionRun(
             runner=self._runner,
             request=completion,
             workspace_name=caller.workspace,
             workspace=workspace,
             request_id=f"{self._incarnation}.{next(self._numbers)}",
         )
+        return Ok(run)
 
     async def _whole(
-        self, request: Request, completion: CompletionRequest, run: CompletionRun
+        self, request: Request, run: CompletionRun, pump: AnswerPump, writer: AnswerWriter
     ) -> Response:
-        answering = asyncio.create_task(_collect(run))
-        vanishing = asyncio.create_task(_wait_for_disconnect(request))
-        try:
-            await asyncio.wait((answering, vanishing), return_when=asyncio.FIRST_COMPLETED)
-            if not answering.done():
-                answering.cancel()
-            answer = await answering
-        except RefusedError as error:
-            return self._admission.refuse(error.refusal)
-        except asyncio.CancelledError:
-            if not vanishing.done():
-                raise
-            return Response(status_code=499)
-        finally:
-            answering.cancel()
-            vanishing.cancel()
-        return JSONResponse(_whole_document(completion, run, answer))
-
-    async def _stream(self, completion: CompletionRequest, run: CompletionRun) -> Response:
-        """Answer once the first event is there, so that a refusal is still a plain response."""
-        events = run.tokens()
-        try:
-            first = await anext(events)
-        except RefusedError as error:
-            return self._admission.refuse(error.refusal)
-        return StreamingResponse(
-            _server_sent_events(completion, run, first, events), media_type="text/event-stream"
-        )
+        events: list[DecodedToken | DecodeEnd] = []
+        while more := await unless_caller_leaves(request, pump.next_events()):
+            events += more
+        return JSONResponse(writer.whole(events, prompt_tokens=run.prompt_tokens))
 
-
-async def _collect(run: CompletionRun) -> _Answer:
-    answer = _Answer()
-    async with aclosing(run.tokens()) as events:
-        async for event in events:
-            if isinstance(event, DecodeEnd):
-                answer.end = event
-            else:
-                answer.texts.append(event.text)
-    return answer
-
-
-async def _wait_for_disconnect(request: Request) -> None:
-    while not await request.is_disconnected():
-        await asyncio.sleep(0.1)
+    async def _stream(
+        self, request: Request, run: CompletionRun, pump: AnswerPump, writer: AnswerWriter
+    ) -> Response:
+        """Answer once the first token is there, so that a refusal is a plain response."""
+        first = await unless_caller_leaves(request, pump.next_events())
+        return TimedStreamingResponse(_stream_events(run, pump, writer, first), on_close=pump.stop)
 
 
-async def _server_sent_events(
-    completion: CompletionRequest,
+async def _stream_events(
     run: CompletionRun,
-    first: DecodedToken | DecodeEnd,
-    events: AsyncGenerator[DecodedToken | DecodeEnd, None],
+    pump: AnswerPump,
+    writer: AnswerWriter,
+    first: list[DecodedToken | DecodeEnd],
 ) -> AsyncIterator[bytes]:
-    """Yield the answer as events; a cut answer ends without the closing event."""
-    async with aclosing(events):
-        yield _encode_event(_event_document(completion, run, first))
-        async for event in events:
-            yield _encode_event(_event_document(completion, run, event))
-        yield b"data: [DONE]\n\n"
-
-
-def _encode_event(document: dict[str, Any]) -> bytes:
-    return b"data: " + json.dumps(document, separators=(",", ":")).encode() + b"\n\n"
-
-
-def _event_document(
-    completion: CompletionRequest, run: CompletionRun, event: DecodedToken | DecodeEnd
-) -> dict[str, Any]:
-    is_end = isinstance(event, DecodeEnd)
-    text = "" if isinstance(event, DecodeEnd) else event.text
-    choice: dict[str, Any] = {"index": 0}
-    if completion.is_chat:
-        choice["delta"] = {} if is_end else {"content": text}
-    else:
-        choice["text"] = text
-    choice["finish_reason"] = event.finish_reason if isinstance(event, DecodeEnd) else None
-    document: dict[str, Any] = {
-        "id": run.request_id,
-        "model": completion.model,
-        "choices": [choice],
-    }
-    document["object"] = "chat.completion.chunk" if completion.is_chat else "text_completion"
-    if isinstance(event, DecodeEnd):
-        document["usage"] = _usage(run, event)
-    return document
-
-
-def _whole_document(
-    completion: CompletionRequest, run: CompletionRun, answer: _Answer
-) -> dict[str, Any]:
-    assert answer.end is not None
-    text = "".join(answer.texts)
-    choice: dict[str, Any] = {"index": 0, "finish_reason": answer.end.finish_reason}
-    if completion.is_chat:
-        choice["message"] = {"role": "assistant", "content": text}
-    else:
-        choice["text"] = text
-    return {
-        "id": run.request_id,
-        "object": "chat.completion" if completion.is_chat else "text_completion",
-        "model": completion.model,
-        "choices": [choice],
-        "usage": _usage(run, answer.end),
-    }
-
-
-def _usage(run: CompletionRun, end: DecodeEnd) -> dict[str, int]:
-    return {
-        "prompt_tokens": run.prompt_tokens,
-        "completion_tokens": end.completion_tokens,
-        "total_tokens": run.prompt_tokens + end.completion_tokens,
-    }
+    """Yield the answer; one that was cut ends with an error and without the end of the stream."""
+    try:
+        events = first
+        while events:
+            yield writer.events(events, prompt_tokens=run.prompt_tokens)
+            events = await pump.next_events()
+        yield END_OF_STREAM
+    except RefusedError as error:
+        yield writer.failure(error.refusal)
+        raise
+
+
+def _no_workspace() -> Refusal:
+    return Refusal(
+        reason=RefusalReason.UNKNOWN_KEY,
+        status=401,
+        detail="The key's workspace does not exist.",
+        not_run=True,
+    )
--- /dev/null
+++ b/flamingoshelf/callers/tests/conftest.py
@@ -0,0 +1,251 @@
+"""A caller application whose engines are under the test's control."""
+
+import asyncio
+import hashlib
+import json
+import random
+
+import aiosonic
+import attrs
+import pytest
+from result import Ok
+
+from flamingoshelf.backends import (
+    DecodedToken,
+    DecodeEnd,
+    EngineLoad,
+    PlainServiceClient,
+    PrefillResult,
+)
+from flamingoshelf.callers import (
+    Admission,
+    CompletionEndpoints,
+    CompletionRunner,
+    ServiceEndpoint,
+    build_caller_app,
+)
+from flamingoshelf.daemon._http_server import HttpServer
+from flamingoshelf.dispatch import Grant
+from flamingoshelf.limits import Charge
+from flamingoshelf.objects import Catalog, parse_document
+from flamingoshelf.telemetry import Metrics
+from flamingoshelf.utils import TaskGroup, new_http_client
+from lab.processes import AddressPool, wait_until_listening
+
+KEY = "fsk-desk-0123456789abcdef"
+WITHDRAWN_KEY = "fsk-desk-fedcba9876543210"
+MAX_BODY_BYTES = 4096
+
+
+def _document(kind, name, **spec):
+    return parse_document({"kind": kind, "name": name, "spec": spec})
+
+
+def _digest(key):
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+@pytest.fixture
+def catalog():
+    return Catalog(
+        revision=1,
+        objects=[
+            _document("workspace", "desk", rate_tokens_s=1000, burst_tokens=10_000),
+            _document("key", "desk-1", workspace="desk", sha256=_digest(KEY)),
+            _document(
+                "key", "desk-2", workspace="desk", sha256=_digest(WITHDRAWN_KEY), withdrawn=True
+            ),
+            _document("weight_store", "weights", address="127.0.0.1:1", bytes_per_s=1e9),
+            _document(
+                "model_version",
+                "writer-1",
+                weights="w",
+                weight_store="weights",
+                context_tokens=2048,
+                tokens_per_byte_bound=0.25,
+            ),
+            _document("pool", "prefill", role="prefill"),
+            _document("pool", "decode", role="decode"),
+            _document(
+                "model",
+                "writer",
+                version="writer-1",
+                prefill_pools=["prefill"],
+                decode_pools=["decode"],
+            ),
+        ],
+    )
+
+
+@attrs.define(slots=False)
+class FakeEngines:
+    """Engines that record what they hold.
+
+    ``gate`` stops the decoding of tokens from ``gate_index`` on until it is set.
+    """
+
+    token_count: int = 5
+    gate_index: int = 10**6
+    gate: asyncio.Event = attrs.field(factory=asyncio.Event)
+    held: set[str] = attrs.field(factory=set)
+    prompts: list[str] = attrs.field(factory=list)
+
+    async def prefill(self, address, task, *, timeout_s):
+        self.held.add(task.request_id)
+        self.prompts.append(task.prompt)
+        return PrefillResult(
+            request_id=task.request_id,
+            prompt_tokens=7,
+            cached_tokens=0,
+            kv_bytes=1,
+            lifetime_s=1,
+        )
+
+    async def import_kv(self, address, **order):
+        pass
+
+    async def decode(self, address, *, request_id, **options):
+        for index in range(self.token_count):
+            if index >= self.gate_index:
+                await self.gate.wait()
+            yield DecodedToken(request_id=request_id, index=index, text=f"t{index} ")
+        self.held.discard(request_id)
+        yield DecodeEnd(
+            request_id=request_id, finish_reason="stop", completion_tokens=self.token_count
+        )
+
+    async def cancel(self, address, request_id):
+        self.held.discard(request_id)
+
+    async def load(self, address):
+        return EngineLoad(held=tuple(self.held), used_pieces=0, queued=0)
+
+
+@attrs.define
+class FakePlacer:
+    """Grants at once, unless ``open`` is not set."""
+
+    open: asyncio.Event = attrs.field(factory=asyncio.Event)
+    waiting: int = 0
+    granted: int = 0
+
+    async def acquire(self, request):
+        self.waiting += 1
+        try:
+            await self.open.wait()
+        finally:
+            self.waiting -= 1
+        self.granted += 1
+        grant = Grant(
+            request_id=request.request_id,
+            prefill_server="prefill-0",
+            prefill_address="p",
+            decode_server="decode-0",
+            decode_address="d",
+        )
+        return Ok(grant)
+
+    def release_prefill(self, grant):
+        pass
+
+    def release(self, grant):
+        self.granted -= 1
+
+
+@attrs.define
+class FakeLimiter:
+    """Grants everything and records what was used."""
+
+    used: list[int] = attrs.field(factory=list)
+
+    async def charge(self, *, request_id, workspace, tokens):
+        return Ok(
+            Charge(request_id=request_id, workspace=workspace, tokens=tokens, home="", epoch="")
+        )
+
+    def settle(self, charge, *, used_tokens):
+        self.used.append(used_tokens)
+
+
+@attrs.define
+class CallerSite:
+    """The application at `address` and what is behind it."""
+
+    address: str
+    engines: FakeEngines
+    placer: FakePlacer
+    limiter: FakeLimiter
+    client: aiosonic.HTTPClient
+    is_fresh: bool = True
+
+    async def post(self, document, *, path="/v1/completions", key=KEY, headers=None):
+        """Return status and parsed body."""
+        all_headers = {"Authorization": f"Bearer {key}"} if key else {}
+        body = document if isinstance(document, bytes) else json.dumps(document).encode()
+        response = await self.client.post(
+            f"http://{self.address}{path}", data=body, headers=all_headers | (headers or {})
+        )
+        return response.status_code, json.loads(await response.content())
+
+    async def open_raw(self, data):
+        """Send `data` over a connection of its own; return reader and writer."""
+        host, _, port = self.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        await writer.drain()
+        return reader, writer
+
+    async def open_completion(self, document):
+        """Send a request over a connection of its own; return reader and writer."""
+        body = json.dumps(document).encode()
+        head = (
+            f"POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        return await self.open_raw(head.encode() + body)
+
+
+@pytest.fixture
+async def caller_site(catalog):
+    engines, placer, limiter = FakeEngines(), FakePlacer(), FakeLimiter()
+    placer.open.set()
+    client = new_http_client()
+    site = CallerSite(
+        address=AddressPool().take()[0],
+        engines=engines,
+        placer=placer,
+        limiter=limiter,
+        client=client,
+    )
+    metrics = Metrics(node_name="node-0")
+    admission = Admission(
+        catalog=lambda: catalog,
+        is_fresh=lambda: site.is_fresh,
+        metrics=metrics,
+        max_body_bytes=MAX_BODY_BYTES,
+    )
+    background = TaskGroup(owner="background")
+    runner = CompletionRunner(
+        engines=engines,
+        placer=placer,
+        limiter=limiter,
+        metrics=metrics,
+        background=background,
+    )
+    app = build_caller_app(
+        admission=admission,
+        completions=CompletionEndpoints(admission=admission, runner=runner, incarnation="i"),
+        services=ServiceEndpoint(
+            admission=admission,
+            client=PlainServiceClient(),
+            metrics=metrics,
+            random_source=random.Random(0),
+        ),
+    )
+    server = HttpServer(app=app, address=site.address, shutdown_timeout_s=1)
+    await server.start()
+    await wait_until_listening(site.address)
+    yield site
+    await server.stop()
+    await background.drain()
+    await client.connector.cleanup()
--- a/flamingoshelf/daemon/_node.py
+++ b/flamingoshelf/daemon/_node.py
@@ -136,7 +136,7 @@
             metrics=self._metrics,
             random_source=random.Random(self._incarnation),
         )
-        return build_caller_app(completions=completions, services=services)
+        return build_caller_app(admission=admission, completions=completions, services=services)
 
     def _build_operator_app(self) -> Any:
         return build_operator_app(
--- a/flamingoshelf/refusals.py
+++ b/flamingoshelf/refusals.py
@@ -35,6 +35,7 @@
     CLAIM_BODY_DIFFERS = "claim_body_differs"
     QUARANTINED = "quarantined"
     SHUTTING_DOWN = "shutting_down"
+    INTERNAL_ERROR = "internal_error"
 
 
 class RetryReason(StrEnum):
