Add a mixed run under faults from a seed, judged by an independent checker

Cause: what must always hold needs a judge that reads the stand-ins' own records.

The load tool repeats bookings through other nodes with the same key.

--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -1,15 +1,21 @@
 """Command line of the lab: ``python -m lab``."""
 
 import argparse
+import asyncio
 import json
+import sys
 from pathlib import Path
 
+import attrs
+
 from lab.booking import build_booking_app
 from lab.demo import DemoOptions, run_demo
 from lab.engine import EngineOptions, build_engine_app
 from lab.platform import build_platform_app
+from lab.records import Recorder
 from lab.scenarios import SCENARIOS
 from lab.server import run_app
+from lab.soak import SoakOptions, run_soak
 
 
 def main() -> None:
@@ -19,11 +25,14 @@
         case "platform":
             run_app(build_platform_app(), options.address)
         case "engine":
-            run_app(build_engine_app(EngineOptions(role=options.role)), options.address)
+            app = build_engine_app(EngineOptions(role=options.role), Recorder(options.record))
+            run_app(app, options.address)
         case "booking":
-            run_app(build_booking_app(), options.address)
+            run_app(build_booking_app(Recorder(options.record)), options.address)
         case "demo":
             _demo(options)
+        case "soak":
+            sys.exit(_soak(options))
 
 
 def _demo(options: argparse.Namespace) -> None:
@@ -41,14 +50,38 @@
         options.json.write_text(text + "\n")
 
 
+def _soak(options: argparse.Namespace) -> int:
+    """Run the mixed run; return 1 if it found a breach."""
+    soak = SoakOptions(
+        seed=options.seed,
+        duration_s=options.duration,
+        load=options.load,
+        mean_gap_s=options.gap,
+    )
+    options.folder.mkdir(parents=True, exist_ok=True)
+    scenario = SCENARIOS[options.scenario]
+    report = asyncio.run(run_soak(scenario=scenario, folder=options.folder, options=soak))
+    print(json.dumps(attrs.asdict(report), indent=2))
+    return 1 if report.breaches else 0
+
+
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(prog="python -m lab")
     programs = parser.add_subparsers(dest="program", required=True)
-    for name in ("platform", "booking"):
-        programs.add_parser(name).add_argument("address")
+    programs.add_parser("platform").add_argument("address")
+    booking = programs.add_parser("booking")
     engine = programs.add_parser("engine")
-    engine.add_argument("address")
     engine.add_argument("--role", choices=["prefill", "decode"], required=True)
+    for program in (booking, engine):
+        program.add_argument("address")
+        program.add_argument("--record", type=Path, metavar="FILE")
+    soak = programs.add_parser("soak", help="load and faults from a seed, and a checker")
+    soak.add_argument("--scenario", choices=sorted(SCENARIOS), default="himal")
+    soak.add_argument("--duration", type=float, default=120.0, help="seconds of load")
+    soak.add_argument("--load", type=float, default=0.6, help="part of the site's capacity")
+    soak.add_argument("--gap", type=float, default=3.0, help="mean seconds between faults")
+    soak.add_argument("--seed", type=int, default=1)
+    soak.add_argument("--folder", type=Path, default=Path("out/soak"), help="settings and logs")
     demo = programs.add_parser("demo", help="start a site, load it and print the measures")
     demo.add_argument("--scenario", choices=sorted(SCENARIOS), default="himal")
     demo.add_argument("--duration", type=float, default=30.0, help="seconds of load")
--- a/lab/booking.py
+++ b/lab/booking.py
@@ -11,6 +11,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from lab.records import Recorder
 from lab.server import KeyWatch
 
 __all__ = ["build_booking_app"]
@@ -21,7 +22,8 @@
 class Booking:
     """Executions, counted by the booking's name."""
 
-    def __init__(self) -> None:
+    def __init__(self, recorder: Recorder) -> None:
+        self._recorder = recorder
         self._executions: Counter[str] = Counter()
         self._crash: str | None = None
         self._delay_s = 0.005
@@ -35,6 +37,7 @@
         if self._crash == "before":
             os._exit(_CRASH_STATUS)
         self._executions[name] += 1
+        self._recorder.write("execution", name)
         if self._crash == "after":
             os._exit(_CRASH_STATUS)
         await asyncio.sleep(self._delay_s)
@@ -50,9 +53,9 @@
         return JSONResponse({"executions": executions, "keys_seen": KeyWatch.seen})
 
 
-def build_booking_app() -> Starlette:
+def build_booking_app(recorder: Recorder) -> Starlette:
     """Return the service as an ASGI application."""
-    booking = Booking()
+    booking = Booking(recorder)
     return Starlette(
         routes=[
             Route("/control", booking.control, methods=["GET", "POST"]),
--- a/lab/engine.py
+++ b/lab/engine.py
@@ -24,6 +24,7 @@
 
 from flamingoshelf.utils import new_http_client
 from lab.language import answer_length, count_tokens, digest_of, token_text
+from lab.records import Recorder, workspace_of
 from lab.server import KeyWatch, handler
 
 __all__ = ["EngineOptions", "build_engine_app"]
@@ -77,6 +78,7 @@
     digest: str
     prompt_tokens: int
     generated: int
+    workspace: str
     poison: bool
     ready_s: float
     kv_bytes: int
@@ -85,6 +87,7 @@
 @attrs.define(kw_only=True)
 class _Running:
     digest: str
+    workspace: str
     pieces: int
     length: int
     first_index: int
@@ -101,8 +104,9 @@
 class Engine:
     """State of one engine."""
 
-    def __init__(self, options: EngineOptions) -> None:
+    def __init__(self, options: EngineOptions, recorder: Recorder) -> None:
         self.options = options
+        self._recorder = recorder
         self.records: Counter[str] = Counter()
         self.prompts: dict[str, str] = {}
         self._results: dict[str, _Prefilled] = {}
@@ -125,6 +129,8 @@
                 return Response("cancelled", 409)
             cached = self._cached_tokens(task["prompt"])
             prompt_tokens = count_tokens(task["prompt"])
+            workspace = workspace_of(task["prompt"])
+            self._recorder.write("prefill", request_id, workspace=workspace, amount=prompt_tokens)
             work = max(1, prompt_tokens + generated - cached)
             await self._work(work / self.options.prefill_tokens_s)
         self._remember(task["prompt"])
@@ -137,6 +143,7 @@
             digest=digest_of(task["prompt"]),
             prompt_tokens=prompt_tokens,
             generated=generated,
+            workspace=workspace,
             poison=_POISON_MARK in task["prompt"],
             ready_s=_now_s(),
             kv_bytes=kv_bytes,
@@ -164,6 +171,7 @@
             "digest": result.digest,
             "prompt_tokens": result.prompt_tokens,
             "generated": result.generated,
+            "workspace": result.workspace,
             "poison": result.poison,
         }
 
@@ -176,7 +184,7 @@
             async with asyncio.timeout(_RESULT_LIFETIME_S), self._freed:
                 await self._freed.wait_for(lambda: self._fits(pieces))
                 placeholder = _Running(
-                    digest="", pieces=pieces, length=0, first_index=0, poison=False
+                    digest="", workspace="", pieces=pieces, length=0, first_index=0, poison=False
                 )
                 self._running[request_id] = placeholder
         except TimeoutError:
@@ -185,8 +193,10 @@
         if result is None or request_id in self._cancelled:
             await self._free(request_id)
             return Response("no result", 410)
+        self._recorder.write("import", request_id, workspace=result["workspace"])
         self._running[request_id] = _Running(
             digest=result["digest"],
+            workspace=result["workspace"],
             pieces=pieces,
             length=answer_length(result["digest"], order["max_tokens"]),
             first_index=result["generated"],
@@ -280,6 +290,8 @@
         while active := [e for e in self._running.values() if e.started and not e.is_complete]:
             options = self.options
             await self._work(options.step_s + options.step_per_request_s * len(active))
+            for name, count in Counter(entry.workspace for entry in active).items():
+                self._recorder.write("tokens", "", workspace=name, amount=count)
             for entry in active:
                 index = entry.first_index + len(entry.tokens)
                 entry.tokens.append(token_text(entry.digest, index))
@@ -340,9 +352,9 @@
     os._exit(_CRASH_STATUS)
 
 
-def build_engine_app(options: EngineOptions) -> Starlette:
+def build_engine_app(options: EngineOptions, recorder: Recorder) -> Starlette:
     """Return an engine as an ASGI application."""
-    engine = Engine(options)
+    engine = Engine(options, recorder)
     return Starlette(
         routes=[
             Route("/prefill", handler(engine.prefill), methods=["POST"]),
--- a/lab/load.py
+++ b/lab/load.py
@@ -14,6 +14,7 @@
 from aiosonic.timeout import Timeouts
 
 from flamingoshelf.utils import new_http_client
+from lab.checker import BookingTry
 from lab.language import expected_answer
 from lab.scenarios import Scenario, key_of
 
@@ -21,6 +22,8 @@
 
 _WORDS = ["van", "caravan", "axle", "damp", "awning", "service", "stamp", "mileage", "seal", "oak"]
 _SHARED_CHARS = 2048
+_MAX_BOOKING_TRIES = 5
+_BOOKING_RETRY_S = 0.5
 
 
 @attrs.frozen(kw_only=True)
@@ -59,6 +62,13 @@
     token_gap_s: float = 0.0
     tokens: int = 0
     correct: bool = False
+    is_finished: bool = False
+    tries: list[BookingTry] = attrs.field(factory=list)
+
+    @property
+    def is_wrong(self) -> bool:
+        """Whether an answer looks finished and is not the right one."""
+        return self.is_finished and not self.correct
 
 
 @attrs.define(kw_only=True)
@@ -85,7 +95,8 @@
             "worst_workspace_goodput_share": round(min(shares.values(), default=0.0), 4),
             "refusals": dict(refused),
             "refused_within_rate": sum(refused[reason] for reason in ("rate_exceeded",)),
-            "wrong_answers": sum(not o.correct for o in self.outcomes if o.status < 300),
+            "wrong_answers": sum(o.is_wrong for o in completions),
+            "cut_answers": sum(o.status == 200 and not o.is_finished for o in completions),
             "first_token_p50_s": _quantile([o.first_token_s for o in answered], 0.5),
             "first_token_p95_s": _quantile([o.first_token_s for o in answered], 0.95),
             "token_gap_p95_s": _quantile([o.token_gap_s for o in answered], 0.95),
@@ -199,7 +210,11 @@
             if line == "data: [DONE]":
                 done = True
             elif line.startswith("data: "):
-                text = json.loads(line[6:])["choices"][0]["text"]
+                document = json.loads(line[6:])
+                if "error" in document:
+                    outcome.reason = document["error"]["reason"]
+                    continue
+                text = document["choices"][0]["text"]
                 if text:
                     last_s = loop.time()
                     first_s = first_s if texts else last_s
@@ -207,6 +222,7 @@
         outcome.tokens = len(texts)
         outcome.first_token_s = first_s - started_s
         outcome.token_gap_s = (last_s - first_s) / max(1, len(texts) - 1)
+        outcome.is_finished = done
         outcome.correct = done and "".join(texts) == expected_answer(prompt, max_tokens)
 
     async def _book(self) -> None:
@@ -214,24 +230,38 @@
         name = uuid.UUID(int=self._random.getrandbits(128)).hex
         outcome = _Outcome(workspace=workspace, kind="booking", status=0)
         self._result.outcomes.append(outcome)
+        for _ in range(_MAX_BOOKING_TRIES):
+            await self._try_booking(workspace, name, outcome)
+            if outcome.status in (201, 422):
+                break
+            await asyncio.sleep(_BOOKING_RETRY_S)
+        outcome.correct = outcome.status == 201
+
+    async def _try_booking(self, workspace: str, name: str, outcome: _Outcome) -> None:
+        """Ask any node for the booking, always with the same idempotency key."""
         headers = {
             "Authorization": f"Bearer {key_of(workspace)}",
             "Idempotency-Key": f'"{name}"',
         }
+        address = self._random.choice(self._addresses)
+        outcome.status, outcome.reason = 0, ""
+        not_run = False
         try:
             response = await self._client.post(
-                f"http://{self._random.choice(self._addresses)}"
-                f"{self._scenario.route_prefix}/{name}",
+                f"http://{address}{self._scenario.route_prefix}/{name}",
                 json={"van": name},
                 headers=headers,
+                timeouts=Timeouts(sock_read=30, request_timeout=30),
             )
             content = await response.content()
             outcome.status = response.status_code
-            outcome.correct = response.status_code == 201
             if response.status_code >= 400:
-                outcome.reason = json.loads(content)["reason"]
+                problem = json.loads(content)
+                outcome.reason = problem["reason"]
+                not_run = problem.get("not_run", False)
         except (AiosonicError, OSError, ValueError, TimeoutError) as error:
             outcome.reason = f"connection:{type(error).__name__}"
+        outcome.tries.append(BookingTry(name=name, status=outcome.status, not_run=not_run))
 
     def _prompt(self, workspace: str) -> str:
         length = self._random.randint(*self._scenario.prompt_chars)
--- a/lab/site.py
+++ b/lab/site.py
@@ -220,6 +220,7 @@
         self.engine_proxies[name] = FaultProxy(listen_address=listen, target_address=address)
         program = "booking" if role == "plain" else "engine"
         arguments = ["lab", program, address] + ([] if role == "plain" else ["--role", role])
+        arguments += ["--record", str(self._folder / f"{name}.records")]
         self.engine_addresses[name] = address
         self.engines[name] = self._process(name, arguments)
 
