--- /dev/null
+++ b/flamingoshelf/retries/tests/test_retries.py
@@ -0,0 +1,55 @@
+"""Retry budget and backoff."""
+
+import asyncio
+import random
+
+import pytest
+
+from flamingoshelf.retries import Backoff, RetryBudget, RetryBudgets
+
+
+def spend_all(budget):
+    spent = 0
+    while budget.try_spend():
+        spent += 1
+    return spent
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    ("nodes", "requests", "idle_s", "expected"),
+    [
+        pytest.param(1, 0, 0.0, 60, id="reserve alone"),
+        pytest.param(6, 0, 0.0, 10, id="reserve is divided by the nodes"),
+        pytest.param(370, 0, 0.0, 2, id="smallest reserve"),
+        pytest.param(6, 55, 0.0, 5, id="a tenth of the requests"),
+        pytest.param(6, 5000, 0.0, 10, id="earnings stop at the reserve"),
+        pytest.param(6, 0, 30.0, 5, id="floor is divided by the nodes"),
+    ],
+)
+async def test_budget(nodes, requests, idle_s, expected):
+    budget = RetryBudget(node_count=lambda: nodes)
+    if requests or idle_s:
+        spend_all(budget)
+    for _ in range(requests):
+        budget.record_request()
+    await asyncio.sleep(idle_s)
+    assert spend_all(budget) == expected
+
+
+@pytest.mark.looptime
+async def test_pools_do_not_share_a_budget():
+    budgets = RetryBudgets(node_count=lambda: 6)
+    spend_all(budgets.budget("decode"))
+    assert budgets.budget("plain").try_spend()
+    assert not budgets.budget("decode").try_spend()
+
+
+def test_backoff_is_bounded_by_cap_and_deadline():
+    backoff = Backoff(base_s=0.1, cap_s=0.5, random_source=random.Random(1))
+    delays = [backoff.delay_s(attempt, remaining_s=10.0) for attempt in range(30)]
+    assert all(delay is not None and delay <= 0.5 for delay in delays)
+    assert len(set(delays)) > 20
+    late = [backoff.delay_s(5, remaining_s=0.05) for _ in range(30)]
+    assert None in late
+    assert all(delay is None or delay < 0.05 for delay in late)
