--- a/flamingoshelf/objects/__init__.py
+++ b/flamingoshelf/objects/__init__.py
@@ -1,11 +1,12 @@
 """Objects that operators change, and the checks of a whole set."""
 
 from flamingoshelf.objects._catalog import Catalog
-from flamingoshelf.objects._checks import check_objects
+from flamingoshelf.objects._checks import check_objects, find_warnings
 from flamingoshelf.objects._documents import (
     decode_objects,
     encode_object,
     encode_objects,
+    object_digest,
     parse_document,
 )
 from flamingoshelf.objects._kinds import (
@@ -52,6 +53,8 @@
     "decode_objects",
     "encode_object",
     "encode_objects",
+    "find_warnings",
+    "object_digest",
     "parse_document",
     "references_of",
 ]
--- a/flamingoshelf/objects/_checks.py
+++ b/flamingoshelf/objects/_checks.py
@@ -1,23 +1,32 @@
-"""Checks of a whole set of objects."""
+"""Checks of a whole set of objects.
+
+`check_objects` finds what must not be published. `find_warnings` finds what operators may want,
+such as a model whose last live server is drained. No kind refers to itself, directly or through
+others, so there are no cycles to look for.
+"""
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
 
 from flamingoshelf.objects._kinds import (
+    BackendServer,
+    BackendState,
     Fleet,
     Key,
     Kind,
     Model,
+    ModelVersion,
     NamedObject,
     ObjectId,
     Pool,
     PoolRole,
     Route,
     ServiceSpec,
+    Workspace,
     references_of,
 )
 
-__all__ = ["check_objects"]
+__all__ = ["check_objects", "find_warnings"]
 
 
 def check_objects(items: Iterable[NamedObject]) -> list[str]:
@@ -29,6 +38,79 @@
         problems += _check_references(item, by_id)
         problems += _check_roles(item, by_id)
     problems += _check_unique_values(listed)
+    problems += _check_decode_memory(by_id)
+    return problems
+
+
+def find_warnings(items: Iterable[NamedObject]) -> list[str]:
+    """Return what is allowed but likely not meant, each naming object and field."""
+    by_id = {item.id: item for item in items}
+    live_pools = {
+        item.spec.pool
+        for item in by_id.values()
+        if isinstance(item.spec, BackendServer) and item.spec.state is BackendState.LIVE
+    }
+    warnings = []
+    for item in by_id.values():
+        for field, pools in _served_by(item):
+            if not live_pools.intersection(pools):
+                warnings.append(f"{item.id}: spec.{field} names no pool with a live backend server")
+    return warnings + _find_small_bursts(by_id)
+
+
+def _served_by(item: NamedObject) -> list[tuple[str, tuple[str, ...]]]:
+    match item.spec:
+        case Model(prefill_pools=prefill, decode_pools=decode):
+            return [("prefill_pools", prefill), ("decode_pools", decode)]
+        case ServiceSpec(pool=pool):
+            return [("pool", (pool,))]
+    return []
+
+
+def _find_small_bursts(by_id: Mapping[ObjectId, NamedObject]) -> list[str]:
+    contexts = [(version.context_tokens, item.id) for item, version in _versions_of_models(by_id)]
+    if not contexts:
+        return []
+    largest, model_id = max(contexts, key=lambda entry: entry[0])
+    return [
+        f"{item.id}: spec.burst_tokens is {item.spec.burst_tokens}, below the {largest} tokens "
+        f"that {model_id} allows; larger requests are always refused"
+        for item in by_id.values()
+        if isinstance(item.spec, Workspace) and item.spec.burst_tokens < largest
+    ]
+
+
+def _versions_of_models(
+    by_id: Mapping[ObjectId, NamedObject],
+) -> list[tuple[NamedObject, ModelVersion]]:
+    pairs = []
+    for item in by_id.values():
+        if not isinstance(item.spec, Model):
+            continue
+        version = by_id.get(ObjectId(kind=Kind.MODEL_VERSION, name=item.spec.version))
+        if version is not None and isinstance(version.spec, ModelVersion):
+            pairs.append((item, version.spec))
+    return pairs
+
+
+def _check_decode_memory(by_id: Mapping[ObjectId, NamedObject]) -> list[str]:
+    needed: dict[str, tuple[int, ObjectId]] = {}
+    for item, version in _versions_of_models(by_id):
+        assert isinstance(item.spec, Model)
+        for pool in item.spec.decode_pools:
+            entry = (version.context_tokens, item.id)
+            needed[pool] = max(needed.get(pool, entry), entry, key=lambda pair: pair[0])
+    problems = []
+    for item in by_id.values():
+        if not isinstance(item.spec, BackendServer) or item.spec.pool not in needed:
+            continue
+        tokens, model_id = needed[item.spec.pool]
+        capacity = item.spec.kv_pieces * item.spec.piece_tokens
+        if capacity < tokens:
+            problems.append(
+                f"{item.id}: spec.kv_pieces * spec.piece_tokens is {capacity}; {model_id} "
+                f"needs {tokens} for its largest request"
+            )
     return problems
 
 
@@ -67,7 +149,9 @@
     by_id: Mapping[ObjectId, NamedObject],
 ) -> list[str]:
     problems = [] if names else [f"{item.id}: spec.{field} is empty; it must name a pool"]
-    for name in names:
+    for name, count in Counter(names).items():
+        if count > 1:
+            problems.append(f"{item.id}: spec.{field} names {name} {count} times")
         pool = by_id.get(ObjectId(kind=Kind.POOL, name=name))
         if pool is None or not isinstance(pool.spec, Pool) or pool.spec.role == role:
             continue
@@ -86,7 +170,9 @@
             case Key(sha256=digest):
                 value = ("sha256", digest)
             case Route(path_prefix=prefix):
-                value = ("path_prefix", prefix)
+                value = ("path_prefix", prefix.rstrip("/"))
+            case BackendServer(address=address):
+                value = ("address", address)
             case _:
                 continue
         first = owners.setdefault(value, item.id)
--- a/flamingoshelf/objects/_documents.py
+++ b/flamingoshelf/objects/_documents.py
@@ -1,18 +1,31 @@
 """Objects as JSON documents: ``{"kind": ..., "name": ..., "spec": {...}}``."""
 
+import hashlib
 import json
+import math
 from collections.abc import Iterable, Sequence
+from enum import Enum
 from typing import Any
 
 import cattrs
+from cattrs.errors import ForbiddenExtraKeysError
 from cattrs.gen import make_dict_structure_fn
 from cattrs.v import transform_error
 
 from flamingoshelf.exceptions import ConfigurationError
-from flamingoshelf.objects._kinds import SPEC_CLASSES, Kind, NamedObject, ObjectId
+from flamingoshelf.objects._kinds import (
+    SPEC_CLASSES,
+    BackendState,
+    Kind,
+    NamedObject,
+    ObjectId,
+    PoolRole,
+)
 from flamingoshelf.utils import check_choice, check_name
 
-__all__ = ["decode_objects", "encode_object", "encode_objects", "parse_document"]
+__all__ = ["decode_objects", "encode_object", "encode_objects", "object_digest", "parse_document"]
+
+_DIGEST_BYTES = 16
 
 _converter = cattrs.Converter(forbid_extra_keys=True, omit_if_default=True)
 
@@ -38,13 +51,39 @@
 def _structure_float(value: Any, _: type) -> float:
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise ValueError(f"{value!r} is not a number")
+    if not math.isfinite(value):
+        raise ValueError(f"{value!r} is not a finite number")
     return float(value)
 
 
+def _structure_names(value: Any, _: type) -> tuple[str, ...]:
+    if not isinstance(value, list):
+        raise ValueError(f"{value!r} is not a list of names")
+    return tuple(_structure_str(name, str) for name in value)
+
+
+def _structure_choice(value: Any, enum: type[Enum]) -> Any:
+    choices = [member.value for member in enum]
+    if value not in choices:
+        raise ValueError(f"{value!r} is not one of {', '.join(choices)}")
+    return enum(value)
+
+
+def _format_error(error: BaseException, _: type | None) -> str:
+    if isinstance(error, KeyError):
+        return "required field is missing"
+    if isinstance(error, ForbiddenExtraKeysError):
+        return f"unknown fields: {', '.join(sorted(error.extra_fields))}"
+    return str(error)
+
+
 _converter.register_structure_hook(str, _structure_str)
 _converter.register_structure_hook(bool, _structure_bool)
 _converter.register_structure_hook(int, _structure_int)
 _converter.register_structure_hook(float, _structure_float)
+_converter.register_structure_hook_func(lambda cls: cls == tuple[str, ...], _structure_names)
+_converter.register_structure_hook(PoolRole, _structure_choice)
+_converter.register_structure_hook(BackendState, _structure_choice)
 for _spec_class in SPEC_CLASSES.values():
     _converter.register_structure_hook(
         _spec_class,
@@ -72,10 +111,14 @@
     except ValueError as error:
         raise ConfigurationError(f"{label}: {error}", step="parse") from error
     kind = Kind(document["kind"])
+    fields = document.get("spec", {})
+    if not isinstance(fields, dict):
+        raise ConfigurationError(f"{label}: spec is {fields!r}; it must be an object", step="parse")
     try:
-        spec = _converter.structure(document.get("spec", {}), SPEC_CLASSES[kind])
+        spec = _converter.structure(fields, SPEC_CLASSES[kind])
     except (cattrs.ClassValidationError, ValueError, TypeError) as error:
-        problems = "\n".join(f"{label}: {line}" for line in transform_error(error, path="spec"))
+        lines = transform_error(error, path="spec", format_exception=_format_error)
+        problems = "\n".join(f"{label}: {line}" for line in lines)
         raise ConfigurationError(problems, step="parse") from error
     return NamedObject(id=ObjectId(kind=kind, name=document["name"]), spec=spec)
 
@@ -86,6 +129,12 @@
     return {"kind": item.id.kind.value, "name": item.id.name, "spec": spec}
 
 
+def object_digest(item: NamedObject) -> int:
+    """Return a digest of `item` as a number; equal objects have the same in every process."""
+    text = json.dumps(encode_object(item), separators=(",", ":"), sort_keys=True)
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES).digest(), "big")
+
+
 def encode_objects(items: Iterable[NamedObject]) -> bytes:
     """Return `items`, sorted by id, as canonical JSON."""
     documents = [encode_object(item) for item in sorted(items, key=lambda item: item.id)]
--- a/flamingoshelf/objects/_kinds.py
+++ b/flamingoshelf/objects/_kinds.py
@@ -97,12 +97,16 @@
         Latency targets, in seconds.
     key_freshness_s : float
         Longest time that a node honours keys without a confirmed configuration.
+    outage_key_lifetime_s : float
+        Longest time that keys are honoured without a confirmed configuration while every data
+        centre reports that the object service is out of reach.
     """
 
     unfairness_tokens: int = attrs.field(default=8192, validator=_positive)
     first_token_target_s: float = attrs.field(default=0.47, validator=_positive)
     token_gap_target_s: float = attrs.field(default=0.053, validator=_positive)
     key_freshness_s: float = attrs.field(default=10.0, validator=_positive)
+    outage_key_lifetime_s: float = attrs.field(default=86_400.0, validator=_positive)
 
 
 @attrs.frozen(kw_only=True)
