Publish changes that rebase, resolve lost answers and collect old revisions

Cause: a lost answer was taken for a conflict once another revision stood on top, a write that came late was not thought of, two operators always collided, every publication wrote every chunk, and nothing was ever deleted. A status 500 for a write was read as 'nothing was written', and the stand-in answered 500 where it should cut the connection. /status failed with 500 before the first confirmation, because infinity is not JSON; a process test failed at times for it.

Change: Repository.apply makes a change again on top of other operators' revisions and checks the whole set again; the second change of one object is refused with object, field and revision. The head is written again after a lost answer until it has another version, and the apply id is then looked for in the chain of manifests. Manifests hold the change that made them. Only 429 and 503 count as refusals of the object service.

Contract test of the object service for the stand-in over HTTP and the one in memory.

--- a/flamingoshelf/configuration/_documents.py
+++ b/flamingoshelf/configuration/_documents.py
@@ -1,31 +1,39 @@
 """Layout of a revision in the object service.
 
-One ``configuration/head`` object names the newest revision and its manifest. A manifest lists
-chunks; a chunk holds the objects of one hash bucket. Manifests and chunks are named by the digest
-of their content, so they never change once written.
+One ``configuration/head`` object names the newest revision and its manifest. A manifest names the
+chunks of the revision and holds the change that made it; a chunk holds the objects of one hash
+bucket. The names of manifests and chunks begin with the number of the revision that they were
+written for and hold the apply id, so that no two publications ever share a name.
 """
 
-import hashlib
 import json
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping
+from typing import Any
 
 import attrs
 
-from flamingoshelf.objects import NamedObject, encode_objects
+from flamingoshelf.objects import Change, NamedObject, encode_objects
 from flamingoshelf.utils import stable_hash
 
 __all__ = [
+    "CHUNK_PREFIX",
     "HEAD_KEY",
     "Head",
+    "MANIFEST_PREFIX",
     "Manifest",
-    "chunk_key",
-    "content_digest",
-    "manifest_key",
-    "split_into_chunks",
+    "RevisionStep",
+    "bucket_of",
+    "encode_buckets",
+    "revision_of",
+    "suggest_bucket_count",
 ]
 
 HEAD_KEY = "configuration/head"
-_OBJECTS_PER_CHUNK = 512
+CHUNK_PREFIX = "configuration/chunk/"
+MANIFEST_PREFIX = "configuration/manifest/"
+_MAX_OBJECTS_PER_BUCKET = 512
+_MIN_OBJECTS_PER_BUCKET = 64
+_MAX_CHANGE_BYTES = 64 * 1024
 
 
 @attrs.frozen(kw_only=True)
@@ -37,18 +45,21 @@
     revision : int
         Number of the revision, one above the one before.
     manifest : str
-        Digest of its manifest.
+        Key of its manifest.
     apply_id : str
         Identifier of the publication that made it.
+    digest : str
+        Digest of all its objects, see `flamingoshelf.objects.Catalog.digest`.
     """
 
     revision: int
     manifest: str
     apply_id: str
+    digest: str
 
     def encode(self) -> bytes:
         """Return the head as canonical JSON."""
-        return json.dumps(attrs.asdict(self), sort_keys=True).encode()
+        return _encode(attrs.asdict(self))
 
     @classmethod
     def decode(cls, data: bytes) -> "Head":
@@ -56,52 +67,131 @@
         return cls(**json.loads(data))
 
 
+@attrs.frozen(kw_only=True)
+class RevisionStep:
+    """What turned one revision into the next.
+
+    Parameters
+    ----------
+    revision : int
+        Number of the later revision.
+    manifest, parent : str
+        Keys of the manifests of the later and of the earlier revision.
+    digest : str
+        Digest of all objects of the later revision.
+    change : Change or None
+        The change; None when it is too large to be passed on.
+    """
+
+    revision: int
+    manifest: str
+    parent: str
+    digest: str
+    change: Change | None
+
+    def encode(self) -> dict[str, Any]:
+        """Return the step as a JSON document."""
+        change = None if self.change is None else self.change.encode()
+        return {**attrs.asdict(self, recurse=False), "change": change}
+
+    @classmethod
+    def decode(cls, document: Mapping[str, Any]) -> "RevisionStep":
+        """Return the step in a JSON document."""
+        change = document["change"]
+        decoded = None if change is None else Change.decode(change)
+        return cls(**{**document, "change": decoded})
+
+
 @attrs.frozen(kw_only=True)
 class Manifest:
-    """Chunks of a revision and the revision that it was made from."""
+    """Content of one revision and how it came about.
+
+    Parameters
+    ----------
+    step : RevisionStep
+        What made the revision from its parent.
+    chunks : tuple of str
+        Keys of the chunks by bucket; empty for a bucket without objects.
+    author, published_at : str
+        Who published it and when, as the publisher states.
+    """
 
+    step: RevisionStep
     chunks: tuple[str, ...]
-    parent: str
+    author: str = ""
+    published_at: str = ""
 
     def encode(self) -> bytes:
-        """Return the manifest as canonical JSON."""
-        return json.dumps(attrs.asdict(self), sort_keys=True).encode()
+        """Return the manifest as canonical JSON, without a change that is too large."""
+        document = {
+            "step": self.step.encode(),
+            "chunks": self.chunks,
+            "author": self.author,
+            "published_at": self.published_at,
+        }
+        if len(json.dumps(document["step"])) > _MAX_CHANGE_BYTES:
+            document["step"] = attrs.evolve(self.step, change=None).encode()
+        return _encode(document)
 
     @classmethod
     def decode(cls, data: bytes) -> "Manifest":
         """Return the manifest in `data`."""
         document = json.loads(data)
-        return cls(chunks=tuple(document["chunks"]), parent=document["parent"])
-
+        return cls(
+            step=RevisionStep.decode(document["step"]),
+            chunks=tuple(document["chunks"]),
+            author=document["author"],
+            published_at=document["published_at"],
+        )
 
-def content_digest(data: bytes) -> str:
-    """Return the digest that names content, 32 hexadecimal digits."""
-    return hashlib.blake2b(data, digest_size=16).hexdigest()
 
+def revision_of(key: str) -> int:
+    """Return the revision that a manifest or chunk was written for.
 
-def chunk_key(digest: str) -> str:
-    """Return the name of a chunk in the object service."""
-    return f"configuration/chunk/{digest}"
+    Examples
+    --------
+    >>> revision_of("configuration/chunk/00000012-3-0f")
+    12
+    """
+    return int(key.rsplit("/", 1)[-1].split("-", 1)[0])
 
 
-def manifest_key(digest: str) -> str:
-    """Return the name of a manifest in the object service."""
-    return f"configuration/manifest/{digest}"
+def bucket_of(item: NamedObject, *, bucket_count: int) -> int:
+    """Return the bucket of an object."""
+    return stable_hash(str(item.id)) % bucket_count
 
 
-def split_into_chunks(objects: Iterable[NamedObject]) -> Sequence[bytes]:
-    """Return the encoded chunks of a set, one for each hash bucket that is not empty.
+def suggest_bucket_count(object_count: int, *, current: int) -> int:
+    """Return a power of two, `current` as long as the buckets keep a sensible size.
 
-    Notes
-    -----
-    The number of buckets is a power of two, so that most changes rewrite one chunk only.
+    Examples
+    --------
+    >>> suggest_bucket_count(36_000, current=1)
+    128
+    >>> suggest_bucket_count(30_000, current=128)
+    128
+    >>> suggest_bucket_count(100, current=128)
+    1
     """
-    listed = list(objects)
-    bucket_count = 1
-    while len(listed) > bucket_count * _OBJECTS_PER_CHUNK:
-        bucket_count *= 2
+    count = current
+    while object_count > count * _MAX_OBJECTS_PER_BUCKET:
+        count *= 2
+    while count > 1 and object_count < count * _MIN_OBJECTS_PER_BUCKET:
+        count //= 2
+    return count
+
+
+def encode_buckets(
+    objects: Iterable[NamedObject], *, bucket_count: int, wanted: set[int]
+) -> dict[int, bytes]:
+    """Return the encoded objects of each of the `wanted` buckets that is not empty."""
     buckets: dict[int, list[NamedObject]] = {}
-    for item in listed:
-        bucket = stable_hash(str(item.id)) % bucket_count
-        buckets.setdefault(bucket, []).append(item)
-    return [encode_objects(buckets[bucket]) for bucket in sorted(buckets)]
+    for item in objects:
+        bucket = bucket_of(item, bucket_count=bucket_count)
+        if bucket in wanted:
+            buckets.setdefault(bucket, []).append(item)
+    return {bucket: encode_objects(items) for bucket, items in buckets.items()}
+
+
+def _encode(document: Mapping[str, Any]) -> bytes:
+    return json.dumps(document, sort_keys=True, separators=(",", ":")).encode()
--- /dev/null
+++ b/flamingoshelf/configuration/_reading.py
@@ -0,0 +1,151 @@
+"""Reads revisions from the object service."""
+
+import asyncio
+from collections.abc import Sequence
+
+import attrs
+
+from flamingoshelf.base import ObjectService, VersionedObject
+from flamingoshelf.configuration._documents import HEAD_KEY, Head, Manifest, RevisionStep
+from flamingoshelf.exceptions import ConfigurationError, ObjectServiceError
+from flamingoshelf.objects import Catalog, decode_objects
+
+__all__ = ["PublishedRevision", "RevisionReader"]
+
+_READ_ATTEMPTS = 3
+_READ_RETRY_S = 0.2
+
+
+@attrs.frozen(kw_only=True)
+class PublishedRevision:
+    """A revision as it stands in the object service.
+
+    Parameters
+    ----------
+    catalog : Catalog
+        Its objects.
+    head : Head or None
+        Its head; None before the first publication.
+    head_version : int
+        Version of the head object.
+    manifest : Manifest or None
+        Its manifest; None before the first publication.
+    """
+
+    catalog: Catalog
+    head: Head | None
+    head_version: int
+    manifest: Manifest | None = None
+
+
+class RevisionReader:
+    """Reads heads, manifests and chunks.
+
+    Parameters
+    ----------
+    store : ObjectService
+        The platform's object service.
+    """
+
+    def __init__(self, *, store: ObjectService) -> None:
+        self._store = store
+
+    async def newest(self) -> PublishedRevision:
+        """Return the newest revision.
+
+        A revision may be collected as garbage while it is loaded; the head is read again then.
+        """
+        for _ in range(_READ_ATTEMPTS - 1):
+            try:
+                return await self._load_newest()
+            except ConfigurationError:
+                await asyncio.sleep(_READ_RETRY_S)
+        return await self._load_newest()
+
+    async def load(self, stored_head: VersionedObject) -> PublishedRevision:
+        """Return the revision that a head object names."""
+        head = Head.decode(stored_head.value)
+        manifest = await self.manifest(head.manifest)
+        return PublishedRevision(
+            catalog=await self.catalog(manifest),
+            head=head,
+            head_version=stored_head.version,
+            manifest=manifest,
+        )
+
+    async def catalog(self, manifest: Manifest) -> Catalog:
+        """Return the objects of the revision of a manifest.
+
+        Raises
+        ------
+        ConfigurationError
+            A chunk is missing, or the objects do not have the digest of the revision.
+        """
+        chunks = [await self._read(key) for key in manifest.chunks if key]
+        objects = [item for chunk in chunks for item in decode_objects(chunk)]
+        catalog = Catalog(revision=manifest.step.revision, objects=objects)
+        if catalog.digest != manifest.step.digest:
+            message = f"revision {catalog.revision} has the digest {catalog.digest}, "
+            message += f"not {manifest.step.digest}"
+            raise ConfigurationError(message, step="load")
+        return catalog
+
+    async def manifest(self, key: str) -> Manifest:
+        """Return the manifest with the given key."""
+        return Manifest.decode(await self._read(key))
+
+    async def history(self, *, limit: int) -> Sequence[Manifest]:
+        """Return the newest manifests, newest first, as far back as they are kept."""
+        stored = await self._store.get(HEAD_KEY)
+        key = "" if stored is None else Head.decode(stored.value).manifest
+        manifests: list[Manifest] = []
+        while key and len(manifests) < limit:
+            found = await self._store.get(key)
+            if found is None:
+                break
+            manifests.append(Manifest.decode(found.value))
+            key = manifests[-1].step.parent
+        return manifests
+
+    async def steps_after(
+        self, manifest_key: str, *, head: Head, limit: int
+    ) -> Sequence[RevisionStep] | None:
+        """Return the steps from the revision of `manifest_key` to `head`, oldest first.
+
+        None stands for a way that is longer than `limit`, not kept, or holds a large change.
+        """
+        steps: list[RevisionStep] = []
+        key = head.manifest
+        while key != manifest_key:
+            if not key or len(steps) == limit:
+                return None
+            try:
+                step = (await self.manifest(key)).step
+            except ConfigurationError:
+                return None
+            if step.change is None:
+                return None
+            steps.append(step)
+            key = step.parent
+        return steps[::-1]
+
+    async def _load_newest(self) -> PublishedRevision:
+        stored = await self._store.get(HEAD_KEY)
+        if stored is None:
+            empty = Catalog(revision=0, objects=())
+            return PublishedRevision(catalog=empty, head=None, head_version=0)
+        return await self.load(stored)
+
+    async def _read(self, key: str) -> bytes:
+        stored = await self._get_with_retry(key)
+        if stored is None:
+            raise ConfigurationError(f"{key} is missing", step="load")
+        return stored.value
+
+    async def _get_with_retry(self, key: str) -> VersionedObject | None:
+        for _ in range(_READ_ATTEMPTS - 1):
+            try:
+                return await self._store.get(key)
+            except ObjectServiceError:
+                await asyncio.sleep(_READ_RETRY_S)
+        return await self._store.get(key)
--- a/flamingoshelf/configuration/_repository.py
+++ b/flamingoshelf/configuration/_repository.py
@@ -1,152 +1,291 @@
-"""Reads and publishes revisions in the object service."""
+"""Publishes revisions in the object service."""
 
 import asyncio
+import random
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import attrs
+from loguru import logger
 
-from flamingoshelf.base import ObjectService, VersionedObject
+from flamingoshelf.base import ObjectService
 from flamingoshelf.configuration._documents import (
+    CHUNK_PREFIX,
     HEAD_KEY,
+    MANIFEST_PREFIX,
     Head,
     Manifest,
-    chunk_key,
-    content_digest,
-    manifest_key,
-    split_into_chunks,
+    RevisionStep,
+    bucket_of,
+    encode_buckets,
+    suggest_bucket_count,
+)
+from flamingoshelf.configuration._garbage import COLLECTION_INTERVAL, collect_garbage
+from flamingoshelf.configuration._reading import PublishedRevision, RevisionReader
+from flamingoshelf.exceptions import (
+    ConfigurationError,
+    ConflictError,
+    FlamingoshelfError,
+    ObjectServiceError,
+    OutcomeUnknownError,
+)
+from flamingoshelf.objects import (
+    Catalog,
+    Change,
+    NamedObject,
+    ObjectId,
+    check_objects,
+    differing_fields,
 )
-from flamingoshelf.exceptions import ConfigurationError, ConflictError, OutcomeUnknownError
-from flamingoshelf.objects import Catalog, NamedObject, check_objects, decode_objects
 from flamingoshelf.utils import new_apply_id
 
-__all__ = ["PublishedRevision", "Repository"]
+__all__ = ["AppliedChange", "Edit", "Repository"]
+
+Edit = Callable[[Mapping[ObjectId, NamedObject]], Mapping[ObjectId, NamedObject]]
 
-_READ_ATTEMPTS = 5
-_READ_RETRY_S = 0.2
+_WRITE_ATTEMPTS = 8
+_WRITE_RETRY_S = 0.2
+_APPLY_ATTEMPTS = 10
+_HISTORY_LIMIT = 32
 
 
 @attrs.frozen(kw_only=True)
-class PublishedRevision:
-    """A revision as it stands in the object service.
+class AppliedChange:
+    """Outcome of an applied edit.
 
     Parameters
     ----------
-    catalog : Catalog
-        Its objects.
-    head : Head or None
-        Its head; None before the first publication.
-    head_version : int
-        Version of the head object.
+    revision : int
+        Revision that holds the edit.
+    change : Change
+        What was changed; empty if the objects were as wanted already.
     """
 
-    catalog: Catalog
-    head: Head | None
-    head_version: int
+    revision: int
+    change: Change
 
 
-class Repository:
+class Repository(RevisionReader):
     """Revisions in the object service.
 
     Parameters
     ----------
     store : ObjectService
         The platform's object service.
+    author, published_at : str
+        What the manifests state about the publisher.
     """
 
-    def __init__(self, *, store: ObjectService) -> None:
-        self._store = store
+    def __init__(self, *, store: ObjectService, author: str = "", published_at: str = "") -> None:
+        super().__init__(store=store)
+        self._author = author
+        self._published_at = published_at
 
-    async def newest(self) -> PublishedRevision:
-        """Return the newest revision."""
-        stored = await self._store.get(HEAD_KEY)
-        if stored is None:
-            empty = Catalog(revision=0, objects=())
-            return PublishedRevision(catalog=empty, head=None, head_version=0)
-        return await self.load(stored)
-
-    async def load(self, stored_head: VersionedObject) -> PublishedRevision:
-        """Return the revision that a head object names."""
-        head = Head.decode(stored_head.value)
-        manifest = Manifest.decode(await self._read(manifest_key(head.manifest)))
-        chunks = [await self._read(chunk_key(digest)) for digest in manifest.chunks]
-        objects = [item for chunk in chunks for item in decode_objects(chunk)]
-        return PublishedRevision(
-            catalog=Catalog(revision=head.revision, objects=objects),
-            head=head,
-            head_version=stored_head.version,
-        )
+    async def apply(self, edit: Edit, *, base: PublishedRevision | None = None) -> AppliedChange:
+        """Publish what `edit` makes of the newest revision.
 
-    async def publish(self, objects: list[NamedObject], *, base: PublishedRevision) -> int:
-        """Publish `objects` as the revision after `base` and return its number.
+        Another operator's changes to other objects are kept: the change is made again on top of
+        them and the whole set is checked again.
+
+        Parameters
+        ----------
+        edit : callable
+            Returns the wanted objects, given those of a revision.
+        base : PublishedRevision, optional
+            Revision that the operator looked at; the newest one if not given.
 
         Raises
         ------
         ConfigurationError
             The set is not consistent; nothing was published.
         ConflictError
-            Another revision was published after `base`.
+            A later revision than `base` changed one of the objects; nothing was published.
         ObjectServiceError
             Nothing was published.
         OutcomeUnknownError
-            It could not be learned whether the revision was published.
+            It could not be learned whether the change was published.
+        """
+        base = base or await self.newest()
+        old_objects = base.catalog.objects
+        change = Change.between(old_objects, edit(old_objects))
+        current = base
+        for _ in range(_APPLY_ATTEMPTS):
+            wanted = change.applied_to(current.catalog.objects)
+            change_now = Change.between(current.catalog.objects, wanted)
+            if not change_now:
+                return AppliedChange(revision=current.catalog.revision, change=change_now)
+            try:
+                revision = await self.publish(list(wanted.values()), base=current)
+            except ConflictError:
+                await asyncio.sleep(random.uniform(0, _WRITE_RETRY_S))
+                current = await self.newest()
+                await self._check_untouched(change, old_objects, base, current)
+                continue
+            return AppliedChange(revision=revision, change=change_now)
+        raise ConflictError("other operators published all the time", step="publish")
+
+    async def publish(self, objects: Sequence[NamedObject], *, base: PublishedRevision) -> int:
+        """Publish `objects` as the revision after `base` and return its number.
+
+        Raises
+        ------
+        ConfigurationError, ConflictError, ObjectServiceError, OutcomeUnknownError
+            As in `apply`; any later revision than `base` is a conflict.
         """
         problems = check_objects(objects)
         if problems:
             raise ConfigurationError("\n".join(problems), step="check")
-        manifest = await self._write_content(objects, base=base)
-        head = Head(revision=base.catalog.revision + 1, manifest=manifest, apply_id=new_apply_id())
+        apply_id = new_apply_id()
+        revision = base.catalog.revision + 1
+        manifest = Manifest(
+            step=RevisionStep(
+                revision=revision,
+                manifest=f"{MANIFEST_PREFIX}{revision:08d}-{apply_id}",
+                parent="" if base.head is None else base.head.manifest,
+                digest=Catalog(revision=revision, objects=objects).digest,
+                change=Change.between(base.catalog.objects, {item.id: item for item in objects}),
+            ),
+            chunks=await self._write_chunks(objects, base=base, apply_id=apply_id),
+            author=self._author,
+            published_at=self._published_at,
+        )
+        step = manifest.step
+        await self._write_new(step.manifest, manifest.encode())
+        head = Head(
+            revision=revision, manifest=step.manifest, apply_id=apply_id, digest=step.digest
+        )
         await self._move_head(head, expected_version=base.head_version)
-        return head.revision
-
-    async def _write_content(self, objects: list[NamedObject], *, base: PublishedRevision) -> str:
-        digests = []
-        for chunk in split_into_chunks(objects):
-            digest = content_digest(chunk)
-            await self._write_once(chunk_key(digest), chunk)
-            digests.append(digest)
-        parent = "" if base.head is None else base.head.manifest
-        manifest = Manifest(chunks=tuple(digests), parent=parent).encode()
-        digest = content_digest(manifest)
-        await self._write_once(manifest_key(digest), manifest)
-        return digest
-
-    async def _write_once(self, key: str, value: bytes) -> None:
-        """Write content that is named by its digest; an existing object is the same content."""
-        for _ in range(_READ_ATTEMPTS):
+        if revision % COLLECTION_INTERVAL == 0:
+            await self._collect_garbage(revision)
+        return revision
+
+    async def _write_chunks(
+        self, objects: Sequence[NamedObject], *, base: PublishedRevision, apply_id: str
+    ) -> tuple[str, ...]:
+        """Write the chunks that differ from those of `base`; return the keys of all chunks."""
+        old_keys = () if base.manifest is None else base.manifest.chunks
+        bucket_count = suggest_bucket_count(len(objects), current=len(old_keys) or 1)
+        wanted = set(range(bucket_count))
+        if bucket_count == len(old_keys):
+            wanted = _changed_buckets(base.catalog.objects, objects, bucket_count)
+        contents = encode_buckets(objects, bucket_count=bucket_count, wanted=wanted)
+        keys = list(old_keys) if bucket_count == len(old_keys) else [""] * bucket_count
+        for bucket in sorted(wanted):
+            keys[bucket] = ""
+            if bucket in contents:
+                name = f"{base.catalog.revision + 1:08d}-{bucket}-{apply_id}"
+                keys[bucket] = f"{CHUNK_PREFIX}{name}"
+                await self._write_new(keys[bucket], contents[bucket])
+        return tuple(keys)
+
+    async def _write_new(self, key: str, value: bytes) -> None:
+        """Write an object under a name that no other publication uses."""
+        for _ in range(_WRITE_ATTEMPTS):
             try:
                 await self._store.put(key, value, expected_version=0)
             except ConflictError:
-                return
+                return  # an earlier attempt took effect and its answer was lost
             except OutcomeUnknownError:
-                await asyncio.sleep(_READ_RETRY_S)
+                await asyncio.sleep(_WRITE_RETRY_S)
                 continue
             return
-        raise OutcomeUnknownError(f"{key} may not be written", step="publish")
+        raise ObjectServiceError(f"{key} may not be written", step="publish")
 
     async def _move_head(self, head: Head, *, expected_version: int) -> None:
-        try:
-            await self._store.put(HEAD_KEY, head.encode(), expected_version=expected_version)
-        except (ConflictError, OutcomeUnknownError) as error:
-            if not await self._is_published(head):
-                raise ConflictError(
-                    f"another revision was published before revision {head.revision}",
-                    step="publish",
-                ) from error
-
-    async def _is_published(self, head: Head) -> bool:
-        """Return whether `head` was written, by its apply id."""
-        for attempt in range(_READ_ATTEMPTS):
+        """Move the head.
+
+        Notes
+        -----
+        A lost answer leaves a write that may take effect later. It is repeated with the same
+        expected version until the head has another version; from then on none can take effect.
+        """
+        is_ambiguous = False
+        for _ in range(_WRITE_ATTEMPTS):
             try:
-                stored = await self._store.get(HEAD_KEY)
-            except Exception:
-                if attempt == _READ_ATTEMPTS - 1:
+                await self._store.put(HEAD_KEY, head.encode(), expected_version=expected_version)
+                return
+            except ConflictError:
+                await self._check_published(head, expected_version=expected_version)
+                return
+            except OutcomeUnknownError:
+                is_ambiguous = True
+            except ObjectServiceError:
+                if not is_ambiguous:
                     raise
-                await asyncio.sleep(_READ_RETRY_S)
+            await asyncio.sleep(_WRITE_RETRY_S)
+        message = f"revision {head.revision} may be published, apply id {head.apply_id}"
+        raise OutcomeUnknownError(message, step="publish")
+
+    async def _check_published(self, head: Head, *, expected_version: int) -> None:
+        """Raise `ConflictError` unless `head` was written, whatever was published on top."""
+        for _ in range(_WRITE_ATTEMPTS):
+            try:
+                if await self._is_published(head, expected_version=expected_version):
+                    return
+            except ObjectServiceError:
+                await asyncio.sleep(_WRITE_RETRY_S)
                 continue
-            return stored is not None and Head.decode(stored.value).apply_id == head.apply_id
-        raise AssertionError("unreachable")
-
-    async def _read(self, key: str) -> bytes:
-        stored = await self._store.get(key)
-        if stored is None:
-            raise ConfigurationError(f"{key} is missing", step="load")
-        return stored.value
+            message = f"another revision was published before revision {head.revision}"
+            raise ConflictError(message, step="publish")
+        message = f"revision {head.revision} may be published, apply id {head.apply_id}"
+        raise OutcomeUnknownError(message, step="publish")
+
+    async def _is_published(self, head: Head, *, expected_version: int) -> bool:
+        stored = await self._store.get(HEAD_KEY)
+        if stored is None or stored.version <= expected_version:
+            raise ObjectServiceError("an old head was read", step="publish")
+        found = Head.decode(stored.value)
+        key, revision = found.manifest, found.revision
+        while revision > head.revision:
+            parent = await self._store.get(key)
+            if parent is None:
+                message = f"{key} is missing; apply id {head.apply_id}"
+                raise OutcomeUnknownError(message, step="publish")
+            key = Manifest.decode(parent.value).step.parent
+            revision -= 1
+        return key == head.manifest
+
+    async def _check_untouched(
+        self,
+        change: Change,
+        old_objects: Mapping[ObjectId, NamedObject],
+        base: PublishedRevision,
+        current: PublishedRevision,
+    ) -> None:
+        """Raise `ConflictError` if another operator changed an object of `change`."""
+        objects = current.catalog.objects
+        wanted = change.applied_to(old_objects)
+        conflicts = []
+        for item_id in change.ids:
+            old, new = old_objects.get(item_id), objects.get(item_id)
+            if new not in (old, wanted.get(item_id)):
+                revision = await self._last_revision_of(item_id, base=base, current=current)
+                fields = ", ".join(f"spec.{name}" for name in differing_fields(old, new))
+                conflicts.append(f"{item_id}: {fields} changed by revision {revision}")
+        if conflicts:
+            raise ConflictError("\n".join(conflicts), step="rebase")
+
+    async def _last_revision_of(
+        self, item_id: ObjectId, *, base: PublishedRevision, current: PublishedRevision
+    ) -> int:
+        start = "" if base.head is None else base.head.manifest
+        assert current.head is not None
+        steps = await self.steps_after(start, head=current.head, limit=_HISTORY_LIMIT)
+        for step in reversed(steps or ()):
+            if step.change is not None and item_id in step.change.ids:
+                return step.revision
+        return current.catalog.revision
+
+    async def _collect_garbage(self, revision: int) -> None:
+        try:
+            await collect_garbage(self._store, newest=revision)
+        except FlamingoshelfError as error:
+            logger.bind(step="collect").warning("old revisions are left: {}", error)
+
+
+def _changed_buckets(
+    old: Mapping[ObjectId, NamedObject], objects: Iterable[NamedObject], bucket_count: int
+) -> set[int]:
+    new = {item.id: item for item in objects}
+    changed = [item for item_id, item in new.items() if old.get(item_id) != item]
+    changed += [item for item_id, item in old.items() if item_id not in new]
+    return {bucket_of(item, bucket_count=bucket_count) for item in changed}
--- a/flamingoshelf/daemon/_node.py
+++ b/flamingoshelf/daemon/_node.py
@@ -1,6 +1,7 @@
 """Puts the parts of a node together."""
 
 import asyncio
+import math
 import random
 from typing import Any
 
@@ -143,12 +144,13 @@
         )
 
     def _status(self) -> dict[str, Any]:
+        age_s = round(self._configuration.age_s, 3)
         return {
             "node": self._settings.node_name,
             "data_centre": self._settings.data_centre,
             "incarnation": self._incarnation,
             "ready": self.is_ready,
             "revision": self._catalog().revision,
-            "configuration_age_s": round(self._configuration.age_s, 3),
+            "configuration_age_s": age_s if math.isfinite(age_s) else None,
             "vm_list_version": self._vms.snapshot.version,
         }
--- a/flamingoshelf/objects/__init__.py
+++ b/flamingoshelf/objects/__init__.py
@@ -1,6 +1,7 @@
 """Objects that operators change, and the checks of a whole set."""
 
 from flamingoshelf.objects._catalog import Catalog
+from flamingoshelf.objects._changes import Change, differing_fields
 from flamingoshelf.objects._checks import check_objects, find_warnings
 from flamingoshelf.objects._documents import (
     decode_objects,
@@ -34,6 +35,7 @@
     "BackendServer",
     "BackendState",
     "Catalog",
+    "Change",
     "Fleet",
     "Key",
     "Kind",
@@ -51,6 +53,7 @@
     "Workspace",
     "check_objects",
     "decode_objects",
+    "differing_fields",
     "encode_object",
     "encode_objects",
     "find_warnings",
--- a/flamingoshelf/platform/_http.py
+++ b/flamingoshelf/platform/_http.py
@@ -18,6 +18,7 @@
 __all__ = ["HttpAnswer", "PlatformHttp"]
 
 _CONNECT_TIMEOUT_S = 2.0
+_REFUSED_STATUSES = frozenset({429, 503})  # other server errors may come after the effect
 
 
 @attrs.frozen(kw_only=True)
@@ -82,9 +83,11 @@
             raise ObjectServiceError(repr(error), step=step, peer=self._address) from error
         except (AiosonicError, BaseTimeout, OSError, asyncio.IncompleteReadError) as error:
             raise OutcomeUnknownError(repr(error), step=step, peer=self._address) from error
-        if response.status_code >= 500 or response.status_code == 429:
-            message = f"status {response.status_code}"
+        message = f"status {response.status_code}"
+        if response.status_code in _REFUSED_STATUSES:
             raise ObjectServiceError(message, step=step, peer=self._address)
+        if response.status_code >= 500:
+            raise OutcomeUnknownError(message, step=step, peer=self._address)
         return HttpAnswer(
             status=response.status_code,
             headers={name.lower(): value for name, value in response.headers.items()},
--- /dev/null
+++ b/flamingoshelf/platform/tests/test_object_service.py
@@ -0,0 +1,181 @@
+"""Contract of the object service; an adapter for another platform joins by its fixture."""
+
+import asyncio
+
+import pytest
+from starlette.applications import Starlette
+from starlette.responses import Response
+from starlette.routing import Route
+
+from flamingoshelf.daemon._http_server import HttpServer
+from flamingoshelf.exceptions import ConflictError, ObjectServiceError, OutcomeUnknownError
+from flamingoshelf.platform import HttpObjectService
+from flamingoshelf.utils import new_http_client
+from lab.memory_store import MemoryObjectService, StoreFault
+from lab.platform import build_platform_app
+from lab.processes import AddressPool
+
+
+class MemoryBench:
+    """The service in memory, with its faults by name."""
+
+    def __init__(self):
+        self.service = MemoryObjectService()
+
+    async def set_fault(self, name):
+        if name == "down":
+            self.service.set_down(True)
+        else:
+            self.service.faults = [
+                {
+                    "lose_answers": StoreFault.LOST_ANSWER,
+                    "lose_reads": StoreFault.LOST_ANSWER,
+                    "stale_reads": StoreFault.STALE_READ,
+                }[name]
+            ]
+
+
+class HttpBench:
+    """The stand-in over HTTP, with its faults by name."""
+
+    def __init__(self, address):
+        self._address = address
+        self._client = new_http_client()
+        self.service = HttpObjectService(address=address)
+
+    async def set_fault(self, name):
+        order = {"faults": {name: True if name == "down" else 1}}
+        await self._client.post(f"http://{self._address}/control", json=order)
+
+    async def close(self):
+        await self.service.close()
+        await self._client.connector.cleanup()
+
+
+@pytest.fixture(params=["memory", "http"])
+async def bench(request):
+    if request.param == "memory":
+        yield MemoryBench()
+        return
+    address = AddressPool().take()[0]
+    server = HttpServer(app=build_platform_app(), address=address, shutdown_timeout_s=1.0)
+    await server.start()
+    bench = HttpBench(address)
+    yield bench
+    await bench.close()
+    await server.stop()
+
+
+async def test_objects_are_written_read_listed_and_deleted(bench):
+    service = bench.service
+    assert await service.get("a/x") is None
+    first = await service.put("a/x", b"1", expected_version=0)
+    second = await service.put("a/x", b"2", expected_version=first)
+    assert second > first
+    await service.put("b/y", b"3", expected_version=0)
+    found = await service.get("a/x")
+    assert (found.key, found.value, found.version) == ("a/x", b"2", second)
+    assert list(await service.keys("a/")) == ["a/x"]
+    await service.delete("a/x", expected_version=second)
+    assert await service.get("a/x") is None
+    third = await service.put("a/x", b"4", expected_version=0)
+    assert third > second
+
+
+@pytest.mark.parametrize("offset", [-1, 1])
+async def test_another_version_is_a_conflict_and_changes_nothing(bench, offset):
+    await bench.service.put("other", b"0", expected_version=0)
+    version = await bench.service.put("x", b"1", expected_version=0)
+    for call in (
+        bench.service.put("x", b"2", expected_version=version + offset),
+        bench.service.delete("x", expected_version=version + offset),
+        bench.service.put("new", b"2", expected_version=version + offset),
+    ):
+        with pytest.raises(ConflictError):
+            await call
+    assert (await bench.service.get("x")).value == b"1"
+    assert await bench.service.get("new") is None
+
+
+async def test_values_above_a_megabyte_are_refused(bench):
+    await bench.service.put("x", b"0" * 1_000_000, expected_version=0)
+    with pytest.raises(ValueError, match="1000001"):
+        await bench.service.put("y", b"0" * 1_000_001, expected_version=0)
+
+
+async def test_watch_returns_the_newer_object_or_none_in_time(bench):
+    version = await bench.service.put("x", b"1", expected_version=0)
+    assert await bench.service.watch("x", after_version=version, timeout_s=0.05) is None
+    assert await bench.service.watch("none", after_version=0, timeout_s=0.05) is None
+    found = await bench.service.watch("x", after_version=0, timeout_s=5.0)
+    assert found.version == version
+    waiting = asyncio.create_task(bench.service.watch("x", after_version=version, timeout_s=20.0))
+    await asyncio.sleep(0.05)
+    newer = await bench.service.put("x", b"2", expected_version=version)
+    assert (await waiting).version == newer
+
+
+@pytest.mark.parametrize(
+    ("status", "error"),
+    [
+        (429, ObjectServiceError),
+        (503, ObjectServiceError),
+        (500, OutcomeUnknownError),
+        (502, OutcomeUnknownError),
+        (504, OutcomeUnknownError),
+    ],
+)
+async def test_only_a_refusal_says_that_nothing_was_written(status, error):
+    async def answer(request):
+        return Response(status_code=status)
+
+    app = Starlette(routes=[Route("/objects/{key}", answer, methods=["PUT"])])
+    address = AddressPool().take()[0]
+    server = HttpServer(app=app, address=address, shutdown_timeout_s=1.0)
+    await server.start()
+    service = HttpObjectService(address=address)
+    with pytest.raises(error):
+        await service.put("x", b"1", expected_version=0)
+    await service.close()
+    await server.stop()
+
+
+FAULTS = [
+    # fault, call, error, whether the write took effect
+    ("down", "put", ObjectServiceError, False),
+    ("down", "delete", ObjectServiceError, False),
+    ("down", "get", ObjectServiceError, False),
+    ("down", "keys", ObjectServiceError, False),
+    ("down", "watch", ObjectServiceError, False),
+    ("lose_answers", "put", OutcomeUnknownError, True),
+    ("lose_answers", "delete", OutcomeUnknownError, True),
+    ("lose_reads", "get", ObjectServiceError, False),
+]
+
+
+@pytest.mark.parametrize(("fault", "call", "error", "took_effect"), FAULTS)
+async def test_faults(bench, fault, call, error, took_effect):
+    service = bench.service
+    version = await service.put("x", b"1", expected_version=0)
+    calls = {
+        "put": lambda: service.put("x", b"2", expected_version=version),
+        "delete": lambda: service.delete("x", expected_version=version),
+        "get": lambda: service.get("x"),
+        "keys": lambda: service.keys("x"),
+        "watch": lambda: service.watch("x", after_version=0, timeout_s=1.0),
+    }
+    await bench.set_fault(fault)
+    with pytest.raises(error):
+        await calls[call]()
+    if fault != "down":
+        found = await service.get("x")
+        expected = {"put": b"2", "delete": None}[call] if took_effect else b"1"
+        assert (None if found is None else found.value) == expected
+
+
+async def test_a_stale_read_returns_the_version_before(bench):
+    first = await bench.service.put("x", b"1", expected_version=0)
+    second = await bench.service.put("x", b"2", expected_version=first)
+    await bench.set_fault("stale_reads")
+    assert (await bench.service.get("x")).version == first
+    assert (await bench.service.get("x")).version == second
--- /dev/null
+++ b/lab/memory_store.py
@@ -0,0 +1,155 @@
+"""Object service in memory, with faults that a test sets; for tests with the paused clock."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Sequence
+from enum import Enum, auto
+
+from flamingoshelf.base import VersionedObject
+from flamingoshelf.exceptions import ConflictError, ObjectServiceError, OutcomeUnknownError
+from flamingoshelf.utils import now_s
+
+__all__ = ["MemoryObjectService", "StoreFault"]
+
+
+class StoreFault(Enum):
+    """What happens to one call."""
+
+    NONE = auto()
+    REFUSED = auto()
+    LOST_REQUEST = auto()
+    LOST_ANSWER = auto()
+    LATE_WRITE = auto()
+    STALE_READ = auto()
+
+
+class MemoryObjectService:
+    """Implements `flamingoshelf.base.ObjectService` in memory.
+
+    Parameters
+    ----------
+    late_write_s : float
+        Seconds after which a late write takes effect.
+    """
+
+    def __init__(self, *, late_write_s: float = 0.5) -> None:
+        self._late_write_s = late_write_s
+        self._objects: dict[str, VersionedObject] = {}
+        self._older: dict[str, VersionedObject] = {}
+        self._next_version = 1
+        self._changed = asyncio.Event()
+        self._late: set[asyncio.Task[None]] = set()
+        self.is_down = False
+        self.faults: list[StoreFault] = []
+        self.calls: Counter[str] = Counter()
+        self.written_keys: list[str] = []
+
+    async def get(self, key: str) -> VersionedObject | None:
+        """Return the object, or None if there is none."""
+        fault = self._begin("read")
+        if fault in (StoreFault.LOST_REQUEST, StoreFault.LOST_ANSWER):
+            raise ObjectServiceError("answer lost", step="get")
+        if fault is StoreFault.STALE_READ:
+            return self._older.get(key)
+        return self._objects.get(key)
+
+    async def put(self, key: str, value: bytes, *, expected_version: int) -> int:
+        """Write `value` if the object has `expected_version` (0: absent); return the version."""
+        if len(value) > 1_000_000:
+            raise ValueError(f"value has {len(value)} bytes; at most 1000000 are allowed")
+        fault = self._begin("write")
+        if fault is StoreFault.LOST_REQUEST:
+            raise OutcomeUnknownError("request lost", step="put")
+        if fault is StoreFault.LATE_WRITE:
+            self._start_late(key, value, expected_version)
+            raise OutcomeUnknownError("request late", step="put")
+        version = self._write(key, value, expected_version)
+        if fault is StoreFault.LOST_ANSWER:
+            raise OutcomeUnknownError("answer lost", step="put")
+        return version
+
+    async def delete(self, key: str, *, expected_version: int) -> None:
+        """Delete the object if it has `expected_version`."""
+        fault = self._begin("write")
+        if fault is StoreFault.LOST_REQUEST:
+            raise OutcomeUnknownError("request lost", step="delete")
+        self._check_version(key, expected_version, step="delete")
+        del self._objects[key]
+        if fault is StoreFault.LOST_ANSWER:
+            raise OutcomeUnknownError("answer lost", step="delete")
+
+    async def keys(self, prefix: str) -> Sequence[str]:
+        """Return the sorted names that begin with `prefix`."""
+        if self._begin("list") in (StoreFault.LOST_REQUEST, StoreFault.LOST_ANSWER):
+            raise ObjectServiceError("answer lost", step="keys")
+        return sorted(key for key in self._objects if key.startswith(prefix))
+
+    async def watch(
+        self, key: str, *, after_version: int, timeout_s: float
+    ) -> VersionedObject | None:
+        """Wait until the object's version is above `after_version`; None when time ran out."""
+        self._begin("watch", takes_fault=False)
+        deadline_s = now_s() + timeout_s
+        while True:
+            found = self._objects.get(key)
+            if found is not None and found.version > after_version:
+                return found
+            remaining_s = deadline_s - now_s()
+            if remaining_s <= 0:
+                return None
+            changed = self._changed
+            try:
+                async with asyncio.timeout(remaining_s):
+                    await changed.wait()
+            except TimeoutError:
+                return None
+            if self.is_down:
+                raise ObjectServiceError("down", step="watch")
+
+    def set_down(self, is_down: bool) -> None:
+        """Begin or end an outage; waiting watches fail when it begins."""
+        self.is_down = is_down
+        self._notify_watches()
+
+    async def settle(self) -> None:
+        """Wait until all late writes took effect or failed."""
+        await asyncio.gather(*self._late)
+
+    def _begin(self, kind: str, *, takes_fault: bool = True) -> StoreFault:
+        self.calls[kind] += 1
+        fault = self.faults.pop(0) if takes_fault and self.faults else StoreFault.NONE
+        if self.is_down or fault is StoreFault.REFUSED:
+            raise ObjectServiceError("down", step=kind)
+        return fault
+
+    def _check_version(self, key: str, expected_version: int, *, step: str) -> None:
+        found = self._objects.get(key)
+        if (0 if found is None else found.version) != expected_version:
+            raise ConflictError(f"{key} has another version", step=step)
+
+    def _write(self, key: str, value: bytes, expected_version: int) -> int:
+        self._check_version(key, expected_version, step="put")
+        if key in self._objects:
+            self._older[key] = self._objects[key]
+        version = self._next_version
+        self._next_version += 1
+        self._objects[key] = VersionedObject(key=key, value=value, version=version)
+        self.written_keys.append(key)
+        self._notify_watches()
+        return version
+
+    def _notify_watches(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _start_late(self, key: str, value: bytes, expected_version: int) -> None:
+        async def write() -> None:
+            await asyncio.sleep(self._late_write_s)
+            try:
+                self._write(key, value, expected_version)
+            except ConflictError:
+                return
+
+        task = asyncio.create_task(write())
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
--- a/lab/platform.py
+++ b/lab/platform.py
@@ -13,6 +13,7 @@
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
+from starlette.types import Receive, Scope, Send
 
 __all__ = ["Platform", "build_platform_app"]
 
@@ -37,6 +38,10 @@
         Seconds before a call is served.
     lose_answers : int
         Number of coming writes that take effect and whose connection is then cut.
+    lose_reads : int
+        Number of coming reads whose connection is cut.
+    stale_reads : int
+        Number of coming reads that return the version before the newest one.
     vm_list_lag_s : float
         Seconds by which the VM list lags.
     """
@@ -44,14 +49,26 @@
     down: bool = False
     delay_s: float = 0.0
     lose_answers: int = 0
+    lose_reads: int = 0
+    stale_reads: int = 0
     vm_list_lag_s: float = 1.0
 
 
+class _CutResponse(Response):
+    """Closes the connection in the middle of the answer."""
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        headers = [(b"content-length", b"1000")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        raise ConnectionAbortedError("answer lost")
+
+
 class Platform:
     """State of the platform."""
 
     def __init__(self) -> None:
         self._objects: dict[str, _Stored] = {}
+        self._older: dict[str, _Stored] = {}
         self._next_version = 1
         self._changed = asyncio.Condition()
         self._vm_lists: deque[tuple[float, list[dict[str, Any]]]] = deque()
@@ -76,6 +93,12 @@
         if "wait" in request.query_params:
             return await self._watch(key, request)
         self.calls["read"] += 1
+        if self.faults.lose_reads > 0:
+            self.faults.lose_reads -= 1
+            return _CutResponse()
+        if self.faults.stale_reads > 0:
+            self.faults.stale_reads -= 1
+            return self._read(key, self._older)
         return self._read(key)
 
     async def vms(self, request: Request) -> Response:
@@ -102,8 +125,8 @@
         self.calls["list"] += 1
         return JSONResponse([key for key in self._objects if key.startswith(prefix)])
 
-    def _read(self, key: str) -> Response:
-        stored = self._objects.get(key)
+    def _read(self, key: str, objects: dict[str, _Stored] | None = None) -> Response:
+        stored = (self._objects if objects is None else objects).get(key)
         if stored is None:
             return Response("no such object", 404)
         return Response(stored.value, headers={"ETag": str(stored.version)})
@@ -119,8 +142,8 @@
             async with asyncio.timeout(float(request.query_params["wait"])), self._changed:
                 await self._changed.wait_for(is_newer)
         except TimeoutError:
-            return Response(status_code=204)
-        return self._read(key)
+            return Response("down", 503) if self.faults.down else Response(status_code=204)
+        return Response("down", 503) if self.faults.down else self._read(key)
 
     async def _write(self, key: str, value: bytes | None, request: Request) -> Response:
         self.calls["write"] += 1
@@ -135,12 +158,14 @@
         if value is None:
             self._objects.pop(key, None)
         else:
+            if stored is not None:
+                self._older[key] = stored
             self._objects[key] = _Stored(value=value, version=new_version)
         async with self._changed:
             self._changed.notify_all()
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
-            raise ConnectionAbortedError("answer lost")
+            return _CutResponse()
         return Response(headers={"ETag": str(new_version)})
 
 
