--- a/flamingoshelf/callers/_services.py
+++ b/flamingoshelf/callers/_services.py
@@ -16,7 +16,9 @@
 __all__ = ["ServiceEndpoint"]
 
 _SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
-_REPLY_HEADERS = frozenset({"content-type", "etag", "last-modified", "location", "cache-control"})
+_REPLY_HEADERS = frozenset(
+    {"cache-control", "content-encoding", "content-type", "etag", "last-modified", "location"}
+)
 _MAX_ATTEMPTS = 3
 
 
