Claim keyed calls before they are sent; choose servers by running calls

Cause: calls that may not be repeated ignored the Idempotency-Key, and servers were tried in random order.

Package services chooses among servers by running calls and data centre, leaves failing servers out for a time within a bound, and repeats only what may be repeated.

--- a/flamingoshelf/callers/_problems.py
+++ b/flamingoshelf/callers/_problems.py
@@ -5,7 +5,7 @@
 
 from starlette.responses import Response
 
-from flamingoshelf.refusals import Refusal
+from flamingoshelf.refusals import Refusal, RefusalReason
 
 __all__ = ["problem_response"]
 
@@ -19,7 +19,8 @@
         "detail": refusal.detail,
         "reason": refusal.reason.value,
     }
-    document |= {"not_run": True} if refusal.not_run else {"outcome": "unknown"}
+    outcome = "done" if refusal.reason is RefusalReason.CLAIM_ANSWER_NOT_KEPT else "unknown"
+    document |= {"not_run": True} if refusal.not_run else {"outcome": outcome}
     headers = {}
     if refusal.retry_after_s is not None:
         headers["Retry-After"] = str(max(1, math.ceil(refusal.retry_after_s)))
--- a/flamingoshelf/callers/_services.py
+++ b/flamingoshelf/callers/_services.py
@@ -1,17 +1,26 @@
 """Endpoint for plain services."""
 
-import random
+import asyncio
+import hashlib
 
-from result import Err
+import attrs
+from result import Err, Ok, Result
 from starlette.requests import Request
 from starlette.responses import Response
 
-from flamingoshelf.backends import PlainCall, PlainReply, PlainServiceClient
+from flamingoshelf.backends import PlainCall, PlainReply
 from flamingoshelf.callers._admission import Admission
-from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
-from flamingoshelf.objects import BackendState, Kind, Route, ServiceSpec
-from flamingoshelf.refusals import Refusal, RefusalReason, RetryReason
-from flamingoshelf.telemetry import Metrics
+from flamingoshelf.claims import (
+    ClaimBook,
+    ClaimOutcome,
+    ClaimRequest,
+    HeldClaim,
+    parse_idempotency_key,
+)
+from flamingoshelf.objects import Kind, Route, ServiceSpec
+from flamingoshelf.refusals import Refusal, RefusalReason
+from flamingoshelf.services import ServiceRouter
+from flamingoshelf.utils import TaskGroup
 
 __all__ = ["ServiceEndpoint"]
 
@@ -19,7 +28,27 @@
 _REPLY_HEADERS = frozenset(
     {"cache-control", "content-encoding", "content-type", "etag", "last-modified", "location"}
 )
-_MAX_ATTEMPTS = 3
+_KEY_HEADER = "idempotency-key"
+_REPLAYED_HEADER = "Idempotency-Replayed"
+_MAX_KEPT_BODY_BYTES = 2048
+_MAX_KEPT_HEADER_CHARS = 256
+
+
+@attrs.frozen(kw_only=True)
+class _RoutedCall:
+    """A call with its route, the workspace that it runs for, and the caller's key for it."""
+
+    workspace: str
+    route: Route
+    service: ServiceSpec
+    call: PlainCall
+    key: str | None
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether the call may be carried out more than once."""
+        is_idempotent = self.service.idempotent or self.call.method in _SAFE_METHODS
+        return is_idempotent or (self.key is not None and self.service.honours_idempotency_keys)
 
 
 class ServiceEndpoint:
@@ -29,83 +58,153 @@
     ----------
     admission : Admission
         Checks that all endpoints share.
-    client : PlainServiceClient
-        Client of the services.
-    metrics : Metrics
-        Counters of retries.
-    random_source : random.Random
-        Source of the choice among servers.
+    router : ServiceRouter
+        Sends calls to servers.
+    claims : ClaimBook
+        Claims for calls that may not be repeated.
+    background : TaskGroup
+        Owns the calls, so that they end also when their caller is gone.
     """
 
     def __init__(
         self,
         *,
         admission: Admission,
-        client: PlainServiceClient,
-        metrics: Metrics,
-        random_source: random.Random,
+        router: ServiceRouter,
+        claims: ClaimBook,
+        background: TaskGroup,
     ) -> None:
         self._admission = admission
-        self._client = client
-        self._metrics = metrics
-        self._random = random_source
+        self._router = router
+        self._claims = claims
+        self._background = background
 
     async def call(self, request: Request) -> Response:
         """Answer a request whose path a route covers."""
+        admitted = await self._admit(request)
+        if isinstance(admitted, Err):
+            return self._admission.refuse(admitted.err_value)
+        task = self._background.start(self._serve(admitted.ok_value), name="service_call")
+        return await asyncio.shield(task)
+
+    async def _admit(self, request: Request) -> Result[_RoutedCall, Refusal]:
         found = self._admission.catalog.route_for(request.url.path)
         if found is None:
-            return self._admission.refuse(_no_route(request.url.path))
+            return Err(_no_route(request.url.path))
         route = found[1]
+        workspace = ""
         if not route.open:
-            admitted = self._admission.authenticate(request)
-            if isinstance(admitted, Err):
-                return self._admission.refuse(admitted.err_value)
+            caller = self._admission.authenticate(request)
+            if isinstance(caller, Err):
+                return caller
+            workspace = caller.ok_value.workspace
         body = await self._admission.read_body(request)
         if isinstance(body, Err):
-            return self._admission.refuse(body.err_value)
-        outcome = await self._send(route, self._plain_call(request, body.ok_value))
-        if isinstance(outcome, Refusal):
-            return self._admission.refuse(outcome)
-        return _to_response(outcome)
+            return body
+        key = _read_key(request)
+        if isinstance(key, Err):
+            return Err(_malformed_key(key.err_value))
+        service = self._admission.catalog.get(Kind.SERVICE, route.service)
+        assert isinstance(service, ServiceSpec)
+        call = self._plain_call(request, body.ok_value, scope=(workspace, route, key.ok_value))
+        return Ok(
+            _RoutedCall(
+                workspace=workspace, route=route, service=service, call=call, key=key.ok_value
+            )
+        )
 
-    def _plain_call(self, request: Request, body: bytes) -> PlainCall:
+    async def _serve(self, routed: _RoutedCall) -> Response:
+        outcome = await self._send(routed)
+        match outcome:
+            case Refusal():
+                return self._admission.refuse(outcome)
+            case ClaimOutcome():
+                headers = {**outcome.headers, _REPLAYED_HEADER: "true"}
+                return Response(outcome.body, status_code=outcome.status, headers=headers)
+            case PlainReply():
+                return Response(
+                    outcome.body, status_code=outcome.status, headers=_reply_headers(outcome)
+                )
+
+    async def _send(self, routed: _RoutedCall) -> PlainReply | ClaimOutcome | Refusal:
+        if routed.key is None or routed.may_repeat:
+            return await self._router.call(
+                routed.service, routed.call, may_repeat=routed.may_repeat
+            )
+        claim_request = ClaimRequest(
+            workspace=routed.workspace,
+            route=routed.route.path_prefix,
+            key=routed.key,
+            method=routed.call.method,
+            target=routed.call.target,
+            body=routed.call.body,
+        )
+        held = await self._claims.claim(claim_request)
+        if not isinstance(held, HeldClaim):
+            return held
+        return await self._send_claimed(routed, held)
+
+    async def _send_claimed(self, routed: _RoutedCall, held: HeldClaim) -> PlainReply | Refusal:
+        held.attempt.trigger("send")
+        try:
+            outcome = await self._router.call(routed.service, routed.call, may_repeat=False)
+        except BaseException:
+            self._claims.lose(held)
+            raise
+        if isinstance(outcome, PlainReply):
+            self._claims.finish(held, _claim_outcome(outcome))
+        elif outcome.not_run:
+            held.attempt.trigger("prove_unsent")
+            self._claims.release(held)
+        else:
+            self._claims.lose(held)
+        return outcome
+
+    def _plain_call(
+        self, request: Request, body: bytes, *, scope: tuple[str, Route, str | None]
+    ) -> PlainCall:
         key_filter = self._admission.key_filter
         query = key_filter.query(request.url.query)
+        headers = [
+            (name, value)
+            for name, value in key_filter.headers(request.headers.items())
+            if name.lower() != _KEY_HEADER
+        ]
+        workspace, route, key = scope
+        if key is not None:
+            headers.append(("Idempotency-Key", _passed_key(workspace, route, key)))
         return PlainCall(
             method=request.method,
             target=request.url.path + (f"?{query}" if query else ""),
-            headers=key_filter.headers(request.headers.items()),
+            headers=headers,
             body=body,
         )
 
-    async def _send(self, route: Route, call: PlainCall) -> PlainReply | Refusal:
-        catalog = self._admission.catalog
-        service = catalog.get(Kind.SERVICE, route.service)
-        assert isinstance(service, ServiceSpec)
-        addresses = [
-            server.address
-            for _, server in catalog.servers((service.pool,))
-            if server.state is BackendState.LIVE
-        ]
-        self._random.shuffle(addresses)
-        may_repeat = service.idempotent or call.method in _SAFE_METHODS
-        for address in addresses[:_MAX_ATTEMPTS]:
-            try:
-                return await self._client.call(address, call, timeout_s=service.timeout_s)
-            except PeerUnreachableError:
-                self._metrics.count_retry(RetryReason.SERVICE_FAILED)
-            except OutcomeUnknownError as error:
-                if not may_repeat:
-                    return _unknown_outcome(error)
-                self._metrics.count_retry(RetryReason.SERVICE_FAILED)
-        return _no_backend(route, not_run=not may_repeat or not addresses)
-
-
-def _to_response(reply: PlainReply) -> Response:
-    headers = {
-        name: value for name, value in reply.headers.items() if name.lower() in _REPLY_HEADERS
-    }
-    return Response(reply.body, status_code=reply.status, headers=headers)
+
+def _read_key(request: Request) -> Result[str | None, str]:
+    values = request.headers.getlist(_KEY_HEADER)
+    if not values or request.method in _SAFE_METHODS:
+        return Ok(None)
+    return parse_idempotency_key(values)
+
+
+def _passed_key(workspace: str, route: Route, key: str) -> str:
+    """Return the key for the service, which can't tell workspaces apart by itself."""
+    text = "\x00".join((workspace, route.path_prefix, key))
+    return f'"{hashlib.sha256(text.encode()).hexdigest()}"'
+
+
+def _reply_headers(reply: PlainReply) -> dict[str, str]:
+    return {name: value for name, value in reply.headers.items() if name in _REPLY_HEADERS}
+
+
+def _claim_outcome(reply: PlainReply) -> ClaimOutcome:
+    headers = _reply_headers(reply)
+    is_long = any(len(value) > _MAX_KEPT_HEADER_CHARS for value in headers.values())
+    outcome = ClaimOutcome(status=reply.status, headers=headers, body=reply.body)
+    if is_long or len(reply.body) > _MAX_KEPT_BODY_BYTES:
+        return outcome.without_answer()
+    return outcome
 
 
 def _no_route(path: str) -> Refusal:
@@ -118,23 +217,11 @@
     )
 
 
-def _unknown_outcome(error: OutcomeUnknownError) -> Refusal:
-    return Refusal(
-        reason=RefusalReason.BACKEND_FAILED,
-        status=502,
-        detail="The service did not answer; the call may have been carried out.",
-        not_run=False,
-        step=error.step,
-        peer=error.peer,
-    )
-
-
-def _no_backend(route: Route, *, not_run: bool) -> Refusal:
+def _malformed_key(detail: str) -> Refusal:
     return Refusal(
-        reason=RefusalReason.NO_BACKEND,
-        status=503,
-        detail=f"No server of service {route.service!r} could be reached.",
-        not_run=not_run,
-        retry_after_s=1.0,
-        step="call",
+        reason=RefusalReason.MALFORMED_REQUEST,
+        status=400,
+        detail=detail,
+        not_run=True,
+        step="read",
     )
--- a/flamingoshelf/daemon/_node.py
+++ b/flamingoshelf/daemon/_node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from typing import Any
 
 from loguru import logger
@@ -15,6 +16,7 @@
     ServiceEndpoint,
     build_caller_app,
 )
+from flamingoshelf.claims import Attempts, ClaimBook, ClaimWriter, RetentionRule, WritePace
 from flamingoshelf.configuration import ConfigurationFollower
 from flamingoshelf.daemon._http_server import HttpServer
 from flamingoshelf.dispatch import LocalPlacer
@@ -24,6 +26,7 @@
 from flamingoshelf.objects import Catalog
 from flamingoshelf.operators import build_operator_app
 from flamingoshelf.platform import HttpObjectService, HttpVmList
+from flamingoshelf.services import EjectionRule, ServerBoard, ServiceRouter, ShareBudget
 from flamingoshelf.settings import Settings
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import TaskGroup, new_incarnation
@@ -57,7 +60,14 @@
         self._engines = HttpEngineClient()
         self._placer = LocalPlacer(catalog=self._catalog)
         self._limiter = PerNodeLimiter(catalog=self._catalog, node_count=self._node_count)
-        self._parts: tuple[Service, ...] = (self._vms, self._link, self._configuration)
+        self._random = random.Random(self._incarnation)
+        self._claims = self._build_claims()
+        self._parts: tuple[Service, ...] = (
+            self._vms,
+            self._link,
+            self._configuration,
+            self._claims,
+        )
         self._callers = HttpServer(
             app=self._build_caller_app(),
             address=settings.caller_address,
@@ -131,11 +141,45 @@
         )
         services = ServiceEndpoint(
             admission=admission,
+            router=self._build_service_router(),
+            claims=self._claims,
+            background=self._background,
+        )
+        return build_caller_app(completions=completions, services=services)
+
+    def _build_claims(self) -> ClaimBook:
+        writer = ClaimWriter(
+            store=self._store,
+            link=self._link,
+            metrics=self._metrics,
+            rule=RetentionRule(),
+            pace=WritePace(),
+            wall_time_s=time.time,
+            random_source=self._random,
+        )
+        return ClaimBook(
+            writer=writer,
+            attempts=Attempts(link=self._link),
+            link=self._link,
+            ownership=self._ownership,
+            metrics=self._metrics,
+            wall_time_s=time.time,
+        )
+
+    def _build_service_router(self) -> ServiceRouter:
+        board = ServerBoard(
+            data_centre=self._settings.data_centre,
+            rule=EjectionRule(),
+            random_source=self._random,
+        )
+        return ServiceRouter(
+            catalog=self._catalog,
             client=PlainServiceClient(),
+            board=board,
+            budget=ShareBudget(),
             metrics=self._metrics,
-            random_source=random.Random(self._incarnation),
+            random_source=self._random,
         )
-        return build_caller_app(completions=completions, services=services)
 
     def _build_operator_app(self) -> Any:
         return build_operator_app(
--- a/flamingoshelf/objects/_kinds.py
+++ b/flamingoshelf/objects/_kinds.py
@@ -270,12 +270,15 @@
         Pool of its servers.
     idempotent : bool
         Whether all of its calls may be repeated. Calls with the methods GET and HEAD always may.
+    honours_idempotency_keys : bool
+        Whether the service itself carries out a call once for each idempotency key.
     timeout_s : float
         Longest time that a call may take.
     """
 
     pool: str = _reference(Kind.POOL)
     idempotent: bool = False
+    honours_idempotency_keys: bool = False
     timeout_s: float = attrs.field(default=10.0, validator=_positive)
 
 
--- a/flamingoshelf/refusals.py
+++ b/flamingoshelf/refusals.py
@@ -33,6 +33,7 @@
     CLAIM_IN_PROGRESS = "claim_in_progress"
     CLAIM_OUTCOME_UNKNOWN = "claim_outcome_unknown"
     CLAIM_BODY_DIFFERS = "claim_body_differs"
+    CLAIM_ANSWER_NOT_KEPT = "claim_answer_not_kept"
     QUARANTINED = "quarantined"
     SHUTTING_DOWN = "shutting_down"
 
--- /dev/null
+++ b/flamingoshelf/services/_router.py
@@ -0,0 +1,148 @@
+"""Sends a call to one server of a service, and to another where that is safe."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from flamingoshelf.backends import PlainCall, PlainReply
+from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
+from flamingoshelf.objects import Catalog, ServiceSpec
+from flamingoshelf.refusals import Refusal, RefusalReason, RetryReason
+from flamingoshelf.services._budget import RetryBudget
+from flamingoshelf.services._servers import ServerBoard
+from flamingoshelf.telemetry import Metrics
+from flamingoshelf.utils import now_s
+
+__all__ = ["PlainClient", "ServiceRouter"]
+
+_MAX_SENT = 3
+_RETRY_PAUSE_S = 0.05
+_NO_BACKEND_RETRY_S = 1.0
+_SERVER_FAILURE_STATUSES = frozenset({502, 503, 504})
+
+
+class PlainClient(Protocol):
+    """Sends one call to one server, see `flamingoshelf.backends.PlainServiceClient`."""
+
+    async def call(self, address: str, call: PlainCall, *, timeout_s: float) -> PlainReply:
+        """Send `call` once."""
+
+
+class ServiceRouter:
+    """Routes calls to the servers of plain services.
+
+    Parameters
+    ----------
+    catalog : callable
+        Returns the catalog in force.
+    client : PlainClient
+        Sends calls.
+    board : ServerBoard
+        Chooses servers.
+    budget : RetryBudget
+        Bounds the calls that are sent again.
+    metrics : Metrics
+        Counters of retries.
+    random_source : random.Random
+        Source of the pause before a retry.
+    """
+
+    def __init__(
+        self,
+        *,
+        catalog: Callable[[], Catalog],
+        client: PlainClient,
+        board: ServerBoard,
+        budget: RetryBudget,
+        metrics: Metrics,
+        random_source: random.Random,
+    ) -> None:
+        self._catalog = catalog
+        self._client = client
+        self._board = board
+        self._budget = budget
+        self._metrics = metrics
+        self._random = random_source
+
+    async def call(
+        self, service: ServiceSpec, call: PlainCall, *, may_repeat: bool
+    ) -> PlainReply | Refusal:
+        """Return the answer of one server within the service's time.
+
+        Another server is tried if no byte left to the one before, or if the call may be repeated
+        and the retry budget allows it. A refusal says ``not_run`` only if no byte left to any.
+        """
+        deadline_s = now_s() + service.timeout_s
+        tried: frozenset[str] = frozenset()
+        sent = 0
+        self._budget.record_request()
+        while (address := self._choose(service, tried)) is not None:
+            remaining_s = deadline_s - now_s()
+            if remaining_s <= 0:
+                break
+            tried |= {address}
+            try:
+                return await self._call_server(address, call, timeout_s=remaining_s)
+            except PeerUnreachableError:
+                self._metrics.count_retry(RetryReason.SERVICE_FAILED)
+            except OutcomeUnknownError as error:
+                sent += 1
+                if not may_repeat:
+                    return _unknown_outcome(error)
+                if sent >= _MAX_SENT or not self._budget.try_spend():
+                    return _retries_exhausted(error)
+                self._metrics.count_retry(RetryReason.SERVICE_FAILED)
+                await asyncio.sleep(self._random.random() * _RETRY_PAUSE_S)
+        return _no_backend(not_run=sent == 0)
+
+    def _choose(self, service: ServiceSpec, tried: frozenset[str]) -> str | None:
+        servers = [server for _, server in self._catalog().servers((service.pool,))]
+        return self._board.choose(servers, tried=tried)
+
+    async def _call_server(self, address: str, call: PlainCall, *, timeout_s: float) -> PlainReply:
+        self._board.begin(address)
+        is_failure: bool | None = None
+        try:
+            reply = await self._client.call(address, call, timeout_s=timeout_s)
+            is_failure = reply.status in _SERVER_FAILURE_STATUSES
+            return reply
+        except (PeerUnreachableError, OutcomeUnknownError):
+            is_failure = True
+            raise
+        finally:
+            self._board.end(address, is_failure=is_failure)
+
+
+def _unknown_outcome(error: OutcomeUnknownError) -> Refusal:
+    return Refusal(
+        reason=RefusalReason.BACKEND_FAILED,
+        status=502,
+        detail="The service did not answer; the call may have been carried out.",
+        not_run=False,
+        step=error.step,
+        peer=error.peer,
+    )
+
+
+def _retries_exhausted(error: OutcomeUnknownError) -> Refusal:
+    return Refusal(
+        reason=RefusalReason.RETRIES_EXHAUSTED,
+        status=502,
+        detail="No server of the service answered; the call may be repeated.",
+        not_run=False,
+        retry_after_s=_NO_BACKEND_RETRY_S,
+        step=error.step,
+        peer=error.peer,
+    )
+
+
+def _no_backend(*, not_run: bool) -> Refusal:
+    return Refusal(
+        reason=RefusalReason.NO_BACKEND,
+        status=503,
+        detail="No server of the service could be reached.",
+        not_run=not_run,
+        retry_after_s=_NO_BACKEND_RETRY_S,
+        step="call",
+    )
