Assign exclusive duties by a slot table

Cause: ListedOwnership ranked the VMs of the newest list that a node had seen, so two nodes with different lists could both hold an exclusive duty.

Change: one table in the object service maps 384 x 3 slots to VM and incarnation, changed by compare-and-swap. A slot moves when its holder released it or its VM is gone from the list for longer than the stated lag. A process that was paused exercises nothing until it has read list and table again. Heartbeats along four rings spread versions, suspicions and incarnations, so that three nodes read the platform for all. A leaving node hands over its slots before it ends. /status answered 500 while the configuration's age was infinite; it is null now.

--- a/flamingoshelf/daemon/_node.py
+++ b/flamingoshelf/daemon/_node.py
@@ -19,14 +19,14 @@
 from flamingoshelf.daemon._http_server import HttpServer
 from flamingoshelf.dispatch import LocalPlacer
 from flamingoshelf.limits import PerNodeLimiter
-from flamingoshelf.membership import ListedOwnership, VmView
+from flamingoshelf.membership import Membership, VmView
 from flamingoshelf.nodes import WebsocketNodeLink
 from flamingoshelf.objects import Catalog
 from flamingoshelf.operators import build_operator_app
 from flamingoshelf.platform import HttpObjectService, HttpVmList
 from flamingoshelf.settings import Settings
 from flamingoshelf.telemetry import Metrics
-from flamingoshelf.utils import TaskGroup, new_incarnation
+from flamingoshelf.utils import TaskGroup, finite_or_none, new_incarnation
 
 __all__ = ["Node"]
 
@@ -53,11 +53,17 @@
         self._vms = VmView(vm_list=HttpVmList(address=settings.vm_list_address))
         self._configuration = ConfigurationFollower(store=self._store)
         self._link = self._build_link()
-        self._ownership = ListedOwnership(vms=self._vms, node_name=settings.node_name)
+        self._membership = Membership(
+            link=self._link,
+            vms=self._vms,
+            store=self._store,
+            vm_list_lag_s=settings.vm_list_lag_s,
+        )
+        self._ownership = self._membership.ownership
         self._engines = HttpEngineClient()
         self._placer = LocalPlacer(catalog=self._catalog)
         self._limiter = PerNodeLimiter(catalog=self._catalog, node_count=self._node_count)
-        self._parts: tuple[Service, ...] = (self._vms, self._link, self._configuration)
+        self._parts: tuple[Service, ...] = (self._link, self._membership, self._configuration)
         self._callers = HttpServer(
             app=self._build_caller_app(),
             address=settings.caller_address,
@@ -72,7 +78,8 @@
     @property
     def is_ready(self) -> bool:
         """Whether the node serves callers."""
-        return self._configuration.is_ready and not self._is_leaving
+        has_state = self._configuration.is_ready and self._membership.is_ready
+        return has_state and not self._is_leaving
 
     async def start(self) -> None:
         """Start all parts, the one for callers last."""
@@ -87,6 +94,7 @@
         self._is_leaving = True
         logger.info("leaving")
         await asyncio.sleep(_READINESS_NOTICE_S)
+        await self._membership.leave()
         await self._callers.stop()
         await self._background.drain()
         for part in reversed(self._parts):
@@ -149,6 +157,7 @@
             "incarnation": self._incarnation,
             "ready": self.is_ready,
             "revision": self._catalog().revision,
-            "configuration_age_s": round(self._configuration.age_s, 3),
+            "configuration_age_s": finite_or_none(self._configuration.age_s),
             "vm_list_version": self._vms.snapshot.version,
+            "membership": self._membership.status(),
         }
--- /dev/null
+++ b/flamingoshelf/membership/_rings.py
@@ -0,0 +1,38 @@
+"""Which peers a node exchanges heartbeats with."""
+
+from collections.abc import Iterable
+
+from flamingoshelf.utils import stable_hash
+
+__all__ = ["RING_COUNT", "ring_successors"]
+
+RING_COUNT = 4
+
+
+def ring_successors(names: Iterable[str], node_name: str) -> tuple[str, ...]:
+    """Return the nodes that follow `node_name` on each of `RING_COUNT` rings.
+
+    Notes
+    -----
+    Every ring is a random order of all nodes, so each node has as many predecessors as successors
+    and a message that every node forwards once reaches all of them in a few steps.
+
+    Examples
+    --------
+    >>> sorted(ring_successors(["a", "b"], "a"))
+    ['b']
+    """
+    listed = set(names) | {node_name}
+    successors = (_successor(listed, node_name, ring) for ring in range(RING_COUNT))
+    return tuple(dict.fromkeys(name for name in successors if name != node_name))
+
+
+def _successor(names: set[str], node_name: str, ring: int) -> str:
+    own = _position(node_name, ring)
+    positions = {name: _position(name, ring) for name in names}
+    after = [name for name, position in positions.items() if position > own]
+    return min(after or names, key=lambda name: positions[name])
+
+
+def _position(name: str, ring: int) -> int:
+    return stable_hash("ring", str(ring), name)
--- a/flamingoshelf/utils/__init__.py
+++ b/flamingoshelf/utils/__init__.py
@@ -2,6 +2,7 @@
 
 from flamingoshelf.utils._http import new_http_client
 from flamingoshelf.utils._ids import new_apply_id, new_incarnation, rendezvous_rank, stable_hash
+from flamingoshelf.utils._numbers import finite_or_none
 from flamingoshelf.utils._tasks import TaskGroup, now_s
 from flamingoshelf.utils._validation import check_choice, check_name, check_positive, check_range
 
@@ -11,6 +12,7 @@
     "check_name",
     "check_positive",
     "check_range",
+    "finite_or_none",
     "new_apply_id",
     "new_http_client",
     "new_incarnation",
