--- a/flamingoshelf/callers/tests/conftest.py
+++ b/flamingoshelf/callers/tests/conftest.py
@@ -3,7 +3,6 @@
 import asyncio
 import hashlib
 import json
-import random
 
 import aiosonic
 import attrs
@@ -14,7 +13,6 @@
     DecodedToken,
     DecodeEnd,
     EngineLoad,
-    PlainServiceClient,
     PrefillResult,
 )
 from flamingoshelf.callers import (
@@ -237,9 +235,9 @@
         completions=CompletionEndpoints(admission=admission, runner=runner, incarnation="i"),
         services=ServiceEndpoint(
             admission=admission,
-            client=PlainServiceClient(),
-            metrics=metrics,
-            random_source=random.Random(0),
+            router=None,  # type: ignore[arg-type]
+            claims=None,  # type: ignore[arg-type]
+            background=background,
         ),
     )
     server = HttpServer(app=app, address=site.address, shutdown_timeout_s=1)
