--- a/flamingoshelf/backends/_engine.py
+++ b/flamingoshelf/backends/_engine.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Mapping, Sequence
+from collections.abc import AsyncGenerator, AsyncIterator, Mapping, Sequence
 from typing import Any, Protocol
 
 import aiosonic
@@ -152,17 +152,27 @@
         """Process a prompt and keep its KV cache for a short time."""
 
     async def import_kv(
-        self, address: str, *, request_id: str, source: str, max_tokens: int, timeout_s: float
+        self,
+        address: str,
+        *,
+        request_id: str,
+        source: str,
+        prompt_tokens: int,
+        max_tokens: int,
+        timeout_s: float,
     ) -> None:
         """Have a decode engine pull a KV cache from the prefill engine at `source`."""
 
     def decode(
-        self, address: str, *, request_id: str, stall_timeout_s: float
-    ) -> AsyncIterator[DecodedToken | DecodeEnd]:
-        """Stream the tokens of an imported request."""
+        self, address: str, *, request_id: str, from_index: int, stall_timeout_s: float
+    ) -> AsyncGenerator[DecodedToken | DecodeEnd, None]:
+        """Stream the tokens of an imported request from an index on."""
 
     async def cancel(self, address: str, request_id: str) -> None:
-        """Free what the engine holds for `request_id`; returns once it confirmed."""
+        """Free what the engine holds for `request_id`; returns once it confirmed.
+
+        An engine whose process is not there holds nothing, which counts as confirmed.
+        """
 
     async def load(self, address: str) -> EngineLoad:
         """Return the engine's load."""
@@ -183,22 +193,34 @@
         return self._converter.structure(answer, PrefillResult)
 
     async def import_kv(
-        self, address: str, *, request_id: str, source: str, max_tokens: int, timeout_s: float
+        self,
+        address: str,
+        *,
+        request_id: str,
+        source: str,
+        prompt_tokens: int,
+        max_tokens: int,
+        timeout_s: float,
     ) -> None:
         """Have a decode engine pull a KV cache from the prefill engine at `source`."""
-        body = {"request_id": request_id, "source": source, "max_tokens": max_tokens}
+        body = {
+            "request_id": request_id,
+            "source": source,
+            "tokens": prompt_tokens,
+            "max_tokens": max_tokens,
+        }
         answer = await self._post(address, "/import", body, step="transfer", timeout_s=timeout_s)
         self._check_id(answer, request_id, step="transfer", address=address)
 
     async def decode(
-        self, address: str, *, request_id: str, stall_timeout_s: float
-    ) -> AsyncIterator[DecodedToken | DecodeEnd]:
-        """Stream the tokens of an imported request."""
+        self, address: str, *, request_id: str, from_index: int, stall_timeout_s: float
+    ) -> AsyncGenerator[DecodedToken | DecodeEnd, None]:
+        """Stream the tokens of an imported request from an index on."""
         response = None
         try:
             response = await self._client.post(
                 f"http://{address}/decode",
-                json={"request_id": request_id},
+                json={"request_id": request_id, "from_index": from_index},
                 headers={"Connection": "close"},
                 timeouts=_timeouts(stall_timeout_s, request_timeout_s=None),
             )
@@ -217,7 +239,11 @@
     async def cancel(self, address: str, request_id: str) -> None:
         """Free what the engine holds for `request_id`; returns once it confirmed."""
         body = {"request_id": request_id}
-        await self._post(address, "/cancel", body, step="cancel", timeout_s=_CANCEL_TIMEOUT_S)
+        try:
+            await self._post(address, "/cancel", body, step="cancel", timeout_s=_CANCEL_TIMEOUT_S)
+        except EngineError as error:
+            if not isinstance(error.__cause__, ConnectionRefusedError):
+                raise
 
     async def load(self, address: str) -> EngineLoad:
         """Return the engine's load."""
@@ -259,7 +285,7 @@
 
 
 def _refused(status: int, *, step: str, address: str) -> EngineError:
-    return EngineError(f"status {status}", step=step, peer=address)
+    return EngineError(f"status {status}", step=step, peer=address, status=status)
 
 
 async def _events(
--- a/flamingoshelf/callers/_completion_run.py
+++ b/flamingoshelf/callers/_completion_run.py
@@ -1,6 +1,5 @@
 """One completion request from its place to its last token."""
 
-import asyncio
 from collections.abc import AsyncGenerator
 from contextlib import aclosing
 from typing import TypeVar
@@ -9,19 +8,18 @@
 from loguru import logger
 from result import Err, Result
 
-from flamingoshelf.backends import (
-    DecodedToken,
-    DecodeEnd,
-    EngineClient,
-    PrefillTask,
-)
+from flamingoshelf.backends import DecodedToken, DecodeEnd, EngineClient, PrefillTask
+from flamingoshelf.callers._answer import AnswerTokens
+from flamingoshelf.callers._cleanup import GrantCleanup
 from flamingoshelf.callers._completion_request import CompletionRequest
 from flamingoshelf.callers._lifecycle import RequestLifecycle
+from flamingoshelf.callers._prefix_blocks import prefix_hashes
+from flamingoshelf.callers._retry_policy import classify, given_up, is_same_engine_worth_trying
 from flamingoshelf.dispatch import Grant, PlacementRequest, Placer
 from flamingoshelf.exceptions import EngineError, FlamingoshelfError, ProtocolError
 from flamingoshelf.limits import Charge, Limiter
 from flamingoshelf.objects import Workspace
-from flamingoshelf.refusals import Refusal, RefusalReason, RetryReason
+from flamingoshelf.refusals import Refusal, RetryReason
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import TaskGroup, now_s
 
@@ -30,11 +28,11 @@
 ValueT = TypeVar("ValueT")
 
 _MAX_ATTEMPTS = 4
+_MAX_RECONNECTS = 2
 _PREFILL_TIMEOUT_S = 15.0
-_TRANSFER_TIMEOUT_S = 5.0
+_TRANSFER_TIMEOUT_S = 3.0
 _STALL_TIMEOUT_S = 5.0
-_CANCEL_RETRY_S = 0.5
-_MAX_CANCEL_ATTEMPTS = 20
+_SHORTEST_RESUME_WAIT_S = 10.0
 
 
 class RefusedError(FlamingoshelfError):
@@ -94,10 +92,12 @@
         self._workspace = workspace
         self._request_id = request_id
         self._lifecycle = RequestLifecycle()
-        self._generated: list[str] = []
+        self._answer = AnswerTokens()
         self._prompt_tokens = request.prompt_tokens
-        self._avoid: list[str] = []
+        self._prefix_hashes = prefix_hashes(request.prompt)
+        self._avoid: tuple[str, ...] = ()
         self._charge: Charge | None = None
+        self._was_sent = False
         self._arrived_s = now_s()
 
     @property
@@ -120,46 +120,64 @@
         """
         try:
             for attempt in range(_MAX_ATTEMPTS):
+                grant = await self._acquire(attempt)
                 try:
-                    async with aclosing(self._attempt(attempt)) as events:
+                    async with aclosing(self._attempt(grant)) as events:
                         async for event in events:
                             yield event
                     self._lifecycle.trigger("finish")
                     return
                 except (EngineError, ProtocolError) as error:
-                    self._prepare_retry(error)
-            raise RefusedError(self._given_up())
+                    self._prepare_retry(error, grant)
+            raise RefusedError(given_up(step=self._lifecycle.state, was_sent=self._was_sent))
         finally:
             self._settle()
             self._lifecycle.close()
 
-    async def _attempt(self, attempt: int) -> AsyncGenerator[DecodedToken | DecodeEnd, None]:
-        attempt_id = f"{self._request_id}.{attempt}"
-        grant = await self._acquire(attempt_id)
+    async def _attempt(self, grant: Grant) -> AsyncGenerator[DecodedToken | DecodeEnd, None]:
+        was_sent = False
         try:
             self._lifecycle.trigger("grant")
             await self._take_tokens()
             self._lifecycle.trigger("charged")
-            await self._prefill_and_transfer(grant)
+            was_sent = self._was_sent = True
+            await self._prefill(grant)
+            await self._transfer(grant)
             async with aclosing(self._decode(grant)) as events:
                 async for event in events:
                     yield event
         except BaseException:
-            self._runner.background.start(self._free(grant), name="free")
+            self._free(grant, was_sent=was_sent)
             raise
         self._runner.placer.release(grant)
 
-    async def _acquire(self, attempt_id: str) -> Grant:
+    def _free(self, grant: Grant, *, was_sent: bool) -> None:
+        """Give the place back, once the engines hold nothing for the attempt."""
+        runner = self._runner
+        if not was_sent:
+            runner.placer.release(grant)
+            return
+        cleanup = GrantCleanup(engines=runner.engines, placer=runner.placer, metrics=runner.metrics)
+        runner.background.start(cleanup.run(grant), name="free")
+
+    async def _acquire(self, attempt: int) -> Grant:
+        waited_s = now_s() - self._arrived_s
+        max_wait_s = self._workspace.max_wait_s - waited_s
+        if self._was_sent:
+            max_wait_s = max(max_wait_s, _SHORTEST_RESUME_WAIT_S)
         request = PlacementRequest(
-            request_id=attempt_id,
+            request_id=f"{self._request_id}.{attempt}",
             workspace=self._workspace_name,
             model=self._request.model,
-            prompt_tokens=self._request.prompt_tokens + len(self._generated),
-            max_tokens=self._request.max_tokens - len(self._generated),
-            max_wait_s=self._workspace.max_wait_s,
-            avoid=tuple(self._avoid),
+            prompt_tokens=self._request.prompt_tokens + len(self._answer),
+            max_tokens=self._request.max_tokens - len(self._answer),
+            prefix_hashes=self._prefix_hashes,
+            max_wait_s=max_wait_s,
+            avoid=self._avoid,
+            waited_s=waited_s,
+            is_resumed=self._was_sent,
         )
-        return _unwrap(await self._runner.placer.acquire(request))
+        return self._unwrap(await self._runner.placer.acquire(request))
 
     async def _take_tokens(self) -> None:
         """Charge the whole request, once for all of its attempts."""
@@ -170,116 +188,95 @@
             workspace=self._workspace_name,
             tokens=self._request.prompt_tokens + self._request.max_tokens,
         )
-        self._charge = _unwrap(charged)
+        self._charge = self._unwrap(charged)
 
-    async def _prefill_and_transfer(self, grant: Grant) -> None:
+    async def _prefill(self, grant: Grant) -> None:
         task = PrefillTask(
             request_id=grant.request_id,
             model=self._request.model,
             prompt=self._request.prompt,
-            generated=tuple(self._generated),
+            generated=self._answer.texts,
             priority=self._workspace.priority,
         )
-        engines = self._runner.engines
         try:
-            result = await engines.prefill(
+            result = await self._runner.engines.prefill(
                 grant.prefill_address, task, timeout_s=_PREFILL_TIMEOUT_S
             )
         finally:
             self._runner.placer.release_prefill(grant)
         self._prompt_tokens = result.prompt_tokens
         self._lifecycle.trigger("prefilled")
-        await engines.import_kv(
+
+    async def _transfer(self, grant: Grant) -> None:
+        await self._runner.engines.import_kv(
             grant.decode_address,
             request_id=grant.request_id,
             source=grant.prefill_address,
+            prompt_tokens=self._prompt_tokens,
             max_tokens=self._request.max_tokens,
             timeout_s=_TRANSFER_TIMEOUT_S,
         )
         self._lifecycle.trigger("transferred")
 
     async def _decode(self, grant: Grant) -> AsyncGenerator[DecodedToken | DecodeEnd, None]:
+        """Yield events; a cut stream is taken up again at the same engine."""
+        for reconnects_left in range(_MAX_RECONNECTS, -1, -1):
+            try:
+                async with aclosing(self._read_stream(grant)) as events:
+                    async for event in events:
+                        yield event
+                return
+            except EngineError as error:
+                if reconnects_left == 0 or not is_same_engine_worth_trying(error):
+                    raise
+                self._runner.metrics.count_retry(RetryReason.STREAM_BROKEN)
+
+    async def _read_stream(self, grant: Grant) -> AsyncGenerator[DecodedToken | DecodeEnd, None]:
         stream = self._runner.engines.decode(
-            grant.decode_address, request_id=grant.request_id, stall_timeout_s=_STALL_TIMEOUT_S
+            grant.decode_address,
+            request_id=grant.request_id,
+            from_index=len(self._answer),
+            stall_timeout_s=_STALL_TIMEOUT_S,
         )
-        async for event in stream:
-            if isinstance(event, DecodeEnd):
-                self._check_end(event, grant)
+        async with aclosing(stream):
+            async for event in stream:
+                if isinstance(event, DecodeEnd):
+                    self._answer.check_end(event, server=grant.decode_server)
+                    yield event
+                    return
+                self._accept(event, grant)
                 yield event
-                return
-            self._accept_token(event, grant)
-            yield event
         message = "stream ended early"
         raise EngineError(message, step="decode", peer=grant.decode_server, crashed=True)
 
-    def _accept_token(self, token: DecodedToken, grant: Grant) -> None:
-        if token.index != len(self._generated):
-            message = f"token {token.index} instead of {len(self._generated)}"
-            raise ProtocolError(message, step="decode", peer=grant.decode_server)
-        if not self._generated:
+    def _accept(self, token: DecodedToken, grant: Grant) -> None:
+        self._answer.accept(token, server=grant.decode_server)
+        if len(self._answer) == 1:
             self._runner.metrics.record_first_token(now_s() - self._arrived_s)
-        self._generated.append(token.text)
-
-    def _check_end(self, end: DecodeEnd, grant: Grant) -> None:
-        if end.completion_tokens != len(self._generated):
-            message = f"{len(self._generated)} tokens of {end.completion_tokens}"
-            raise ProtocolError(message, step="decode", peer=grant.decode_server)
 
-    def _prepare_retry(self, error: EngineError | ProtocolError) -> None:
-        reason = _retry_reason(error)
+    def _prepare_retry(self, error: EngineError | ProtocolError, grant: Grant) -> None:
+        fault = classify(error, grant)
         logger.bind(request_id=self._request_id, step=error.step, peer=error.peer).info(
-            "retry for {}: {}", reason.value, error.message
+            "retry for {}: {}", fault.reason.value, error.message
         )
-        self._runner.metrics.count_retry(reason)
+        metrics = self._runner.metrics
+        metrics.count_retry(fault.reason)
+        if fault.wastes_prefill:
+            metrics.count_event(f"prefill_wasted_{fault.reason.value}")
+        if fault.has_failed:
+            self._runner.placer.report_failure(fault.server)
+        self._avoid = (fault.server,)
         self._lifecycle.trigger("retry")
 
-    async def _free(self, grant: Grant) -> None:
-        """Cancel at both engines until each confirmed or is gone, then give the place back."""
-        await asyncio.gather(
-            self._cancel(grant.prefill_address, grant.request_id),
-            self._cancel(grant.decode_address, grant.request_id),
-        )
-        self._runner.placer.release(grant)
-
-    async def _cancel(self, address: str, request_id: str) -> None:
-        for _ in range(_MAX_CANCEL_ATTEMPTS):
-            try:
-                await self._runner.engines.cancel(address, request_id)
-                return
-            except EngineError as error:
-                logger.bind(request_id=request_id, step="cancel", peer=address).debug("{}", error)
-                await asyncio.sleep(_CANCEL_RETRY_S)
-
     def _settle(self) -> None:
         if self._charge is None:
             return
-        used_tokens = self._prompt_tokens + len(self._generated)
+        used_tokens = self._prompt_tokens + len(self._answer) if self._was_sent else 0
         self._runner.limiter.settle(self._charge, used_tokens=used_tokens)
 
-    def _given_up(self) -> Refusal:
-        return Refusal(
-            reason=RefusalReason.RETRIES_EXHAUSTED,
-            status=502,
-            detail="Every attempt failed at the engines.",
-            not_run=False,
-            retry_after_s=2.0,
-            step=self._lifecycle.state,
-        )
-
-
-def _unwrap(outcome: Result[ValueT, Refusal]) -> ValueT:
-    if isinstance(outcome, Err):
-        raise RefusedError(outcome.err_value)
-    return outcome.ok_value
-
-
-def _retry_reason(error: EngineError | ProtocolError) -> RetryReason:
-    if isinstance(error, ProtocolError):
-        return RetryReason.STREAM_BROKEN
-    if error.crashed:
-        return RetryReason.ENGINE_CRASHED
-    if error.step == "transfer":
-        return RetryReason.TRANSFER_STALLED
-    if error.step == "decode":
-        return RetryReason.STREAM_STALLED
-    return RetryReason.ENGINE_REFUSED
+    def _unwrap(self, outcome: Result[ValueT, Refusal]) -> ValueT:
+        """Return the value; a refusal is not run only if no attempt was sent."""
+        if isinstance(outcome, Err):
+            refusal = outcome.err_value
+            raise RefusedError(attrs.evolve(refusal, not_run=not self._was_sent))
+        return outcome.ok_value
--- /dev/null
+++ b/flamingoshelf/callers/_prefix_blocks.py
@@ -0,0 +1,27 @@
+"""Hashes of a prompt's leading blocks, for the prefix caches of engines."""
+
+import hashlib
+
+__all__ = ["prefix_hashes"]
+
+_BLOCK_CHARS = 1024
+_MAX_BLOCKS = 32
+_HASH_BYTES = 8
+
+
+def prefix_hashes(prompt: str) -> tuple[int, ...]:
+    """Return a hash for each leading whole block; it covers all blocks before it too.
+
+    Examples
+    --------
+    >>> first = prefix_hashes("a" * 2048 + "b")
+    >>> second = prefix_hashes("a" * 1024 + "c" * 1024)
+    >>> len(first), first[0] == second[0], first[1] == second[1]
+    (2, True, False)
+    """
+    digest = hashlib.blake2b(digest_size=_HASH_BYTES)
+    hashes = []
+    for block in range(min(_MAX_BLOCKS, len(prompt) // _BLOCK_CHARS)):
+        digest.update(prompt[block * _BLOCK_CHARS : (block + 1) * _BLOCK_CHARS].encode())
+        hashes.append(int.from_bytes(digest.digest(), "big"))
+    return tuple(hashes)
--- a/flamingoshelf/daemon/_node.py
+++ b/flamingoshelf/daemon/_node.py
@@ -18,7 +18,8 @@
 )
 from flamingoshelf.configuration import ConfigurationFollower
 from flamingoshelf.daemon._http_server import HttpServer
-from flamingoshelf.dispatch import LocalPlacer
+from flamingoshelf.daemon._placers import PlacerParts, build_placer
+from flamingoshelf.dispatch import DispatcherService
 from flamingoshelf.limits import PerNodeLimiter
 from flamingoshelf.membership import ListedOwnership, VmView
 from flamingoshelf.nodes import WebsocketNodeLink
@@ -56,9 +57,22 @@
         self._link = self._build_link()
         self._ownership = ListedOwnership(vms=self._vms, node_name=settings.node_name)
         self._engines = HttpEngineClient()
-        self._placer = LocalPlacer(catalog=self._catalog)
+        self._placer = self._build_placer()
         self._limiter = PerNodeLimiter(catalog=self._catalog, node_count=self._node_count)
-        self._parts: tuple[Service, ...] = (self._vms, self._link, self._configuration)
+        self._dispatcher = DispatcherService(
+            link=self._link,
+            catalog=self._catalog,
+            engines=self._engines,
+            peers=self._node_names,
+            metrics=self._metrics,
+        )
+        self._parts: tuple[Service, ...] = (
+            self._vms,
+            self._link,
+            self._configuration,
+            self._dispatcher,
+            *self._placer.services,
+        )
         self._callers = HttpServer(
             app=self._build_caller_app(),
             address=settings.caller_address,
@@ -101,6 +115,9 @@
     def _node_count(self) -> int:
         return len(self._vms.snapshot.vms)
 
+    def _node_names(self) -> list[str]:
+        return [vm.name for vm in self._vms.snapshot.vms]
+
     def _is_fresh(self) -> bool:
         return self._configuration.age_s <= self._catalog().fleet.key_freshness_s
 
@@ -113,6 +130,17 @@
             resolve=self._vms.address_of,
         )
 
+    def _build_placer(self) -> PlacerParts:
+        return build_placer(
+            self._settings.placer,
+            link=self._link,
+            ownership=self._ownership,
+            catalog=self._catalog,
+            engines=self._engines,
+            metrics=self._metrics,
+            random_source=random.Random(self._incarnation),
+        )
+
     def _build_caller_app(self) -> Any:
         admission = Admission(
             catalog=self._catalog,
@@ -122,7 +150,7 @@
         )
         runner = CompletionRunner(
             engines=self._engines,
-            placer=self._placer,
+            placer=self._placer.placer,
             limiter=self._limiter,
             metrics=self._metrics,
             background=self._background,
--- a/flamingoshelf/daemon/tests/test_node.py
+++ b/flamingoshelf/daemon/tests/test_node.py
@@ -27,6 +27,7 @@
         max_body_bytes=1024,
         shutdown_timeout_s=1,
         vm_list_lag_s=1,
+        placer="fleet",
         log_format="text",
         log_level="INFO",
     )
--- a/flamingoshelf/dispatch/_local.py
+++ b/flamingoshelf/dispatch/_local.py
@@ -33,6 +33,7 @@
         self._catalog = catalog
         self._places: Counter[str] = Counter()
         self._prefills: Counter[str] = Counter()
+        self._prefilling: set[str] = set()
         self._waiting: deque[_Waiter] = deque()
 
     async def acquire(self, request: PlacementRequest) -> Result[Grant, Refusal]:
@@ -50,15 +51,22 @@
             self._withdraw(waiter)
 
     def release_prefill(self, grant: Grant) -> None:
-        """Report that the prefill engine's turn is over."""
+        """Report that the prefill engine's turn is over; may be repeated."""
+        if grant.request_id not in self._prefilling:
+            return
+        self._prefilling.remove(grant.request_id)
         self._prefills[grant.prefill_server] -= 1
         self._grant_waiting()
 
     def release(self, grant: Grant) -> None:
         """Give the place back."""
+        self.release_prefill(grant)
         self._places[grant.decode_server] -= 1
         self._grant_waiting()
 
+    def report_failure(self, server: str) -> None:
+        """Do nothing: failures are not remembered."""
+
     def _withdraw(self, waiter: _Waiter) -> None:
         if waiter in self._waiting:
             self._waiting.remove(waiter)
@@ -71,6 +79,7 @@
             self._waiting.remove(waiter)
             self._places[grant.decode_server] += 1
             self._prefills[grant.prefill_server] += 1
+            self._prefilling.add(grant.request_id)
             waiter.future.set_result(grant)
 
     def _choose(self, request: PlacementRequest) -> Grant | None:
@@ -88,6 +97,7 @@
             prefill_address=prefill[2],
             decode_server=decode[1],
             decode_address=decode[2],
+            model=request.model,
         )
 
     def _free_decoders(
--- a/flamingoshelf/dispatch/_types.py
+++ b/flamingoshelf/dispatch/_types.py
@@ -1,5 +1,6 @@
 """What callers and dispatchers tell one another."""
 
+import math
 from typing import Protocol
 
 import attrs
@@ -7,7 +8,7 @@
 
 from flamingoshelf.refusals import Refusal
 
-__all__ = ["Grant", "PlacementRequest", "Placer"]
+__all__ = ["Grant", "PlacementRequest", "Placer", "pieces_of"]
 
 
 @attrs.frozen(kw_only=True)
@@ -32,6 +33,10 @@
         Longest time to wait for a place.
     avoid : tuple of str
         Backend servers that must not be chosen.
+    waited_s : float
+        Time since the request arrived at its node.
+    is_resumed : bool
+        Whether an earlier attempt took effect at an engine; it is placed before new requests.
     """
 
     request_id: str
@@ -42,6 +47,8 @@
     prefix_hashes: tuple[int, ...] = ()
     max_wait_s: float = 30.0
     avoid: tuple[str, ...] = ()
+    waited_s: float = 0.0
+    is_resumed: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -56,6 +63,12 @@
         Name and address of the prefill engine.
     decode_server, decode_address : str
         Name and address of the decode engine.
+    model : str
+        Model that it was granted for.
+    pieces : int
+        Pieces of cache memory at the decode engine.
+    epoch : str
+        Identifier of the dispatcher's run that granted it; empty for a local choice.
     """
 
     request_id: str
@@ -63,6 +76,9 @@
     prefill_address: str
     decode_server: str
     decode_address: str
+    model: str = ""
+    pieces: int = 1
+    epoch: str = ""
 
 
 class Placer(Protocol):
@@ -72,7 +88,24 @@
         """Wait for a place; a refusal costs the engines nothing."""
 
     def release_prefill(self, grant: Grant) -> None:
-        """Report that the prefill engine's turn is over."""
+        """Report that the prefill engine's turn is over; may be repeated."""
 
     def release(self, grant: Grant) -> None:
         """Give the place back; the engines hold nothing for the request any more."""
+
+    def report_failure(self, server: str) -> None:
+        """Report that a backend server failed, so that others avoid it until it answers."""
+
+
+def pieces_of(request: PlacementRequest, piece_tokens: int) -> int:
+    """Return the pieces of cache memory that `request` needs at a decode engine.
+
+    Examples
+    --------
+    >>> request = PlacementRequest(
+    ...     request_id="i.1.0", workspace="w", model="m", prompt_tokens=4000, max_tokens=100
+    ... )
+    >>> pieces_of(request, 4096)
+    2
+    """
+    return max(1, math.ceil((request.prompt_tokens + request.max_tokens) / piece_tokens))
--- a/flamingoshelf/exceptions.py
+++ b/flamingoshelf/exceptions.py
@@ -78,8 +78,13 @@
         As in `FlamingoshelfError`.
     crashed : bool
         Whether the engine's process went away while it held the request.
+    status : int
+        HTTP status of the engine's refusal, or 0.
     """
 
-    def __init__(self, message: str, *, step: str, peer: str = "", crashed: bool = False) -> None:
+    def __init__(
+        self, message: str, *, step: str, peer: str = "", crashed: bool = False, status: int = 0
+    ) -> None:
         super().__init__(message, step=step, peer=peer)
         self.crashed = crashed
+        self.status = status
--- a/flamingoshelf/settings/_schema.py
+++ b/flamingoshelf/settings/_schema.py
@@ -60,6 +60,11 @@
             "default": 5,
             "description": "Lag of the VM list that the platform states.",
         },
+        "placer": {
+            "enum": ["fleet", "local", "two_choice", "round_robin"],
+            "default": "fleet",
+            "description": "How requests are placed; all but fleet are for comparison.",
+        },
         "log_format": {
             "enum": ["text", "json"],
             "default": "text",
