--- a/flamingoshelf/callers/tests/conftest.py
+++ b/flamingoshelf/callers/tests/conftest.py
@@ -149,6 +149,9 @@
     def release(self, grant):
         self.granted -= 1
 
+    def report_failure(self, *arguments, **options):
+        pass
+
 
 @attrs.define
 class FakeLimiter:
