Test claims on real processes and the objects of a shard

Change: bookings on real processes while nodes are killed, the booking service dies before and after executing, and the store loses answers or is down; the service's log counts executions beyond a crash and names the attempt, so that each 'not run' is held against it.

--- a/flamingoshelf/claims/_journal.py
+++ b/flamingoshelf/claims/_journal.py
@@ -108,10 +108,14 @@
 
     async def _commit(self, operations: Sequence[ClaimOperation]) -> list[ClaimReply]:
         newest = await self._open_generation()
-        replies: list[ClaimReply | None] = [await self._apply_to_sealed(op) for op in operations]
-        rest = [op for op, reply in zip(operations, replies, strict=True) if reply is None]
-        answers = iter(await self._apply_to_newest(newest, rest) if rest else ())
-        return [next(answers) if reply is None else reply for reply in replies]
+        replies: dict[int, ClaimReply] = {}
+        for number in list(self._sealed):
+            replies |= await self._apply_to_sealed(number, operations)
+        rest = [index for index in range(len(operations)) if index not in replies]
+        if rest:
+            answers = await self._apply_to_newest(newest, [operations[index] for index in rest])
+            replies |= dict(zip(rest, answers, strict=True))
+        return [replies[index] for index in range(len(operations))]
 
     async def _apply_to_newest(
         self, newest: _Stored, operations: Sequence[ClaimOperation]
@@ -134,21 +138,22 @@
             raise ConflictError("the generation was sealed", step="claim", peer=self._prefix)
         return fresh
 
-    async def _apply_to_sealed(self, operation: ClaimOperation) -> ClaimReply | None:
-        """Apply to the sealed generation that holds the claim; None if there is none."""
-        claim_id = operation.claim_id
-        for number, sealed in list(self._sealed.items()):
-            if claim_id not in sealed.ids:
-                continue
-            stored = await self._get(number)
-            if stored is None or claim_id not in stored.generation.claims:
-                sealed.ids.discard(claim_id)
-                continue
-            after, replies = apply_operations(stored.generation.claims, [operation])
-            if after != stored.generation.claims:
-                await self._put(stored, attrs.evolve(stored.generation, claims=after))
-            return replies[0]
-        return None
+    async def _apply_to_sealed(
+        self, number: int, operations: Sequence[ClaimOperation]
+    ) -> dict[int, ClaimReply]:
+        """Apply the operations on claims in a sealed generation; return replies by position."""
+        ids = self._sealed[number].ids
+        places = [index for index, item in enumerate(operations) if item.claim_id in ids]
+        if not places:
+            return {}
+        stored = await self._get(number)
+        present = stored.generation.claims if stored is not None else {}
+        ids -= {operations[index].claim_id for index in places} - set(present)
+        places = [index for index in places if operations[index].claim_id in present]
+        after, answers = apply_operations(present, [operations[index] for index in places])
+        if stored is not None and after != present:
+            await self._put(stored, attrs.evolve(stored.generation, claims=after))
+        return dict(zip(places, answers, strict=True))
 
     async def _open_generation(self) -> _Stored:
         newest = self._newest or await self._reload()
--- /dev/null
+++ b/flamingoshelf/claims/tests/test_processes.py
@@ -0,0 +1,120 @@
+"""Bookings on real processes while parts fail; callers repeat through other nodes."""
+
+import asyncio
+import itertools
+import json
+import re
+from collections import Counter
+
+import pytest
+from aiosonic.exceptions import AiosonicError
+from aiosonic.timeout import Timeouts
+
+from flamingoshelf.utils import new_http_client
+from lab.scenarios import key_of
+
+pytestmark = pytest.mark.processes
+
+WORKERS = 6
+LOAD_S = 6.0
+TRIES = 25
+PAUSE_S = 0.3
+AUTHORIZATION = f"Bearer {key_of('kathmandu-north')}"
+TIMEOUTS = Timeouts(sock_connect=1, sock_read=15, request_timeout=15)
+
+
+class Callers:
+    """Books vans, each with one key, until it has an answer or can't get one."""
+
+    def __init__(self, site):
+        self.site = site
+        self.client = new_http_client()
+        self.numbers = itertools.count()
+        self.refused_attempts = set()
+        self.answers = {}
+
+    async def work(self):
+        ends_at = asyncio.get_running_loop().time() + LOAD_S
+        while asyncio.get_running_loop().time() < ends_at:
+            name = f"van-{next(self.numbers)}"
+            self.answers[name] = await self.book(name)
+
+    async def book(self, name):
+        result = "no answer"
+        for number in range(TRIES):
+            address = self.site.node_addresses[number % len(self.site.node_addresses)]
+            status, content = await self.attempt(address, name, f"{name}.{number}")
+            if status is not None and status < 300:
+                return "booked"
+            result = content.get("reason", "no answer")
+            if result == "claim_outcome_unknown" and number > TRIES // 2:
+                return result
+            await asyncio.sleep(PAUSE_S)
+        return result
+
+    async def attempt(self, address, name, attempt):
+        headers = {
+            "Authorization": AUTHORIZATION,
+            "Idempotency-Key": f'"key-{name}"',
+            "X-Attempt": attempt,
+        }
+        try:
+            response = await self.client.post(
+                f"http://{address}/bookings/{name}",
+                json={"van": name},
+                headers=headers,
+                timeouts=TIMEOUTS,
+            )
+            content = await response.content()
+        except (AiosonicError, OSError, asyncio.IncompleteReadError):
+            return None, {}
+        if response.status_code < 300:
+            return response.status_code, {}
+        problem = json.loads(content)
+        if problem.get("not_run"):
+            self.refused_attempts.add(attempt)
+        return response.status_code, problem
+
+
+async def kill_nodes(site):
+    for name in ("node-0", "node-1"):
+        await asyncio.sleep(1)
+        site.nodes[name].process.kill()
+        await asyncio.sleep(0.5)
+        site.start_node(name)
+
+
+async def crash_services(site):
+    for name, moment in (("plain-0", "before"), ("plain-1", "after"), ("plain-2", "after")):
+        await site.control(site.engine_addresses[name], {"crash": moment})
+        await asyncio.sleep(1)
+        site.engines[name].start()
+        await asyncio.sleep(0.5)
+
+
+async def break_store(site):
+    for _ in range(3):
+        await site.control(site.platform_address, {"faults": {"lose_answers": 8}})
+        await asyncio.sleep(0.8)
+        await site.control(site.platform_address, {"faults": {"down": True}})
+        await asyncio.sleep(0.5)
+        await site.control(site.platform_address, {"faults": {"down": False}})
+        await asyncio.sleep(0.3)
+
+
+@pytest.mark.parametrize("fault", [kill_nodes, crash_services, break_store])
+async def test_bookings_run_at_most_once(site, fault):
+    callers = Callers(site)
+    async with asyncio.timeout(100):
+        await asyncio.gather(fault(site), *(callers.work() for _ in range(WORKERS)))
+    await callers.client.connector.cleanup()
+    logs = "\n".join(site.engines[name].log for name in site.engines if name.startswith("plain"))
+    executed = re.findall(r"^executed (\S+) (\S+)$", logs, re.MULTILINE)
+    by_name = Counter(name for name, _ in executed)
+    assert [name for name, count in by_name.items() if count > 1] == []
+    assert callers.refused_attempts & {attempt for _, attempt in executed} == set()
+    results = Counter(callers.answers.values())
+    assert results["booked"] >= 20
+    assert set(results) <= {"booked", "claim_outcome_unknown"}
+    assert results["claim_outcome_unknown"] <= 3 * WORKERS
+    assert all(by_name[name] for name, answer in callers.answers.items() if answer == "booked")
--- a/lab/booking.py
+++ b/lab/booking.py
@@ -19,7 +19,7 @@
 
 
 class Booking:
-    """Executions, counted by the booking's name."""
+    """Executions, counted by the booking's name; the log keeps them beyond a crash."""
 
     def __init__(self) -> None:
         self._executions: Counter[str] = Counter()
@@ -35,6 +35,7 @@
         if self._crash == "before":
             os._exit(_CRASH_STATUS)
         self._executions[name] += 1
+        print(f"executed {name} {request.headers.get('x-attempt', '-')}", flush=True)
         if self._crash == "after":
             os._exit(_CRASH_STATUS)
         await asyncio.sleep(self._delay_s)
