--- a/lab/booking.py
+++ b/lab/booking.py
@@ -20,7 +20,7 @@
 
 
 class Booking:
-    """Executions, counted by the booking's name."""
+    """Executions, counted by the booking's name; the records keep them beyond a crash."""
 
     def __init__(self, recorder: Recorder) -> None:
         self._recorder = recorder
@@ -38,6 +38,7 @@
             os._exit(_CRASH_STATUS)
         self._executions[name] += 1
         self._recorder.write("execution", name)
+        self._recorder.write("attempt", request.headers.get("x-attempt", ""))
         if self._crash == "after":
             os._exit(_CRASH_STATUS)
         await asyncio.sleep(self._delay_s)
