--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement commands; each ends by itself and writes JSON and plots."""
--- a/flamingoshelf/dispatch/_accounts.py
+++ b/flamingoshelf/dispatch/_accounts.py
@@ -33,11 +33,12 @@
     _foreign_pieces: int = 0
     _released: OrderedDict[str, float] = attrs.field(factory=OrderedDict)
 
-    def fits(self, server: BackendServer, pieces: int) -> bool:
+    def fits(self, server: BackendServer, pieces: int, *, reserved_places: int = 0) -> bool:
         """Return whether the engine has a place and memory for `pieces`."""
         foreign_pieces = max(self._foreign_pieces, len(self.foreign)) if self.foreign else 0
         used_pieces = sum(self.held.values()) + foreign_pieces
-        return self.used_places < server.places and used_pieces + pieces <= server.kv_pieces
+        has_place = self.used_places + reserved_places < server.places
+        return has_place and used_pieces + pieces <= server.kv_pieces
 
     @property
     def used_places(self) -> int:
--- a/flamingoshelf/dispatch/_dispatcher.py
+++ b/flamingoshelf/dispatch/_dispatcher.py
@@ -1,5 +1,6 @@
 """Decisions of a dispatcher: which waiting request gets which engines, and when."""
 
+import math
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -10,7 +11,7 @@
 from flamingoshelf.dispatch._refusals import deadline_refusal, no_engine_refusal, queue_refusal
 from flamingoshelf.dispatch._types import Grant, PlacementRequest, pieces_of
 from flamingoshelf.dispatch._wait_estimate import WaitEstimate
-from flamingoshelf.objects import Catalog
+from flamingoshelf.objects import BackendServer, Catalog
 from flamingoshelf.refusals import Refusal
 from flamingoshelf.utils import now_s
 
@@ -63,6 +64,13 @@
         Identifier of this run; every grant carries it.
     clock : callable
         Returns the time in seconds.
+
+    Attributes
+    ----------
+    is_learning : bool
+        Whether nothing is granted, because it is not known what the engines hold.
+    reserved_share : float
+        Part of each decode engine's places that is kept free for grants not heard of yet.
     """
 
     def __init__(
@@ -84,6 +92,7 @@
         self._prefill: dict[str, PrefillAccount] = {}
         self._estimate = WaitEstimate()
         self.is_learning = False
+        self.reserved_share = 0.0
 
     @property
     def epoch(self) -> str:
@@ -205,7 +214,11 @@
         return decisions
 
     def _has_free_place(self, pool: EnginePool) -> bool:
-        return any(self.decode_account(n).fits(server, 1) for n, server in pool.decode.items())
+        return any(self._fits(name, server, 1) for name, server in pool.decode.items())
+
+    def _fits(self, name: str, server: BackendServer, pieces: int) -> bool:
+        reserved = math.ceil(server.places * self.reserved_share)
+        return self.decode_account(name).fits(server, pieces, reserved_places=reserved)
 
     def _grant_next(self, pool: EnginePool) -> Grant | None:
         tickets = self._queue.ordered(
@@ -267,7 +280,7 @@
         loads = [
             (self.decode_account(name).used_places / server.places, name)
             for name, server in usable
-            if self.decode_account(name).fits(server, pieces_of(request, server.piece_tokens))
+            if self._fits(name, server, pieces_of(request, server.piece_tokens))
         ]
         return min(loads)[1] if loads else None
 
--- a/flamingoshelf/dispatch/_service.py
+++ b/flamingoshelf/dispatch/_service.py
@@ -29,6 +29,7 @@
 _DECISION_INTERVAL_S = 0.02
 _SWEEP_INTERVAL_S = 0.5
 _LEARNING_S = 1.2
+_LEARNING_RESERVE = 0.2
 
 
 class _Shard:
@@ -53,7 +54,8 @@
     """Answers the messages that a dispatcher gets; implements `Service`.
 
     A dispatcher for a model is made with the first message for it. Until it has heard from the
-    engines and the owners of grants, it grants nothing.
+    engines it grants nothing, and until the owners of grants had time to register them it keeps
+    a part of every engine's places free.
 
     Parameters
     ----------
@@ -129,16 +131,17 @@
 
     async def _run(self, shard: _Shard, watch: EngineWatch) -> None:
         await watch.wait_first_round()
-        await asyncio.sleep(max(0.0, shard.started_s + _LEARNING_S - now_s()))
         shard.dispatcher.is_learning = False
         while True:
+            is_new = now_s() < shard.started_s + _LEARNING_S
+            shard.dispatcher.reserved_share = _LEARNING_RESERVE if is_new else 0.0
             shard.decide()
             await asyncio.sleep(_DECISION_INTERVAL_S)
 
     async def _sweep(self, shard: _Shard, sweeper: OrphanSweeper) -> None:
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_S)
-            if not shard.dispatcher.is_learning:
+            if now_s() > shard.started_s + _LEARNING_S:
                 await sweeper.sweep()
 
     async def _on_acquire(self, peer: str, order: AcquirePlace) -> PlaceGranted | PlaceRefused:
--- a/flamingoshelf/dispatch/tests/test_dispatcher.py
+++ b/flamingoshelf/dispatch/tests/test_dispatcher.py
@@ -151,6 +151,14 @@
     assert list(pool.decide()) == ["inc.0.0"]
 
 
+def test_reserved_places_stay_free(make_pool):
+    pool = make_pool(places=10, decode=1, kv_pieces=64)
+    pool.dispatcher.reserved_share = 0.2
+    for number in range(10):
+        pool.ask(number)
+    assert len(pool.decide()) == 8
+
+
 def test_lagging_report_of_a_released_attempt_is_ignored(make_pool):
     pool = make_pool(places=1, decode=1)
     pool.ask(0)
--- a/lab/load.py
+++ b/lab/load.py
@@ -59,6 +59,7 @@
     token_gap_s: float = 0.0
     tokens: int = 0
     correct: bool = False
+    started_s: float = 0.0
 
 
 @attrs.define(kw_only=True)
@@ -93,6 +94,20 @@
             "bookings_made": sum(o.kind == "booking" and o.status == 201 for o in self.outcomes),
         }
 
+    def timeline(self) -> list[dict[str, int]]:
+        """Return how many completions were sent in each second, and how many were good."""
+        completions = [o for o in self.outcomes if o.kind == "completion"]
+        sent = Counter(int(o.started_s) for o in completions)
+        good = Counter(int(o.started_s) for o in completions if self._is_good(o))
+        return [{"second": s, "sent": sent[s], "good": good[s]} for s in sorted(sent)]
+
+    def by_workspace(self) -> dict[str, dict[str, int]]:
+        """Return how many completions of each workspace were sent, and how many were good."""
+        completions = [o for o in self.outcomes if o.kind == "completion"]
+        sent = Counter(o.workspace for o in completions)
+        good = Counter(o.workspace for o in completions if self._is_good(o))
+        return {name: {"sent": sent[name], "good": good[name]} for name in sorted(sent)}
+
     def _is_good(self, outcome: _Outcome) -> bool:
         return (
             outcome.correct
@@ -121,11 +136,13 @@
         self._random = random.Random(options.seed)
         self._client = new_http_client()
         self._result = LoadResult(options=options)
+        self._began_s = 0.0
         self._shared = {
             workspace.name: self._text(_SHARED_CHARS) for workspace in scenario.workspaces
         }
 
     async def run(self, progress: Callable[[LoadResult], None] | None) -> LoadResult:
+        self._began_s = asyncio.get_running_loop().time()
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._arrive(self._options.rate_per_s, self._complete, tasks))
             tasks.create_task(self._arrive(self._options.bookings_per_s, self._book, tasks))
@@ -168,6 +185,7 @@
         outcome = _Outcome(workspace=workspace, kind="completion", status=0)
         self._result.outcomes.append(outcome)
         started_s = asyncio.get_running_loop().time()
+        outcome.started_s = started_s - self._began_s
         try:
             response = await self._client.post(
                 f"http://{self._random.choice(self._addresses)}/v1/completions",
