Measure the processor time of a relayed token

A profile shows membership's slot assignment: 11 million look-ups of sibling slots in four rounds of levelling, one of them blocking the loop for 5.7 s.

--- /dev/null
+++ b/benchmarks/relay.py
@@ -0,0 +1,92 @@
+"""Processor time of a node for each relayed token, at three numbers of running answers.
+
+Run with ``python -m benchmarks.relay``; it prints JSON.
+"""
+
+import asyncio
+import json
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from benchmarks.measure import fit_line, process_use
+from flamingoshelf.utils import new_http_client
+from lab.scenarios import SCENARIOS, key_of
+from lab.site import Site
+
+__all__ = ["measure_relay"]
+
+_SETTLE_S = 2.0
+_MEASURE_S = 6.0
+_MAX_TOKENS = 2000
+_ANSWER_COUNTS = (2, 9, 18)
+
+
+async def measure_relay() -> dict[str, Any]:
+    """Return tokens a second and processor time a second, and the line through them."""
+    scenario = SCENARIOS["himal"].resized(node_count=1, prefill_count=1, decode_count=1)
+    points = []
+    for count in _ANSWER_COUNTS:
+        with tempfile.TemporaryDirectory(prefix="flamingoshelf-") as folder:
+            site = Site(scenario=scenario, folder=Path(folder))
+            try:
+                await site.start()
+                points.append(await _measure(site, count))
+            finally:
+                await site.stop()
+    line = fit_line([p["tokens_per_s"] for p in points], [p["cpu_per_s"] for p in points])
+    return {"points": points, "cpu_s_per_token": line.slope, "line": attrs.asdict(line)}
+
+
+async def _measure(site: Site, count: int) -> dict[str, float]:
+    client = new_http_client()
+    counter = _TokenCounter()
+    workspaces = [workspace.name for workspace in site.scenario.workspaces]
+    address = site.node_addresses[0]
+    readers = [
+        asyncio.create_task(counter.read(client, address, workspaces[number % len(workspaces)]))
+        for number in range(count)
+    ]
+    pid = site.nodes["node-0"].process.pid
+    await asyncio.sleep(_SETTLE_S)
+    tokens, use, started_s = counter.tokens, process_use(pid), time.monotonic()
+    await asyncio.sleep(_MEASURE_S)
+    elapsed_s = time.monotonic() - started_s
+    cpu_s = process_use(pid).cpu_s - use.cpu_s
+    tokens = counter.tokens - tokens
+    for reader in readers:
+        reader.cancel()
+    await asyncio.gather(*readers, return_exceptions=True)
+    await client.connector.cleanup()
+    return {
+        "answers": count,
+        "tokens_per_s": tokens / elapsed_s,
+        "cpu_per_s": cpu_s / elapsed_s,
+    }
+
+
+class _TokenCounter:
+    def __init__(self) -> None:
+        self.tokens = 0
+
+    async def read(self, client: Any, address: str, workspace: str) -> None:
+        document = {
+            "model": "writer",
+            "prompt": f"[workspace={workspace}] Value this van.",
+            "max_tokens": _MAX_TOKENS,
+            "stream": True,
+        }
+        response = await client.post(
+            f"http://{address}/v1/completions",
+            json=document,
+            headers={"Authorization": f"Bearer {key_of(workspace)}"},
+        )
+        async for line in response.iter_lines():
+            self.tokens += line.startswith("data: ")
+
+
+if __name__ == "__main__":
+    print(json.dumps(asyncio.run(measure_relay()), indent=2))
