Close connections after their answer while a node leaves; make the notice a setting

Cause: a caller that sends its next request over a kept connection just as the shutdown closes it sees a cut request. One second of notice was fixed in code and shorter than usual health checks. Change: while leaving, each answer says Connection: close; readiness_notice_s, 5 s by default. Conclusion: only a request on a connection that stays idle for the whole notice can still be cut.

--- /dev/null
+++ b/flamingoshelf/callers/_leaving.py
@@ -0,0 +1,37 @@
+"""Tells callers to open their next connection elsewhere while the node leaves."""
+
+from collections.abc import Callable
+
+from starlette.datastructures import MutableHeaders
+from starlette.types import ASGIApp, Message, Receive, Scope, Send
+
+__all__ = ["LeavingMiddleware"]
+
+
+class LeavingMiddleware:
+    """Closes each connection after its answer once the node is leaving.
+
+    A connection that is kept open could be closed by the shutdown at the moment at which its
+    caller sends the next request.
+
+    Parameters
+    ----------
+    app : ASGI application
+        What is wrapped.
+    is_leaving : callable
+        Returns whether the node is leaving.
+    """
+
+    def __init__(self, app: ASGIApp, *, is_leaving: Callable[[], bool]) -> None:
+        self._app = app
+        self._is_leaving = is_leaving
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Pass the request on."""
+
+        async def send_closing(message: Message) -> None:
+            if message["type"] == "http.response.start" and self._is_leaving():
+                MutableHeaders(scope=message)["connection"] = "close"
+            await send(message)
+
+        await self._app(scope, receive, send_closing)
--- a/flamingoshelf/callers/tests/conftest.py
+++ b/flamingoshelf/callers/tests/conftest.py
@@ -178,6 +178,7 @@
     limiter: FakeLimiter
     client: aiosonic.HTTPClient
     is_fresh: bool = True
+    is_leaving: bool = False
 
     async def post(self, document, *, path="/v1/completions", key=KEY, headers=None):
         """Return status and parsed body."""
@@ -242,6 +243,7 @@
             claims=None,  # type: ignore[arg-type]
             background=background,
         ),
+        is_leaving=lambda: site.is_leaving,
     )
     server = HttpServer(app=app, address=site.address, shutdown_timeout_s=1)
     await server.start()
--- a/flamingoshelf/callers/tests/test_answers.py
+++ b/flamingoshelf/callers/tests/test_answers.py
@@ -83,3 +83,12 @@
     assert b"[DONE]" not in body
     assert not body.endswith(b"0\r\n\r\n")
     assert KEY.encode() not in body
+
+
+@pytest.mark.parametrize("is_leaving", [False, True])
+async def test_connection_is_closed_after_an_answer_only_while_leaving(caller_site, is_leaving):
+    caller_site.is_leaving = is_leaving
+    reader, writer = await caller_site.open_completion(PROMPT)
+    head = await reader.readuntil(b"\r\n\r\n")
+    writer.close()
+    assert (b"connection: close" in head.lower()) is is_leaving
--- a/flamingoshelf/daemon/_node.py
+++ b/flamingoshelf/daemon/_node.py
@@ -34,7 +34,6 @@
 
 __all__ = ["Node"]
 
-_READINESS_NOTICE_S = 1.0
 _READY_POLL_S = 0.05
 _OPERATOR_SHUTDOWN_S = 1.0
 
@@ -115,7 +114,7 @@
         """Stop without cutting a request."""
         self._is_leaving = True
         logger.info("leaving")
-        await asyncio.sleep(_READINESS_NOTICE_S)
+        await asyncio.sleep(self._settings.readiness_notice_s)
         await self._membership.leave()
         await self._tasks.stop()
         await self._callers.stop()
@@ -187,7 +186,12 @@
             claims=self._claims,
             background=self._background,
         )
-        return build_caller_app(admission=admission, completions=completions, services=services)
+        return build_caller_app(
+            admission=admission,
+            completions=completions,
+            services=services,
+            is_leaving=lambda: self._is_leaving,
+        )
 
     def _build_claims(self) -> ClaimBook:
         writer = ClaimWriter(
--- a/flamingoshelf/daemon/tests/test_node.py
+++ b/flamingoshelf/daemon/tests/test_node.py
@@ -27,6 +27,7 @@
         cluster_secret=b"0123456789abcdef",
         max_body_bytes=1024,
         shutdown_timeout_s=1,
+        readiness_notice_s=0.1,
         vm_list_lag_s=1,
         placer="fleet",
         log_format="text",
--- a/flamingoshelf/settings/_loader.py
+++ b/flamingoshelf/settings/_loader.py
@@ -27,6 +27,7 @@
     cluster_secret: bytes = attrs.field(repr=False)
     max_body_bytes: int
     shutdown_timeout_s: float
+    readiness_notice_s: float
     vm_list_lag_s: float
     placer: str
     log_format: str
--- a/flamingoshelf/settings/_schema.py
+++ b/flamingoshelf/settings/_schema.py
@@ -55,6 +55,11 @@
             "default": 60,
             "description": "Longest time a graceful shutdown waits for running requests.",
         },
+        "readiness_notice_s": {
+            **_SECONDS,
+            "default": 5,
+            "description": "Time from readiness off to the end of new connections at a shutdown.",
+        },
         "vm_list_lag_s": {
             **_SECONDS,
             "default": 5,
--- a/lab/site.py
+++ b/lab/site.py
@@ -148,6 +148,7 @@
             "object_service_address": node.store_proxy.address,
             "vm_list_address": node.store_proxy.address,
             "cluster_secret_file": "secret",
+            "readiness_notice_s": 1,
             **self._node_settings,
         }
         (self._folder / f"{name}.json").write_text(json.dumps(settings))
