--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that end by themselves and print JSON."""
--- a/flamingoshelf/claims/_journal.py
+++ b/flamingoshelf/claims/_journal.py
@@ -168,15 +168,14 @@
         return newest
 
     async def _reload(self) -> _Stored:
-        """Return the generation used last if it still takes claims, else look for the newest.
+        """Return the generation used last, else the newest.
 
-        A missing or sealed generation may be older than the newest one by any number, so only a
-        list of the names tells which number comes next.
+        Generations are deleted from the oldest on, so the one after a generation that still
+        exists was not deleted either: creating it fails if it was created before. After one that
+        is missing, only a list of the names tells which number comes next.
         """
         stored = await self._get(self._last_number) if self._last_number else None
-        if stored is not None and not stored.generation.is_sealed:
-            return stored
-        return await self._load()
+        return stored or await self._load()
 
     def _is_full(self, stored: _Stored) -> bool:
         if not stored.version:
--- a/flamingoshelf/claims/_writer.py
+++ b/flamingoshelf/claims/_writer.py
@@ -24,7 +24,6 @@
 __all__ = ["ClaimWriter", "SHARD_COUNT", "WritePace", "shard_of"]
 
 SHARD_COUNT = 64
-_MAX_BATCH = 200
 _MAX_TRIES = 10
 _CONFLICT_PAUSE_S = 0.02
 _OPERATION_TIMEOUT_S = 1.5
@@ -45,10 +44,13 @@
         Shortest time between two updates of a shard by one node.
     outcome_wait_s : float
         Time that an outcome or a release waits for a claim to be written with.
+    max_batch : int
+        Most operations in one update.
     """
 
     interval_s: float = 0.2
     outcome_wait_s: float = 0.2
+    max_batch: int = 200
 
 
 @attrs.frozen(kw_only=True, eq=False)
@@ -93,8 +95,8 @@
     async def _drain(self) -> None:
         while self._queue:
             await self._gather()
-            batch = self._queue[:_MAX_BATCH]
-            self._queue = self._queue[_MAX_BATCH:]
+            batch = self._queue[: self._pace.max_batch]
+            self._queue = self._queue[self._pace.max_batch :]
             live = [waiting for waiting in batch if not waiting.reply.done()]
             if live:
                 await self._commit(live)
--- a/flamingoshelf/claims/tests/test_journal.py
+++ b/flamingoshelf/claims/tests/test_journal.py
@@ -101,6 +101,17 @@
     assert len(store.objects) <= 100 / 13 + 3
 
 
+async def test_answers_without_an_update_come_from_a_fresh_read(store):
+    one, other = journal_of(store, Clock()), journal_of(store, Clock())
+    assert await take(one, 1) is HELD
+    release = ReleaseClaim(claim_id=claim_of(1).claim_id, nonce=b"n")
+    assert (await other.commit([release]))[0].status is APPLIED
+    assert await take(one, 1, b"m") is HELD
+    assert await take(other, 2) is HELD
+    release = ReleaseClaim(claim_id=claim_of(2).claim_id, nonce=b"n")
+    assert (await one.commit([release]))[0].status is APPLIED
+
+
 async def test_release_and_take_over_in_a_sealed_generation(store):
     clock = Clock()
     one, other = journal_of(store, clock), journal_of(store, clock)
--- a/flamingoshelf/services/_servers.py
+++ b/flamingoshelf/services/_servers.py
@@ -43,6 +43,9 @@
     ejected_until_s: float = 0.0
 
 
+_UNSEEN = _Record()
+
+
 class ServerBoard:
     """Chooses servers by the calls that run at them, nearest data centre first.
 
@@ -93,22 +96,20 @@
         """Note the end of a call; `is_failure` is None if it says nothing about the server."""
         record = self._record(address)
         record.running -= 1
-        if is_failure is None:
-            return
-        if not is_failure:
+        if is_failure:
+            self._note_failure(record)
+        elif is_failure is False:
             record.failures = 0
             record.ejections = 0
-            return
+            record.ejected_until_s = 0.0
+        if record == _Record():
+            del self._records[address]
+
+    def _note_failure(self, record: _Record) -> None:
         record.failures += 1
         if record.failures >= self._rule.failures and record.ejected_until_s <= now_s():
             self._eject(record)
 
-    def forget(self, addresses: frozenset[str]) -> None:
-        """Forget idle servers that are not among `addresses`."""
-        for address, record in list(self._records.items()):
-            if address not in addresses and not record.running:
-                del self._records[address]
-
     def _eject(self, record: _Record) -> None:
         length_s = min(self._rule.longest_s, self._rule.first_s * 2**record.ejections)
         record.ejected_until_s = now_s() + length_s * (0.75 + self._random.random() / 2)
@@ -121,7 +122,7 @@
         found = [
             server.address for server in live if self._record(server.address).ejected_until_s > now
         ]
-        found.sort(key=lambda address: self._record(address).ejected_until_s, reverse=True)
+        found.sort(key=lambda address: self._seen(address).ejected_until_s, reverse=True)
         return set(found[: int(len(live) * self._rule.largest_share)])
 
     def _near(self, servers: Sequence[BackendServer]) -> Sequence[BackendServer]:
@@ -139,7 +140,11 @@
         return min(choices, key=self._running)
 
     def _running(self, server: BackendServer) -> int:
-        return self._record(server.address).running
+        return self._seen(server.address).running
+
+    def _seen(self, address: str) -> _Record:
+        return self._records.get(address, _UNSEEN)
 
     def _record(self, address: str) -> _Record:
+        """Return the record of a server; those of idle servers without failures are not kept."""
         return self._records.setdefault(address, _Record())
--- /dev/null
+++ b/flamingoshelf/services/tests/test_services.py
@@ -0,0 +1,168 @@
+"""Choice of servers, ejection and retries."""
+
+import asyncio
+import random
+from collections import Counter
+
+import pytest
+
+from flamingoshelf.backends import PlainCall, PlainReply
+from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
+from flamingoshelf.objects import BackendServer, BackendState, Catalog, ServiceSpec, parse_document
+from flamingoshelf.refusals import Refusal
+from flamingoshelf.services import EjectionRule, ServerBoard, ServiceRouter, ShareBudget
+from flamingoshelf.telemetry import Metrics
+
+pytestmark = pytest.mark.looptime
+
+CALL = PlainCall(method="GET", target="/stock", headers=(), body=b"")
+RULE = EjectionRule(failures=3, first_s=10, longest_s=40, largest_share=0.5)
+
+
+def server(number, data_centre="a", state=BackendState.LIVE):
+    address = f"127.0.0.1:{number}"
+    return BackendServer(pool="p", address=address, data_centre=data_centre, state=state)
+
+
+@pytest.fixture
+def board():
+    return ServerBoard(data_centre="a", rule=RULE, random_source=random.Random(1))
+
+
+def chosen(board, servers, count=200):
+    return Counter(board.choose(servers) for _ in range(count))
+
+
+def fail(board, item, count):
+    for _ in range(count):
+        board.begin(item.address)
+        board.end(item.address, is_failure=True)
+
+
+async def test_near_servers_first_and_spill_when_busy(board):
+    near, far = server(1), server(2, "b")
+    assert set(chosen(board, [near, far])) == {near.address}
+    for _ in range(7):
+        board.begin(near.address)
+    assert set(chosen(board, [near, far])) == {near.address}
+    board.begin(near.address)
+    assert set(chosen(board, [near, far])) == {far.address}
+
+
+async def test_busy_servers_get_fewer_calls(board):
+    servers = [server(number) for number in range(4)]
+    for _ in range(5):
+        board.begin(servers[0].address)
+    assert servers[0].address not in chosen(board, servers)
+
+
+async def test_leaving_servers_get_no_new_work(board):
+    servers = [server(1, state=BackendState.LEAVING), server(2)]
+    assert set(chosen(board, servers)) == {servers[1].address}
+    assert board.choose(servers[:1]) is None
+
+
+async def test_ejection_is_bounded_and_ends(board):
+    servers = [server(number) for number in range(4)]
+    fail(board, servers[0], 2)
+    assert servers[0].address in chosen(board, servers)
+    for item in servers[:3]:
+        fail(board, item, 3)
+    assert len(chosen(board, servers)) == 2
+    await asyncio.sleep(13)
+    assert len(chosen(board, servers)) == 4
+
+
+async def test_one_failure_after_an_ejection_ejects_for_longer(board):
+    servers = [server(1), server(2)]
+    fail(board, servers[0], 3)
+    await asyncio.sleep(13)
+    fail(board, servers[0], 1)
+    assert servers[0].address not in chosen(board, servers)
+    await asyncio.sleep(14)
+    assert servers[0].address not in chosen(board, servers)
+    await asyncio.sleep(12)
+    board.begin(servers[0].address)
+    board.end(servers[0].address, is_failure=False)
+    fail(board, servers[0], 2)
+    assert servers[0].address in chosen(board, servers)
+
+
+async def test_only_server_is_never_left_out(board):
+    item = server(1)
+    fail(board, item, 9)
+    assert board.choose([item]) == item.address
+
+
+class FakeClient:
+    def __init__(self, modes):
+        self.modes = list(modes)
+        self.addresses = []
+
+    async def call(self, address, call, *, timeout_s):
+        self.addresses.append(address)
+        mode = self.modes.pop(0) if self.modes else "answer"
+        if mode == "refuse":
+            raise PeerUnreachableError("refused", step="call", peer=address)
+        if mode == "hang":
+            await asyncio.sleep(timeout_s)
+        if mode in ("hang", "reset"):
+            raise OutcomeUnknownError(mode, step="call", peer=address)
+        return PlainReply(status=200, headers={}, body=b"ok")
+
+
+async def route(modes, board, *, may_repeat, reserve=10, server_count=4):
+    documents = [{"kind": "pool", "name": "p", "spec": {"role": "plain"}}]
+    documents += [
+        {
+            "kind": "backend_server",
+            "name": f"s{number}",
+            "spec": {"pool": "p", "address": f"127.0.0.1:{number + 1}", "data_centre": "a"},
+        }
+        for number in range(server_count)
+    ]
+    catalog = Catalog(revision=1, objects=[parse_document(item) for item in documents])
+    client = FakeClient(modes)
+    router = ServiceRouter(
+        catalog=lambda: catalog,
+        client=client,
+        board=board,
+        budget=ShareBudget(reserve=reserve),
+        metrics=Metrics(node_name="n"),
+        random_source=random.Random(1),
+    )
+    outcome = await router.call(ServiceSpec(pool="p", timeout_s=5), CALL, may_repeat=may_repeat)
+    return outcome, client.addresses
+
+
+@pytest.mark.parametrize(
+    ("modes", "may_repeat", "reserve", "tries", "expected"),
+    [
+        ([], False, 10, 1, "ok"),
+        (["refuse"], False, 10, 2, "ok"),
+        (["refuse"] * 4, False, 10, 4, "no_backend true"),
+        (["refuse"] * 4, True, 0, 4, "no_backend true"),
+        (["reset"], False, 10, 1, "backend_failed"),
+        (["refuse", "reset"], False, 10, 2, "backend_failed"),
+        (["reset"], True, 10, 2, "ok"),
+        (["reset"], True, 0, 1, "retries_exhausted"),
+        (["reset"] * 4, True, 10, 3, "retries_exhausted"),
+        (["reset", "refuse", "refuse", "refuse"], True, 10, 4, "no_backend"),
+        (["hang"], True, 10, 1, "no_backend"),
+    ],
+)
+async def test_retries(board, modes, may_repeat, reserve, tries, expected):
+    outcome, addresses = await route(modes, board, may_repeat=may_repeat, reserve=reserve)
+    if isinstance(outcome, Refusal):
+        found = outcome.reason.value + (" true" if outcome.not_run else "")
+    else:
+        found = outcome.body.decode()
+    assert found == expected
+    assert len(addresses) == len(set(addresses)) == tries
+
+
+async def test_no_server(board):
+    outcome, addresses = await route([], board, may_repeat=False, server_count=0)
+    assert isinstance(outcome, Refusal)
+    assert outcome.not_run
+    assert addresses == []
