--- a/flamingoshelf/dispatch/_accounts.py
+++ b/flamingoshelf/dispatch/_accounts.py
@@ -9,7 +9,7 @@
 
 __all__ = ["DecodeAccount", "PrefillAccount"]
 
-_RELEASED_MEMORY_S = 3.0
+_RELEASED_MEMORY_S = 2.0
 _CACHED_BLOCKS = 4096
 _BLOCK_TOKENS = 256
 _TURN_LIFETIME_S = 20.0
--- a/flamingoshelf/dispatch/_orphans.py
+++ b/flamingoshelf/dispatch/_orphans.py
@@ -16,9 +16,10 @@
 __all__ = ["OrphanSweeper"]
 
 _RENEWAL_TIMEOUT_S = 2.2
-_FOREIGN_AGE_S = 1.5
+_FOREIGN_AGE_S = 1.2
 _QUERY_TIMEOUT_S = 0.7
 _RELAY_COUNT = 2
+_SAMPLE_COUNT = 4
 
 
 class OrphanSweeper:
@@ -26,7 +27,8 @@
 
     A grant that was not renewed, and an attempt that an engine reports and no owner registered,
     are cancelled at the engines if no node that can be reached, directly or through two others,
-    holds them. Cancel orders are repeated with every sweep until the engine confirms.
+    holds them. Cancel orders are repeated with every sweep until the engine confirms. A dispatcher
+    that reaches less than half of the nodes it asks is cut off itself and cancels nothing.
 
     Parameters
     ----------
@@ -74,6 +76,10 @@
             if holding.grant.request_id in held:
                 holding.renewed_s = now_s()
         orphans = [holding for holding in holdings if holding.grant.request_id not in held]
+        if orphans and await self._is_cut_off():
+            for holding in orphans:
+                self._dispatcher.release(holding.grant.request_id)
+            return
         await asyncio.gather(*(self._cancel_holding(holding) for holding in orphans))
 
     async def _cancel_holding(self, holding: Holding) -> None:
@@ -94,6 +100,8 @@
                 await self._check_foreign(name, server.address, old)
 
     async def _check_foreign(self, name: str, address: str, ids: list[str]) -> None:
+        if await self._is_cut_off():
+            return
         answers = await asyncio.gather(*(self._ask(peer, ids) for peer in self._peers()))
         claimed = {request_id for held in answers for request_id in held}
         account = self._dispatcher.decode_account(name)
@@ -103,6 +111,14 @@
             elif await self._cancel(address, request_id):
                 account.forget_foreign(request_id, now_s())
 
+    async def _is_cut_off(self) -> bool:
+        others = [peer for peer in self._peers() if peer != self._link.node_name]
+        sample = others[:_SAMPLE_COUNT]
+        query = QueryHeld(ids=())
+        replies = await asyncio.gather(*(self._query(peer, query) for peer in sample))
+        reached = 1 + sum(reply is not None for reply in replies)
+        return 2 * reached < 1 + len(sample)
+
     async def _ask(self, node: str, ids: Iterable[str]) -> frozenset[str]:
         """Return which of `ids` a node holds; none if nobody reaches it."""
         query = QueryHeld(ids=tuple(ids))
