Keep the last places for requests that can meet their target

Cause: under overload a free place went to a late request whenever none that could still be on time happened to wait, and was then busy for seconds while several on-time requests came.

Change: late requests are served only while more than 4 % of the places are free; fairness is kept among those that may be served now.

With the rule off, test_late_requests_leave_the_last_places_to_those_that_can_be_on_time fails.

--- a/flamingoshelf/dispatch/_dispatcher.py
+++ b/flamingoshelf/dispatch/_dispatcher.py
@@ -20,6 +20,7 @@
 _MAX_PREFILL_WAIT_S = 0.6
 _MAX_LINK_WAIT_S = 0.4
 _FIRST_STEP_S = 0.06
+_LATE_RESERVE = 0.04
 _UNSEEN_RELEASE_S = 2.0
 
 
@@ -216,6 +217,12 @@
     def _has_free_place(self, pool: EnginePool) -> bool:
         return any(self._fits(name, server, 1) for name, server in pool.decode.items())
 
+    def _has_spare_places(self, pool: EnginePool) -> bool:
+        """Return whether late requests may be served: some places stay free for others."""
+        places = sum(server.places for server in pool.decode.values())
+        used = sum(self.decode_account(name).used_places for name in pool.decode)
+        return places - used > int(_LATE_RESERVE * places)
+
     def _fits(self, name: str, server: BackendServer, pieces: int) -> bool:
         reserved = math.ceil(server.places * self.reserved_share)
         return self.decode_account(name).fits(server, pieces, reserved_places=reserved)
@@ -224,6 +231,7 @@
         tickets = self._queue.ordered(
             unfairness_tokens=self._catalog().fleet.unfairness_tokens,
             is_on_time=lambda ticket: self._is_on_time(ticket, pool),
+            serves_late=self._has_spare_places(pool),
         )
         for ticket in tickets:
             prefill = self._choose_prefill(ticket.request, pool)
--- a/flamingoshelf/dispatch/_fair_queue.py
+++ b/flamingoshelf/dispatch/_fair_queue.py
@@ -9,6 +9,7 @@
 __all__ = ["FairQueue", "Ticket"]
 
 _OUTPUT_TOKEN_COST = 4
+_RESUMED, _ON_TIME, _LATE = range(3)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -96,26 +97,36 @@
         self.remove(ticket)
 
     def ordered(
-        self, *, unfairness_tokens: float, is_on_time: Callable[[Ticket], bool]
+        self,
+        *,
+        unfairness_tokens: float,
+        is_on_time: Callable[[Ticket], bool],
+        serves_late: bool,
     ) -> list[Ticket]:
-        """Return the tickets that may be served next, best first."""
-        lowest = self._lowest()
+        """Return the tickets that may be served next, best first.
+
+        Unless `serves_late`, tickets that can't meet the latency target are left out, and
+        fairness is kept among the others.
+        """
+        ranked = [(self._rank(ticket, is_on_time), ticket) for ticket in self]
+        served = [entry for entry in ranked if serves_late or entry[0][0] != _LATE]
+        counters = [self.counter(ticket.request.workspace) for _, ticket in served]
+        limit = min(counters, default=0.0) + unfairness_tokens
         eligible = [
-            ticket
-            for workspace, tickets in self._waiting.items()
-            for ticket in tickets.values()
-            if ticket.request.is_resumed or self._counters[workspace] <= lowest + unfairness_tokens
+            entry
+            for entry, counter in zip(served, counters, strict=True)
+            if entry[0][0] == _RESUMED or counter <= limit
         ]
-        return sorted(eligible, key=lambda ticket: self._rank(ticket, is_on_time))
+        return [ticket for _, ticket in sorted(eligible, key=lambda entry: entry[0])]
 
     def _rank(
         self, ticket: Ticket, is_on_time: Callable[[Ticket], bool]
     ) -> tuple[int, float, float]:
         if ticket.request.is_resumed:
-            return 0, ticket.arrived_s, 0.0
+            return _RESUMED, ticket.arrived_s, 0.0
         if is_on_time(ticket):
-            return 1, ticket.cost_tokens, ticket.arrived_s
-        return 2, self.counter(ticket.request.workspace), ticket.arrived_s
+            return _ON_TIME, ticket.cost_tokens, ticket.arrived_s
+        return _LATE, self.counter(ticket.request.workspace), ticket.arrived_s
 
     def _lowest(self) -> float:
         waiting = [self._counters[name] for name, tickets in self._waiting.items() if tickets]
--- a/flamingoshelf/dispatch/tests/test_dispatcher.py
+++ b/flamingoshelf/dispatch/tests/test_dispatcher.py
@@ -170,3 +170,15 @@
     pool.clock.advance(4.0)
     pool.dispatcher.decode_account("decode-0").observe(("inc.0.0",), 1, pool.clock())
     assert pool.dispatcher.decode_account("decode-0").foreign
+
+
+def test_late_requests_leave_the_last_places_to_those_that_can_be_on_time(make_pool):
+    pool = make_pool(places=50, decode=1, kv_pieces=64, prefill=2)
+    account = pool.dispatcher.decode_account("decode-0")
+    account.observe([f"old.{number}" for number in range(48)], 48, pool.clock())
+    pool.ask(0, waited_s=3.0)
+    assert pool.decide() == {}
+    pool.ask(1)
+    assert list(pool.decide()) == ["inc.1.0"]
+    account.observe([f"old.{number}" for number in range(40)], 40, pool.clock())
+    assert list(pool.decide()) == ["inc.0.0"]
