--- a/flamingoshelf/callers/tests/conftest.py
+++ b/flamingoshelf/callers/tests/conftest.py
@@ -28,6 +28,7 @@
 from flamingoshelf.objects import Catalog, parse_document
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import TaskGroup, new_http_client
+from lab.local_fleet import LocalFleet
 from lab.processes import AddressPool, wait_until_listening
 
 KEY = "fsk-desk-0123456789abcdef"
@@ -252,3 +253,11 @@
     await server.stop()
     await background.drain()
     await client.connector.cleanup()
+
+
+@pytest.fixture
+async def fleet():
+    """Nodes and engines of one process under the paused clock, which the test starts."""
+    fleet = LocalFleet()
+    yield fleet
+    await fleet.stop()
