Spread revisions through a tree of nodes and tell who may honour keys

Cause: every node watched the object service, which costs a call each; a node cut off could not learn a revision from its peers, a store outage stopped all keys after ten seconds, and a node restarted in an outage never became ready.

Change: two nodes of a data centre watch; the others hold one request open at the node above them in a tree over the ranking of Duty.CONFIGURATION_WATCH. Replies carry steps, the age of the last confirmation counted from a time that is certainly before it, and reports of outages with the number of nodes behind each. Without a confirmation keys are honoured only while half of every data centre and more than half of all VMs are accounted for by such reports, and for Fleet.outage_key_lifetime_s at the most. A node is not ready before it held the newest revision that store and peers let it learn.

Failed try: a parent that failed was forgotten after any reply, so its followers went on asking it and were not counted in an outage.

--- a/flamingoshelf/configuration/_follower.py
+++ b/flamingoshelf/configuration/_follower.py
@@ -1,83 +1,221 @@
 """Keeps a node's catalog at the newest revision."""
 
 import asyncio
+import random
+from collections.abc import Callable, Sequence
 
+import attrs
 from loguru import logger
 
-from flamingoshelf.base import ObjectService
-from flamingoshelf.configuration._documents import HEAD_KEY
-from flamingoshelf.configuration._repository import Repository
+from flamingoshelf.base import NodeLink, ObjectService, Ownership, VirtualMachine
+from flamingoshelf.configuration._freshness import Freshness
+from flamingoshelf.configuration._messages import OutageReport
+from flamingoshelf.configuration._peers import PeerExchange
+from flamingoshelf.configuration._state import RevisionState
+from flamingoshelf.configuration._store_watch import StoreWatch
+from flamingoshelf.configuration._tree import WatchTree
 from flamingoshelf.exceptions import FlamingoshelfError
 from flamingoshelf.objects import Catalog
+from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import TaskGroup, now_s
 
 __all__ = ["ConfigurationFollower"]
 
-_WATCH_S = 3.0  # a revision is at most two watches old; 5 s reached the freshness limit
+_HOLD_S = 1.0
+_IDLE_S = 0.5
 _RETRY_S = 0.5
+_STALE_S = 5.0  # a node whose last confirmation is older also asks nodes beside its parent
+_ISOLATED_S = 5.0  # a node that no peer answered for so long turns to the object service
+_FIRST_EXCHANGE_S = 2.0
+_AVOID_S = 10.0
+_RANDOM_INTERVAL = 30  # asks from one to a node beside the parent to the next
+
+
+@attrs.frozen(kw_only=True)
+class _Target:
+    """Whom to ask: `is_follower` tells whether this node counts as its follower."""
+
+    peer: str
+    is_follower: bool
 
 
 class ConfigurationFollower:
-    """Follows the head object; only ever moves to a higher revision.
+    """Follows the object service or a peer; only ever moves to a higher revision.
 
     Parameters
     ----------
     store : ObjectService
         The platform's object service.
+    link : NodeLink
+        Messages between nodes.
+    ownership : Ownership
+        Ranks the nodes for `Duty.CONFIGURATION_WATCH`.
+    vms : callable
+        Returns the listed VMs.
+    data_centre : str
+        Data centre of this node.
+    metrics : Metrics
+        Counters of events.
     """
 
-    def __init__(self, *, store: ObjectService) -> None:
-        self._store = store
-        self._repository = Repository(store=store)
-        self._catalog = Catalog(revision=0, objects=())
-        self._head_version = 0
-        self._confirmed_s = float("-inf")
+    def __init__(
+        self,
+        *,
+        store: ObjectService,
+        link: NodeLink,
+        ownership: Ownership,
+        vms: Callable[[], Sequence[VirtualMachine]],
+        data_centre: str,
+        metrics: Metrics,
+    ) -> None:
+        self._node_name = link.node_name
+        self._data_centre = data_centre
+        self._random = random.Random(link.incarnation)
+        self._state = RevisionState()
+        self._freshness = Freshness(fleet=lambda: self._state.catalog.fleet, vms=vms)
+        self._tree = WatchTree(
+            ownership=ownership,
+            vms=vms,
+            node_name=self._node_name,
+            data_centre=data_centre,
+            random_source=self._random,
+        )
+        self._peers = PeerExchange(
+            link=link,
+            state=self._state,
+            freshness=self._freshness,
+            tree=self._tree,
+            count_event=metrics.count_event,
+        )
+        self._store_watch = StoreWatch(
+            store=store,
+            state=self._state,
+            freshness=self._freshness,
+            count_event=metrics.count_event,
+        )
+        self._metrics = metrics
+        self._is_ready = False
+        self._avoided: dict[str, float] = {}
+        self._ask_count = 0
+        self._peer_answer_s = float("-inf")
+        self._first_exchange = asyncio.Event()
         self._tasks = TaskGroup(owner="configuration")
 
     @property
     def catalog(self) -> Catalog:
         """The newest revision that this node knows."""
-        return self._catalog
+        return self._state.catalog
 
     @property
     def is_ready(self) -> bool:
-        """Whether a revision was loaded."""
-        return self._catalog.revision > 0
+        """Whether the node has once held the newest revision that it could learn of."""
+        if not self._is_ready:
+            self._is_ready = (
+                self._state.revision > 0
+                and self._state.revision >= self._peers.highest_seen
+                and self._first_exchange.is_set()
+                and self.honours_keys
+            )
+        return self._is_ready
+
+    @property
+    def honours_keys(self) -> bool:
+        """Whether keys of the catalog may be honoured now."""
+        return self._freshness.honours_keys
 
     @property
     def age_s(self) -> float:
         """Seconds since the revision was last confirmed to be the newest."""
-        return now_s() - self._confirmed_s
+        return self._freshness.age_s
+
+    @property
+    def is_watcher(self) -> bool:
+        """Whether this node watches the object service."""
+        return self._tree.is_watcher
 
     async def start(self) -> None:
         """Start to follow."""
-        self._tasks.start(self._follow(), name="follow")
+        self._peer_answer_s = now_s()
+        self._tasks.start(self._follow_peers(), name="peers")
+        self._tasks.start(self._follow_store(), name="store")
 
     async def stop(self) -> None:
         """Stop to follow."""
         await self._tasks.stop()
 
-    async def _follow(self) -> None:
+    async def _follow_store(self) -> None:
+        await asyncio.sleep(self._jittered(_IDLE_S))
         while True:
+            is_isolated = now_s() - self._peer_answer_s > _ISOLATED_S
+            if not self._tree.is_watcher and not is_isolated:
+                await asyncio.sleep(_IDLE_S)
+                continue
+            asked_s = now_s()
             try:
-                await self._follow_once()
+                await self._store_watch.watch_once(before_load=self._wait_for_first_exchange)
+                self._freshness.end_outage(self._node_name)
             except FlamingoshelfError as error:
                 logger.bind(step=error.step, peer=error.peer).warning("not followed: {}", error)
-                await asyncio.sleep(_RETRY_S)
-
-    async def _follow_once(self) -> None:
-        asked_s = now_s()
-        stored = await self._store.watch(
-            HEAD_KEY, after_version=self._head_version, timeout_s=_WATCH_S
+                self._metrics.count_event("configuration_store_failures")
+                self._report_outage(asked_s)
+                await asyncio.sleep(self._jittered(_RETRY_S))
+
+    def _report_outage(self, asked_s: float) -> None:
+        report = OutageReport(
+            node=self._node_name,
+            data_centre=self._data_centre,
+            age_s=0.0,
+            reached=self._tree.follower_count,
         )
-        if stored is not None and stored.version > self._head_version:
-            revision = await self._repository.load(stored)
-            self._adopt(revision.catalog)
-            self._head_version = stored.version
-        self._confirmed_s = asked_s
-
-    def _adopt(self, catalog: Catalog) -> None:
-        if catalog.revision <= self._catalog.revision:
+        if self._freshness.report_outage(report, at_s=asked_s):
+            self._state.wake()
+
+    async def _follow_peers(self) -> None:
+        await asyncio.sleep(self._jittered(_IDLE_S) / 2)
+        while True:
+            target = self._choose_target()
+            if target is None:
+                self._first_exchange.set()
+                await asyncio.sleep(_IDLE_S)
+                continue
+            await self._ask(target)
+
+    async def _ask(self, target: _Target) -> None:
+        wait_s = _HOLD_S if target.is_follower and self.is_ready else 0.0
+        try:
+            await self._peers.ask(target.peer, wait_s=wait_s, is_follower=target.is_follower)
+            self._peer_answer_s = now_s()
+            self._avoided.pop(target.peer, None)
+        except FlamingoshelfError as error:
+            logger.bind(step=error.step, peer=target.peer).debug("not asked: {}", error)
+            self._metrics.count_event("configuration_peer_failures")
+            self._avoided[target.peer] = now_s() + _AVOID_S
+            wait_s = 0.0
+        self._first_exchange.set()
+        if wait_s == 0.0:
+            await asyncio.sleep(self._jittered(_IDLE_S))
+
+    def _choose_target(self) -> _Target | None:
+        self._ask_count += 1
+        is_stale = self.age_s > _STALE_S or not self.is_ready
+        if self._tree.is_watcher:
+            peer = self._tree.other_watcher() if is_stale else None
+            return None if peer is None else _Target(peer=peer, is_follower=False)
+        if self._ask_count % (2 if is_stale else _RANDOM_INTERVAL) == 0:
+            peer = self._tree.any_node()
+            return None if peer is None else _Target(peer=peer, is_follower=False)
+        avoided = {name for name, until_s in self._avoided.items() if until_s > now_s()}
+        peer = self._tree.parent()
+        if peer in avoided:
+            peer = self._tree.substitute(avoided)
+        return None if peer is None else _Target(peer=peer, is_follower=True)
+
+    async def _wait_for_first_exchange(self) -> None:
+        try:
+            async with asyncio.timeout(_FIRST_EXCHANGE_S):
+                await self._first_exchange.wait()
+        except TimeoutError:
             return
-        logger.info("revision {} in force", catalog.revision)
-        self._catalog = catalog
+
+    def _jittered(self, seconds: float) -> float:
+        return seconds * self._random.uniform(0.5, 1.0)
--- /dev/null
+++ b/flamingoshelf/configuration/_peers.py
@@ -0,0 +1,146 @@
+"""Learns of revisions from peers and answers theirs."""
+
+import asyncio
+import zlib
+from collections.abc import Callable
+
+from flamingoshelf.base import NodeLink
+from flamingoshelf.configuration._freshness import Freshness
+from flamingoshelf.configuration._messages import Page, PageRequest, StateReply, StateRequest
+from flamingoshelf.configuration._state import RevisionState, decode_steps
+from flamingoshelf.configuration._tree import WatchTree
+from flamingoshelf.exceptions import ConfigurationError, ConflictError
+from flamingoshelf.objects import Catalog, decode_objects
+from flamingoshelf.utils import now_s
+
+__all__ = ["PeerExchange"]
+
+_REPLY_TIMEOUT_S = 1.5
+_PAGE_TIMEOUT_S = 5.0
+_MAX_HOLD_S = 5.0
+
+
+class PeerExchange:
+    """Requests to and replies for peers.
+
+    Parameters
+    ----------
+    link : NodeLink
+        Messages between nodes.
+    state : RevisionState
+        The revision of this node.
+    freshness : Freshness
+        Its confirmations.
+    tree : WatchTree
+        Its place among the nodes.
+    count_event : callable
+        Counts an event by name.
+    """
+
+    def __init__(
+        self,
+        *,
+        link: NodeLink,
+        state: RevisionState,
+        freshness: Freshness,
+        tree: WatchTree,
+        count_event: Callable[[str], None],
+    ) -> None:
+        self._link = link
+        self._state = state
+        self._freshness = freshness
+        self._tree = tree
+        self._count_event = count_event
+        self._highest_seen = 0
+        link.register(StateRequest, self._answer_state)
+        link.register(PageRequest, self._answer_page)
+
+    @property
+    def highest_seen(self) -> int:
+        """Highest revision that any peer stated."""
+        return self._highest_seen
+
+    async def ask(self, peer: str, *, wait_s: float, is_follower: bool) -> None:
+        """Take over from `peer` what is newer.
+
+        Raises
+        ------
+        FlamingoshelfError
+            The peer gave no usable reply.
+        """
+        asked_s = now_s()
+        request = StateRequest(
+            manifest=self._state.manifest,
+            revision=self._state.revision,
+            wait_s=wait_s,
+            follower_count=self._tree.follower_count if is_follower else 0,
+        )
+        reply: StateReply = await self._link.request(
+            peer, request, timeout_s=wait_s + _REPLY_TIMEOUT_S
+        )
+        replied_s = asked_s + reply.held_s  # at the latest on this node's clock
+        self._highest_seen = max(self._highest_seen, reply.revision)
+        self._take_reports(reply, replied_s)
+        if reply.revision > self._state.revision:
+            await self._adopt_from(peer, reply)
+        if self._state.revision >= reply.revision:
+            self._freshness.confirm(replied_s - reply.age_s)
+
+    def _take_reports(self, reply: StateReply, replied_s: float) -> None:
+        news = [
+            self._freshness.report_outage(report, at_s=replied_s)
+            for report in reply.outages
+            if report.node != self._link.node_name
+        ]
+        if any(news):
+            self._state.wake()
+
+    async def _adopt_from(self, peer: str, reply: StateReply) -> None:
+        if reply.steps:
+            try:
+                if self._state.adopt_steps(decode_steps(reply.steps)):
+                    return
+            except ConfigurationError:
+                self._count_event("configuration_steps_rejected")
+        await self._load_whole(peer, reply)
+
+    async def _load_whole(self, peer: str, reply: StateReply) -> None:
+        self._count_event("configuration_loaded_from_peer")
+        catalog = Catalog(revision=0, objects=())
+        offset = 0
+        while True:
+            request = PageRequest(manifest=reply.manifest, offset=offset)
+            page: Page = await self._link.request(peer, request, timeout_s=_PAGE_TIMEOUT_S)
+            documents = await asyncio.to_thread(zlib.decompress, page.objects)
+            catalog = catalog.evolved(
+                revision=reply.revision, upserts=decode_objects(documents), removals=()
+            )
+            offset = page.next_offset
+            if not offset:
+                break
+        if catalog.digest != reply.digest:
+            message = f"revision {reply.revision} has the digest {catalog.digest}"
+            raise ConfigurationError(message, step="load", peer=peer)
+        self._state.adopt(catalog, manifest=reply.manifest)
+
+    async def _answer_state(self, peer: str, request: StateRequest) -> StateReply:
+        arrived_s = now_s()
+        self._tree.note_follower(peer, request.follower_count)
+        if request.wait_s > 0 and request.revision >= self._state.revision:
+            await self._state.wait(min(request.wait_s, _MAX_HOLD_S))
+        is_older = request.revision < self._state.revision
+        return StateReply(
+            revision=self._state.revision,
+            manifest=self._state.manifest,
+            digest=self._state.catalog.digest,
+            age_s=self._freshness.age_s,
+            held_s=now_s() - arrived_s,
+            outages=self._freshness.outage_reports(),
+            steps=self._state.encode_steps_after(request.manifest) if is_older else b"",
+        )
+
+    async def _answer_page(self, peer: str, request: PageRequest) -> Page:
+        if request.manifest != self._state.manifest:
+            raise ConflictError("another revision is in force", step="page", peer=peer)
+        objects, next_offset = self._state.encode_page(request.offset)
+        return Page(objects=objects, next_offset=next_offset)
--- a/flamingoshelf/configuration/_reading.py
+++ b/flamingoshelf/configuration/_reading.py
@@ -10,10 +10,11 @@
 from flamingoshelf.exceptions import ConfigurationError, ObjectServiceError
 from flamingoshelf.objects import Catalog, decode_objects
 
-__all__ = ["PublishedRevision", "RevisionReader"]
+__all__ = ["NO_VERSION", "PublishedRevision", "RevisionReader"]
 
 _READ_ATTEMPTS = 3
 _READ_RETRY_S = 0.2
+NO_VERSION = -1
 
 
 @attrs.frozen(kw_only=True)
@@ -27,7 +28,7 @@
     head : Head or None
         Its head; None before the first publication.
     head_version : int
-        Version of the head object.
+        Version of the head object; `NO_VERSION` for a revision that is not the newest.
     manifest : Manifest or None
         Its manifest; None before the first publication.
     """
@@ -81,9 +82,10 @@
         ConfigurationError
             A chunk is missing, or the objects do not have the digest of the revision.
         """
-        chunks = [await self._read(key) for key in manifest.chunks if key]
-        objects = [item for chunk in chunks for item in decode_objects(chunk)]
-        catalog = Catalog(revision=manifest.step.revision, objects=objects)
+        catalog = Catalog(revision=manifest.step.revision, objects=())
+        for key in filter(None, manifest.chunks):
+            objects = decode_objects(await self._read(key))
+            catalog = catalog.evolved(revision=catalog.revision, upserts=objects, removals=())
         if catalog.digest != manifest.step.digest:
             message = f"revision {catalog.revision} has the digest {catalog.digest}, "
             message += f"not {manifest.step.digest}"
@@ -94,6 +96,28 @@
         """Return the manifest with the given key."""
         return Manifest.decode(await self._read(key))
 
+    async def revision(self, number: int, *, newest: PublishedRevision) -> PublishedRevision:
+        """Return an earlier revision than `newest`, with the version of no head.
+
+        Raises
+        ------
+        ConfigurationError
+            The revision does not exist or is no longer kept.
+        """
+        manifest = newest.manifest
+        while manifest is not None and manifest.step.revision > number and manifest.step.parent:
+            manifest = await self.manifest(manifest.step.parent)
+        if manifest is None or manifest.step.revision != number:
+            raise ConfigurationError(f"there is no revision {number}", step="load")
+        step = manifest.step
+        head = Head(revision=number, manifest=step.manifest, apply_id="", digest=step.digest)
+        return PublishedRevision(
+            catalog=await self.catalog(manifest),
+            head=head,
+            head_version=NO_VERSION,
+            manifest=manifest,
+        )
+
     async def history(self, *, limit: int) -> Sequence[Manifest]:
         """Return the newest manifests, newest first, as far back as they are kept."""
         stored = await self._store.get(HEAD_KEY)
--- a/flamingoshelf/configuration/_repository.py
+++ b/flamingoshelf/configuration/_repository.py
@@ -20,7 +20,7 @@
     suggest_bucket_count,
 )
 from flamingoshelf.configuration._garbage import COLLECTION_INTERVAL, collect_garbage
-from flamingoshelf.configuration._reading import PublishedRevision, RevisionReader
+from flamingoshelf.configuration._reading import NO_VERSION, PublishedRevision, RevisionReader
 from flamingoshelf.exceptions import (
     ConfigurationError,
     ConflictError,
@@ -108,6 +108,9 @@
         old_objects = base.catalog.objects
         change = Change.between(old_objects, edit(old_objects))
         current = base
+        if base.head_version == NO_VERSION:
+            current = await self.newest()
+            await self._check_untouched(change, old_objects, base, current)
         for _ in range(_APPLY_ATTEMPTS):
             wanted = change.applied_to(current.catalog.objects)
             change_now = Change.between(current.catalog.objects, wanted)
--- /dev/null
+++ b/flamingoshelf/configuration/_store_watch.py
@@ -0,0 +1,104 @@
+"""Learns of revisions from the object service."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from flamingoshelf.base import ObjectService, VersionedObject
+from flamingoshelf.configuration._documents import HEAD_KEY, Head
+from flamingoshelf.configuration._freshness import Freshness
+from flamingoshelf.configuration._reading import RevisionReader
+from flamingoshelf.configuration._state import RevisionState
+from flamingoshelf.exceptions import ConfigurationError, ObjectServiceError
+from flamingoshelf.utils import now_s
+
+__all__ = ["StoreWatch"]
+
+_WATCH_S = 2.0
+_ANSWER_TIMEOUT_S = 1.0
+_STEP_LIMIT = 16
+
+
+class StoreWatch:
+    """Watches the head object.
+
+    Parameters
+    ----------
+    store : ObjectService
+        The platform's object service.
+    state : RevisionState
+        The revision of this node.
+    freshness : Freshness
+        Its confirmations.
+    count_event : callable
+        Counts an event by name.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: ObjectService,
+        state: RevisionState,
+        freshness: Freshness,
+        count_event: Callable[[str], None],
+    ) -> None:
+        self._store = store
+        self._reader = RevisionReader(store=store)
+        self._state = state
+        self._freshness = freshness
+        self._count_event = count_event
+        self._head_version = 0
+
+    async def watch_once(self, *, before_load: Callable[[], Awaitable[None]]) -> None:
+        """Wait for the next head, or until this one is confirmed to be the newest.
+
+        Parameters
+        ----------
+        before_load : callable
+            Is called and awaited before a whole revision is loaded.
+
+        Raises
+        ------
+        FlamingoshelfError
+            The object service gave no usable answer.
+        """
+        asked_s = now_s()
+        stored = await self._next_head()
+        if stored is not None and stored.version > self._head_version:
+            head = Head.decode(stored.value)
+            if head.revision < self._state.revision:
+                raise ObjectServiceError("an old head was read", step="watch")
+            if head.revision > self._state.revision:
+                await self._adopt(head, before_load)
+            self._head_version = stored.version
+        self._freshness.confirm(asked_s)
+
+    async def _next_head(self) -> VersionedObject | None:
+        try:
+            async with asyncio.timeout(_WATCH_S + _ANSWER_TIMEOUT_S):
+                return await self._store.watch(
+                    HEAD_KEY, after_version=self._head_version, timeout_s=_WATCH_S
+                )
+        except TimeoutError as error:
+            raise ObjectServiceError("no answer in time", step="watch") from error
+
+    async def _adopt(self, head: Head, before_load: Callable[[], Awaitable[None]]) -> None:
+        if self._state.revision > 0 and await self._adopt_steps(head):
+            return
+        await before_load()
+        if self._state.revision >= head.revision:
+            return
+        self._count_event("configuration_loaded_from_store")
+        manifest = await self._reader.manifest(head.manifest)
+        catalog = await self._reader.catalog(manifest)
+        self._state.adopt(catalog, manifest=head.manifest)
+
+    async def _adopt_steps(self, head: Head) -> bool:
+        start = self._state.manifest
+        steps = await self._reader.steps_after(start, head=head, limit=_STEP_LIMIT)
+        if steps is None:
+            return False
+        try:
+            self._state.adopt_steps(steps)
+        except ConfigurationError:
+            self._count_event("configuration_steps_rejected")
+        return self._state.revision >= head.revision
--- a/flamingoshelf/daemon/_node.py
+++ b/flamingoshelf/daemon/_node.py
@@ -52,9 +52,16 @@
         self._background = TaskGroup(owner="background")
         self._store = HttpObjectService(address=settings.object_service_address)
         self._vms = VmView(vm_list=HttpVmList(address=settings.vm_list_address))
-        self._configuration = ConfigurationFollower(store=self._store)
         self._link = self._build_link()
         self._ownership = ListedOwnership(vms=self._vms, node_name=settings.node_name)
+        self._configuration = ConfigurationFollower(
+            store=self._store,
+            link=self._link,
+            ownership=self._ownership,
+            vms=lambda: self._vms.snapshot.vms,
+            data_centre=settings.data_centre,
+            metrics=self._metrics,
+        )
         self._engines = HttpEngineClient()
         self._placer = LocalPlacer(catalog=self._catalog)
         self._limiter = PerNodeLimiter(catalog=self._catalog, node_count=self._node_count)
@@ -101,9 +108,6 @@
     def _node_count(self) -> int:
         return len(self._vms.snapshot.vms)
 
-    def _is_fresh(self) -> bool:
-        return self._configuration.age_s <= self._catalog().fleet.key_freshness_s
-
     def _build_link(self) -> WebsocketNodeLink:
         return WebsocketNodeLink(
             node_name=self._settings.node_name,
@@ -116,7 +120,7 @@
     def _build_caller_app(self) -> Any:
         admission = Admission(
             catalog=self._catalog,
-            is_fresh=self._is_fresh,
+            is_fresh=lambda: self._configuration.honours_keys,
             metrics=self._metrics,
             max_body_bytes=self._settings.max_body_bytes,
         )
@@ -151,6 +155,8 @@
             "incarnation": self._incarnation,
             "ready": self.is_ready,
             "revision": self._catalog().revision,
+            "configuration_watcher": self._configuration.is_watcher,
+            "honours_keys": self._configuration.honours_keys,
             "configuration_age_s": age_s if math.isfinite(age_s) else None,
             "vm_list_version": self._vms.snapshot.version,
         }
--- a/flamingoshelf/objects/_catalog.py
+++ b/flamingoshelf/objects/_catalog.py
@@ -48,9 +48,9 @@
         self._key_workspaces: dict[bytes, str] = {}
         self._withdrawn: set[bytes] = set()
         self._others: dict[ObjectId, NamedObject] = {}
-        shared_specs: dict[Workspace, Workspace] = {}
+        self._shared_specs: dict[Workspace, Workspace] = {}
         for item in objects:
-            self._insert(item, shared_specs)
+            self._insert(item)
         self._build_indexes()
 
     @property
@@ -94,6 +94,7 @@
         catalog = Catalog.__new__(Catalog)
         catalog._revision = revision
         catalog._digest = self._digest
+        catalog._shared_specs = self._shared_specs
         catalog._workspaces = self._workspaces.copy()
         catalog._key_digests = self._key_digests.copy()
         catalog._key_workspaces = self._key_workspaces.copy()
@@ -103,7 +104,7 @@
         for item_id in (*removals, *(item.id for item in listed)):
             catalog._remove(item_id)
         for item in listed:
-            catalog._insert(item, {})
+            catalog._insert(item)
         catalog._build_indexes()
         return catalog
 
@@ -163,11 +164,11 @@
             withdrawn=digest in self._withdrawn,
         )
 
-    def _insert(self, item: NamedObject, shared_specs: dict[Workspace, Workspace]) -> None:
+    def _insert(self, item: NamedObject) -> None:
         self._digest = (self._digest + object_digest(item)) % _DIGEST_MODULUS
         match item.spec:
             case Workspace() as workspace:
-                shared = shared_specs.setdefault(workspace, workspace)
+                shared = self._shared_specs.setdefault(workspace, workspace)
                 self._workspaces[sys.intern(item.id.name)] = shared
             case Key() as key:
                 digest = bytes.fromhex(key.sha256)
