Ask an unreachable object service in short intervals, and start only after peers were asked

Cause: a store that hangs let the reports of an outage grow too old for nodes two levels down, who stopped honouring keys for a moment; a node that read an old head could be ready before it asked a peer.

Change: after a failure the head is only asked for, without waiting; a whole revision is loaded from the store only after an exchange with a peer or three failed ones. An old head confirms nothing.

--- a/flamingoshelf/configuration/_follower.py
+++ b/flamingoshelf/configuration/_follower.py
@@ -26,7 +26,7 @@
 _RETRY_S = 0.5
 _STALE_S = 5.0  # a node whose last confirmation is older also asks nodes beside its parent
 _ISOLATED_S = 5.0  # a node that no peer answered for so long turns to the object service
-_FIRST_EXCHANGE_S = 2.0
+_FIRST_EXCHANGE_FAILURES = 3  # a node that could not ask so many peers starts without them
 _AVOID_S = 10.0
 _RANDOM_INTERVAL = 30  # asks from one to a node beside the parent to the next
 
@@ -97,6 +97,7 @@
         self._is_ready = False
         self._avoided: dict[str, float] = {}
         self._ask_count = 0
+        self._failure_count = 0
         self._peer_answer_s = float("-inf")
         self._first_exchange = asyncio.Event()
         self._tasks = TaskGroup(owner="configuration")
@@ -113,7 +114,6 @@
             self._is_ready = (
                 self._state.revision > 0
                 and self._state.revision >= self._peers.highest_seen
-                and self._first_exchange.is_set()
                 and self.honours_keys
             )
         return self._is_ready
@@ -186,12 +186,15 @@
             await self._peers.ask(target.peer, wait_s=wait_s, is_follower=target.is_follower)
             self._peer_answer_s = now_s()
             self._avoided.pop(target.peer, None)
+            self._first_exchange.set()
         except FlamingoshelfError as error:
             logger.bind(step=error.step, peer=target.peer).debug("not asked: {}", error)
             self._metrics.count_event("configuration_peer_failures")
             self._avoided[target.peer] = now_s() + _AVOID_S
             wait_s = 0.0
-        self._first_exchange.set()
+            self._failure_count += 1
+            if self._failure_count >= _FIRST_EXCHANGE_FAILURES:
+                self._first_exchange.set()
         if wait_s == 0.0:
             await asyncio.sleep(self._jittered(_IDLE_S))
 
@@ -211,11 +214,7 @@
         return None if peer is None else _Target(peer=peer, is_follower=True)
 
     async def _wait_for_first_exchange(self) -> None:
-        try:
-            async with asyncio.timeout(_FIRST_EXCHANGE_S):
-                await self._first_exchange.wait()
-        except TimeoutError:
-            return
+        await self._first_exchange.wait()
 
     def _jittered(self, seconds: float) -> float:
         return seconds * self._random.uniform(0.5, 1.0)
--- a/flamingoshelf/configuration/_store_watch.py
+++ b/flamingoshelf/configuration/_store_watch.py
@@ -47,6 +47,7 @@
         self._freshness = freshness
         self._count_event = count_event
         self._head_version = 0
+        self._wait_s = _WATCH_S
 
     async def watch_once(self, *, before_load: Callable[[], Awaitable[None]]) -> None:
         """Wait for the next head, or until this one is confirmed to be the newest.
@@ -63,7 +64,7 @@
         """
         asked_s = now_s()
         stored = await self._next_head()
-        if stored is not None and stored.version > self._head_version:
+        if stored is not None:
             head = Head.decode(stored.value)
             if head.revision < self._state.revision:
                 raise ObjectServiceError("an old head was read", step="watch")
@@ -73,13 +74,17 @@
         self._freshness.confirm(asked_s)
 
     async def _next_head(self) -> VersionedObject | None:
+        """Return the next head; after a failure only ask, so that an outage is told early."""
+        wait_s, self._wait_s = self._wait_s, 0.0
         try:
-            async with asyncio.timeout(_WATCH_S + _ANSWER_TIMEOUT_S):
-                return await self._store.watch(
-                    HEAD_KEY, after_version=self._head_version, timeout_s=_WATCH_S
+            async with asyncio.timeout(wait_s + _ANSWER_TIMEOUT_S):
+                stored = await self._store.watch(
+                    HEAD_KEY, after_version=self._head_version, timeout_s=wait_s
                 )
         except TimeoutError as error:
             raise ObjectServiceError("no answer in time", step="watch") from error
+        self._wait_s = _WATCH_S
+        return stored
 
     async def _adopt(self, head: Head, before_load: Callable[[], Awaitable[None]]) -> None:
         if self._state.revision > 0 and await self._adopt_steps(head):
