--- a/flamingoshelf/daemon/_node.py
+++ b/flamingoshelf/daemon/_node.py
@@ -57,7 +57,6 @@
         self._background = TaskGroup(owner="background")
         self._store = HttpObjectService(address=settings.object_service_address)
         self._vms = VmView(vm_list=HttpVmList(address=settings.vm_list_address))
-        self._configuration = ConfigurationFollower(store=self._store)
         self._link = self._build_link()
         self._membership = Membership(
             link=self._link,
@@ -66,6 +65,14 @@
             vm_list_lag_s=settings.vm_list_lag_s,
         )
         self._ownership = self._membership.ownership
+        self._configuration = ConfigurationFollower(
+            store=self._store,
+            link=self._link,
+            ownership=self._ownership,
+            vms=lambda: self._vms.snapshot.vms,
+            data_centre=settings.data_centre,
+            metrics=self._metrics,
+        )
         self._engines = HttpEngineClient()
         self._placer = self._build_placer()
         self._limiter = PerNodeLimiter(catalog=self._catalog, node_count=self._node_count)
@@ -140,9 +147,6 @@
     def _node_names(self) -> list[str]:
         return [vm.name for vm in self._vms.snapshot.vms]
 
-    def _is_fresh(self) -> bool:
-        return self._configuration.age_s <= self._catalog().fleet.key_freshness_s
-
     def _build_link(self) -> WebsocketNodeLink:
         return WebsocketNodeLink(
             node_name=self._settings.node_name,
@@ -166,7 +170,7 @@
     def _build_caller_app(self) -> Any:
         admission = Admission(
             catalog=self._catalog,
-            is_fresh=self._is_fresh,
+            is_fresh=lambda: self._configuration.honours_keys,
             metrics=self._metrics,
             max_body_bytes=self._settings.max_body_bytes,
         )
@@ -239,6 +243,8 @@
             "incarnation": self._incarnation,
             "ready": self.is_ready,
             "revision": self._catalog().revision,
+            "configuration_watcher": self._configuration.is_watcher,
+            "honours_keys": self._configuration.honours_keys,
             "configuration_age_s": finite_or_none(self._configuration.age_s),
             "vm_list_version": self._vms.snapshot.version,
             "membership": self._membership.status(),
