--- a/flamingoshelf/claims/_writer.py
+++ b/flamingoshelf/claims/_writer.py
@@ -92,6 +92,11 @@
             self._task = self._tasks.start(self._drain(), name="shard")
         return await reply
 
+    def give_up(self) -> None:
+        """Reply ``UNAVAILABLE`` to what waits."""
+        waiting, self._queue = self._queue, []
+        self._settle(waiting, [_UNAVAILABLE] * len(waiting))
+
     async def _drain(self) -> None:
         while self._queue:
             await self._gather()
@@ -118,7 +123,7 @@
     async def _commit(self, batch: list[_Waiting]) -> None:
         try:
             replies = await self._commit_with_retries([waiting.operation for waiting in batch])
-        except Exception:
+        except BaseException:
             self._settle(batch, [_UNAVAILABLE] * len(batch))
             raise
         self._settle(batch, replies)
@@ -191,16 +196,22 @@
         self._random = random_source
         self._tasks = TaskGroup(owner="claims")
         self._shards: dict[int, _ShardWriter] = {}
+        self._is_stopped = False
         link.register(TakeClaim, self._answer)
         link.register(FinishClaim, self._answer)
         link.register(ReleaseClaim, self._answer)
 
     async def stop(self) -> None:
-        """End all tasks."""
+        """End all tasks; what waits is not committed."""
+        self._is_stopped = True
         await self._tasks.stop()
+        for shard in self._shards.values():
+            shard.give_up()
 
     async def submit(self, operation: ClaimOperation) -> ClaimReply:
         """Commit `operation`; reply ``UNAVAILABLE`` if that can't be had within a bound."""
+        if self._is_stopped:
+            return _UNAVAILABLE
         shard = shard_of(operation.claim_id)
         if shard not in self._shards:
             self._shards[shard] = self._new_shard(shard)
