--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements that end by themselves and print JSON."""
+"""Measurement commands; each ends by itself and writes JSON and plots."""
--- a/flamingoshelf/claims/tests/test_processes.py
+++ b/flamingoshelf/claims/tests/test_processes.py
@@ -3,7 +3,6 @@
 import asyncio
 import itertools
 import json
-import re
 from collections import Counter
 
 import pytest
@@ -112,11 +111,11 @@
     async with asyncio.timeout(100):
         await asyncio.gather(fault(site), *(callers.work() for _ in range(WORKERS)))
     await callers.client.connector.cleanup()
-    logs = "\n".join(site.engines[name].log for name in site.engines if name.startswith("plain"))
-    executed = re.findall(r"^executed (\S+) (\S+)$", logs, re.MULTILINE)
-    by_name = Counter(name for name, _ in executed)
+    records = site.records()
+    by_name = Counter(record.subject for record in records if record.event == "execution")
+    attempts = {record.subject for record in records if record.event == "attempt"}
     assert [name for name, count in by_name.items() if count > 1] == []
-    assert callers.refused_attempts & {attempt for _, attempt in executed} == set()
+    assert callers.refused_attempts & attempts == set()
     results = Counter(callers.answers.values())
     assert results["booked"] >= 20
     assert set(results) <= {"booked", "claim_outcome_unknown"}
--- a/flamingoshelf/daemon/_node.py
+++ b/flamingoshelf/daemon/_node.py
@@ -1,7 +1,6 @@
 """Puts the parts of a node together."""
 
 import asyncio
-import math
 import random
 import time
 from typing import Any
@@ -20,9 +19,10 @@
 from flamingoshelf.claims import Attempts, ClaimBook, ClaimWriter, RetentionRule, WritePace
 from flamingoshelf.configuration import ConfigurationFollower
 from flamingoshelf.daemon._http_server import HttpServer
-from flamingoshelf.dispatch import LocalPlacer
+from flamingoshelf.daemon._placers import PlacerParts, build_placer
+from flamingoshelf.dispatch import DispatcherService
 from flamingoshelf.limits import PerNodeLimiter
-from flamingoshelf.membership import ListedOwnership, VmView
+from flamingoshelf.membership import Membership, VmView
 from flamingoshelf.nodes import WebsocketNodeLink
 from flamingoshelf.objects import Catalog
 from flamingoshelf.operators import build_operator_app
@@ -30,11 +30,11 @@
 from flamingoshelf.services import EjectionRule, ServerBoard, ServiceRouter, ShareBudget
 from flamingoshelf.settings import Settings
 from flamingoshelf.telemetry import Metrics
-from flamingoshelf.utils import TaskGroup, new_incarnation
+from flamingoshelf.utils import TaskGroup, finite_or_none, new_incarnation
 
 __all__ = ["Node"]
 
-_READINESS_NOTICE_S = 1.0
+_READY_POLL_S = 0.05
 _OPERATOR_SHUTDOWN_S = 1.0
 
 
@@ -51,23 +51,40 @@
         self._settings = settings
         self._incarnation = new_incarnation()
         self._metrics = Metrics(node_name=settings.node_name)
+        self._is_open = False
         self._is_leaving = False
+        self._tasks = TaskGroup(owner="node")
         self._background = TaskGroup(owner="background")
         self._store = HttpObjectService(address=settings.object_service_address)
         self._vms = VmView(vm_list=HttpVmList(address=settings.vm_list_address))
         self._configuration = ConfigurationFollower(store=self._store)
         self._link = self._build_link()
-        self._ownership = ListedOwnership(vms=self._vms, node_name=settings.node_name)
+        self._membership = Membership(
+            link=self._link,
+            vms=self._vms,
+            store=self._store,
+            vm_list_lag_s=settings.vm_list_lag_s,
+        )
+        self._ownership = self._membership.ownership
         self._engines = HttpEngineClient()
-        self._placer = LocalPlacer(catalog=self._catalog)
+        self._placer = self._build_placer()
         self._limiter = PerNodeLimiter(catalog=self._catalog, node_count=self._node_count)
         self._random = random.Random(self._incarnation)
         self._claims = self._build_claims()
+        self._dispatcher = DispatcherService(
+            link=self._link,
+            catalog=self._catalog,
+            engines=self._engines,
+            peers=self._node_names,
+            metrics=self._metrics,
+        )
         self._parts: tuple[Service, ...] = (
-            self._vms,
             self._link,
+            self._membership,
             self._configuration,
             self._claims,
+            self._dispatcher,
+            *self._placer.services,
         )
         self._callers = HttpServer(
             app=self._build_caller_app(),
@@ -83,21 +100,23 @@
     @property
     def is_ready(self) -> bool:
         """Whether the node serves callers."""
-        return self._configuration.is_ready and not self._is_leaving
+        return self._is_open and not self._is_leaving
 
     async def start(self) -> None:
-        """Start all parts, the one for callers last."""
+        """Start all parts; callers are served once the node is ready."""
         await self._operators.start()
         for part in self._parts:
             await part.start()
-        await self._callers.start()
+        self._tasks.start(self._open_callers(), name="open_callers")
         logger.info("started, incarnation {}", self._incarnation)
 
     async def stop(self) -> None:
         """Stop without cutting a request."""
         self._is_leaving = True
         logger.info("leaving")
-        await asyncio.sleep(_READINESS_NOTICE_S)
+        await asyncio.sleep(self._settings.readiness_notice_s)
+        await self._membership.leave()
+        await self._tasks.stop()
         await self._callers.stop()
         await self._background.drain()
         for part in reversed(self._parts):
@@ -105,12 +124,22 @@
         await self._operators.stop()
         logger.info("stopped")
 
+    async def _open_callers(self) -> None:
+        """Listen for callers once there is a configuration to serve them by."""
+        while not (self._configuration.is_ready and self._membership.is_ready):
+            await asyncio.sleep(_READY_POLL_S)
+        await self._callers.start()
+        self._is_open = True
+
     def _catalog(self) -> Catalog:
         return self._configuration.catalog
 
     def _node_count(self) -> int:
         return len(self._vms.snapshot.vms)
 
+    def _node_names(self) -> list[str]:
+        return [vm.name for vm in self._vms.snapshot.vms]
+
     def _is_fresh(self) -> bool:
         return self._configuration.age_s <= self._catalog().fleet.key_freshness_s
 
@@ -123,6 +152,17 @@
             resolve=self._vms.address_of,
         )
 
+    def _build_placer(self) -> PlacerParts:
+        return build_placer(
+            self._settings.placer,
+            link=self._link,
+            ownership=self._ownership,
+            catalog=self._catalog,
+            engines=self._engines,
+            metrics=self._metrics,
+            random_source=random.Random(self._incarnation),
+        )
+
     def _build_caller_app(self) -> Any:
         admission = Admission(
             catalog=self._catalog,
@@ -132,7 +172,7 @@
         )
         runner = CompletionRunner(
             engines=self._engines,
-            placer=self._placer,
+            placer=self._placer.placer,
             limiter=self._limiter,
             metrics=self._metrics,
             background=self._background,
@@ -146,7 +186,12 @@
             claims=self._claims,
             background=self._background,
         )
-        return build_caller_app(completions=completions, services=services)
+        return build_caller_app(
+            admission=admission,
+            completions=completions,
+            services=services,
+            is_leaving=lambda: self._is_leaving,
+        )
 
     def _build_claims(self) -> ClaimBook:
         writer = ClaimWriter(
@@ -187,11 +232,6 @@
             is_ready=lambda: self.is_ready, metrics=self._metrics, status=self._status
         )
 
-    def _configuration_age_s(self) -> float | None:
-        """Return the age, or None before the first confirmation."""
-        age_s = self._configuration.age_s
-        return round(age_s, 3) if math.isfinite(age_s) else None
-
     def _status(self) -> dict[str, Any]:
         return {
             "node": self._settings.node_name,
@@ -199,6 +239,7 @@
             "incarnation": self._incarnation,
             "ready": self.is_ready,
             "revision": self._catalog().revision,
-            "configuration_age_s": self._configuration_age_s(),
+            "configuration_age_s": finite_or_none(self._configuration.age_s),
             "vm_list_version": self._vms.snapshot.version,
+            "membership": self._membership.status(),
         }
--- a/flamingoshelf/refusals.py
+++ b/flamingoshelf/refusals.py
@@ -36,6 +36,7 @@
     CLAIM_ANSWER_NOT_KEPT = "claim_answer_not_kept"
     QUARANTINED = "quarantined"
     SHUTTING_DOWN = "shutting_down"
+    INTERNAL_ERROR = "internal_error"
 
 
 class RetryReason(StrEnum):
--- a/flamingoshelf/settings/_schema.py
+++ b/flamingoshelf/settings/_schema.py
@@ -55,11 +55,21 @@
             "default": 60,
             "description": "Longest time a graceful shutdown waits for running requests.",
         },
+        "readiness_notice_s": {
+            **_SECONDS,
+            "default": 5,
+            "description": "Time from readiness off to the end of new connections at a shutdown.",
+        },
         "vm_list_lag_s": {
             **_SECONDS,
             "default": 5,
             "description": "Lag of the VM list that the platform states.",
         },
+        "placer": {
+            "enum": ["fleet", "local", "two_choice", "round_robin"],
+            "default": "fleet",
+            "description": "How requests are placed; all but fleet are for comparison.",
+        },
         "log_format": {
             "enum": ["text", "json"],
             "default": "text",
--- a/lab/site.py
+++ b/lab/site.py
@@ -14,6 +14,7 @@
 from flamingoshelf.utils import new_http_client
 from lab.processes import AddressPool, Process, wait_until_listening
 from lab.proxy import FaultProxy, ProxyMode
+from lab.records import Record, read_records
 from lab.scenarios import Scenario
 
 __all__ = ["NodeProcess", "Site"]
@@ -99,6 +100,10 @@
         """A client of the object service."""
         return HttpObjectService(address=self.platform_address)
 
+    def records(self) -> list[Record]:
+        """Return what the stand-ins recorded."""
+        return list(read_records(self._folder))
+
     def documents(self) -> list[Any]:
         """Return the documents of all objects of the scenario."""
         return self._scenario.objects(
@@ -143,6 +148,7 @@
             "object_service_address": node.store_proxy.address,
             "vm_list_address": node.store_proxy.address,
             "cluster_secret_file": "secret",
+            "readiness_notice_s": 1,
             **self._node_settings,
         }
         (self._folder / f"{name}.json").write_text(json.dumps(settings))
@@ -220,6 +226,7 @@
         self.engine_proxies[name] = FaultProxy(listen_address=listen, target_address=address)
         program = "booking" if role == "plain" else "engine"
         arguments = ["lab", program, address] + ([] if role == "plain" else ["--role", role])
+        arguments += ["--record", str(self._folder / f"{name}.records")]
         self.engine_addresses[name] = address
         self.engines[name] = self._process(name, arguments)
 
