Use the fleet's retry budgets for plain services; test leaving callers and nodes

Change: the router takes the budgets and the backoff of flamingoshelf.retries in place of a budget of its own. A process test has a caller disconnect and its node stop in the middle of two bookings: both are carried out once, and repeats through another node get the recorded answers.

A hanging idempotent call that used up its time is now refused as retries_exhausted, before as no_backend; both say that the outcome is unknown.

--- a/flamingoshelf/claims/tests/test_processes.py
+++ b/flamingoshelf/claims/tests/test_processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+import signal
 from collections import Counter
 
 import pytest
@@ -121,3 +122,31 @@
     assert set(results) <= {"booked", "claim_outcome_unknown"}
     assert results["claim_outcome_unknown"] <= 3 * WORKERS
     assert all(by_name[name] for name, answer in callers.answers.items() if answer == "booked")
+
+
+async def test_running_booking_ends_though_its_caller_and_its_node_leave(site):
+    """The first caller disconnects; then the node is asked to stop while a second one waits."""
+    for name in ("plain-0", "plain-1", "plain-2"):
+        await site.control(site.engine_addresses[name], {"delay_s": 2.0})
+    callers = Callers(site)
+    node = site.nodes["node-0"]
+    host, _, port = node.caller_address.rpartition(":")
+    _, writer = await asyncio.open_connection(host, int(port))
+    request = (
+        f"POST /bookings/van-left HTTP/1.1\r\nHost: x\r\nAuthorization: {AUTHORIZATION}\r\n"
+        'Idempotency-Key: "key-van-left"\r\nContent-Type: application/json\r\n'
+        "Content-Length: 19\r\n\r\n" + '{"van": "van-left"}'
+    )
+    writer.write(request.encode())
+    waiting = asyncio.create_task(callers.attempt(node.caller_address, "van-stays", "stays"))
+    await asyncio.sleep(0.8)
+    writer.transport.abort()
+    node.process.send(signal.SIGTERM)
+    assert (await waiting)[0] == 201
+    assert await node.process.stop() == 0
+    other = site.nodes["node-1"].caller_address
+    for name in ("van-left", "van-stays"):
+        assert (await callers.attempt(other, name, f"again-{name}"))[0] == 201
+    await callers.client.connector.cleanup()
+    executed = Counter(item.subject for item in site.records() if item.event == "execution")
+    assert executed == {"van-left": 1, "van-stays": 1}
--- a/flamingoshelf/daemon/_node.py
+++ b/flamingoshelf/daemon/_node.py
@@ -27,7 +27,8 @@
 from flamingoshelf.objects import Catalog
 from flamingoshelf.operators import build_operator_app
 from flamingoshelf.platform import HttpObjectService, HttpVmList
-from flamingoshelf.services import EjectionRule, ServerBoard, ServiceRouter, ShareBudget
+from flamingoshelf.retries import Backoff, RetryBudgets
+from flamingoshelf.services import EjectionRule, ServerBoard, ServiceRouter
 from flamingoshelf.settings import Settings
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import TaskGroup, finite_or_none, new_incarnation
@@ -222,9 +223,9 @@
             catalog=self._catalog,
             client=PlainServiceClient(),
             board=board,
-            budget=ShareBudget(),
+            budgets=RetryBudgets(node_count=self._node_count),
             metrics=self._metrics,
-            random_source=self._random,
+            backoff=Backoff(random_source=self._random),
         )
 
     def _build_operator_app(self) -> Any:
--- a/flamingoshelf/services/__init__.py
+++ b/flamingoshelf/services/__init__.py
@@ -1,7 +1,6 @@
 """Choice among the servers of plain services, and safe retries."""
 
-from flamingoshelf.services._budget import RetryBudget, ShareBudget
 from flamingoshelf.services._router import ServiceRouter
 from flamingoshelf.services._servers import EjectionRule, ServerBoard
 
-__all__ = ["EjectionRule", "RetryBudget", "ServerBoard", "ServiceRouter", "ShareBudget"]
+__all__ = ["EjectionRule", "ServerBoard", "ServiceRouter"]
--- a/flamingoshelf/services/_router.py
+++ b/flamingoshelf/services/_router.py
@@ -1,7 +1,6 @@
 """Sends a call to one server of a service, and to another where that is safe."""
 
 import asyncio
-import random
 from collections.abc import Callable
 from typing import Protocol
 
@@ -9,7 +8,7 @@
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
 from flamingoshelf.objects import Catalog, ServiceSpec
 from flamingoshelf.refusals import Refusal, RefusalReason, RetryReason
-from flamingoshelf.services._budget import RetryBudget
+from flamingoshelf.retries import Backoff, RetryBudgets
 from flamingoshelf.services._servers import ServerBoard
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import now_s
@@ -17,7 +16,6 @@
 __all__ = ["PlainClient", "ServiceRouter"]
 
 _MAX_SENT = 3
-_RETRY_PAUSE_S = 0.05
 _NO_BACKEND_RETRY_S = 1.0
 _SERVER_FAILURE_STATUSES = frozenset({502, 503, 504})
 
@@ -40,12 +38,12 @@
         Sends calls.
     board : ServerBoard
         Chooses servers.
-    budget : RetryBudget
-        Bounds the calls that are sent again.
+    budgets : RetryBudgets
+        Bound the calls that are sent again, for each pool.
     metrics : Metrics
         Counters of retries.
-    random_source : random.Random
-        Source of the pause before a retry.
+    backoff : Backoff
+        Pause before a call is sent again.
     """
 
     def __init__(
@@ -54,16 +52,16 @@
         catalog: Callable[[], Catalog],
         client: PlainClient,
         board: ServerBoard,
-        budget: RetryBudget,
+        budgets: RetryBudgets,
         metrics: Metrics,
-        random_source: random.Random,
+        backoff: Backoff,
     ) -> None:
         self._catalog = catalog
         self._client = client
         self._board = board
-        self._budget = budget
+        self._budgets = budgets
         self._metrics = metrics
-        self._random = random_source
+        self._backoff = backoff
 
     async def call(
         self, service: ServiceSpec, call: PlainCall, *, may_repeat: bool
@@ -76,7 +74,8 @@
         deadline_s = now_s() + service.timeout_s
         tried: frozenset[str] = frozenset()
         sent = 0
-        self._budget.record_request()
+        budget = self._budgets.budget(service.pool)
+        budget.record_request()
         while (address := self._choose(service, tried)) is not None:
             remaining_s = deadline_s - now_s()
             if remaining_s <= 0:
@@ -90,10 +89,14 @@
                 sent += 1
                 if not may_repeat:
                     return _unknown_outcome(error)
-                if sent >= _MAX_SENT or not self._budget.try_spend():
+                if sent >= _MAX_SENT or not budget.try_spend():
                     return _retries_exhausted(error)
                 self._metrics.count_retry(RetryReason.SERVICE_FAILED)
-                await asyncio.sleep(self._random.random() * _RETRY_PAUSE_S)
+                remaining_s = deadline_s - now_s()
+                pause_s = self._backoff.delay_s(sent - 1, remaining_s=remaining_s)
+                if pause_s is None:
+                    return _retries_exhausted(error)
+                await asyncio.sleep(pause_s)
         return _no_backend(not_run=sent == 0)
 
     def _choose(self, service: ServiceSpec, tried: frozenset[str]) -> str | None:
