--- a/flamingoshelf/membership/_assignment.py
+++ b/flamingoshelf/membership/_assignment.py
@@ -1,6 +1,5 @@
 """Chooses holders for slots: balanced, spread over data centres, with few moves."""
 
-import heapq
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
@@ -41,10 +40,11 @@
         self._members = {member.name: member for member in members}
         self._data_centres = data_centres
         self._loads = Counter(self._holders)
-        self._queues: dict[str, list[tuple[int, int, str]]] = {}
+        self._part_loads = Counter((i % PARTS, name) for i, name in enumerate(self._holders))
+        self._order = {member.name: stable_hash("slot_load", member.name) for member in members}
+        self._by_data_centre: dict[str, list[str]] = {}
         for member in members:
-            queue = self._queues.setdefault(member.data_centre, [])
-            heapq.heappush(queue, self._entry(member.name))
+            self._by_data_centre.setdefault(member.data_centre, []).append(member.name)
 
     def reassign(self, indexes: Iterable[int]) -> dict[int, tuple[str, str]]:
         """Return new holders for slots whose holders are gone, leave, or never were."""
@@ -66,7 +66,7 @@
         least two slots less, so that the moves end.
         """
         separating = self._moves(max_moves, is_due=self._clashes)
-        return separating or self._moves(max_moves, is_due=lambda index: True)
+        return separating or self._moves(max_moves, is_due=self._is_loaded)
 
     def _moves(
         self, max_moves: int, *, is_due: Callable[[int], bool]
@@ -93,6 +93,11 @@
         data_centre = self._data_centres.get(holder, "")
         return self._is_shared(index, holder) or data_centre in self._other_data_centres(index)
 
+    def _is_loaded(self, index: int) -> bool:
+        """Return whether some member holds at least two slots less than the slot's holder."""
+        least = min(self._loads[name] for name in self._members)
+        return self._loads[self._holders[index]] >= least + 2
+
     def _by_load(self) -> list[int]:
         held = [index for index, holder in enumerate(self._holders) if holder in self._members]
         return sorted(held, key=lambda index: (-self._loads[self._holders[index]], index))
@@ -110,37 +115,34 @@
 
     def _best(self, index: int) -> Member | None:
         """Return the least loaded member, first of data centres that the column lacks."""
+        siblings = set(self._siblings(index))
         others = self._other_data_centres(index)
-        ranked = []
-        for data_centre in self._queues:
-            name = self._least_loaded(data_centre, index)
-            entry = self._entry(name)
-            shared = self._is_shared(index, name)
-            ranked.append((others.count(data_centre), shared, entry[0], entry[1], name))
+        ranked = [
+            (others.count(data_centre), *self._least_loaded(names, siblings, index % PARTS))
+            for data_centre, names in self._by_data_centre.items()
+        ]
         return self._members[min(ranked)[-1]] if ranked else None
 
-    def _least_loaded(self, data_centre: str, index: int) -> str:
-        queue = self._queues[data_centre]
-        while queue[0] != self._entry(queue[0][2]):
-            stale = heapq.heappop(queue)
-            heapq.heappush(queue, self._entry(stale[2]))
-        first = queue[0][2]
-        if not self._is_shared(index, first):
-            return first
-        return next(
-            (name for _, _, name in sorted(queue) if not self._is_shared(index, name)), first
+    def _least_loaded(
+        self, names: list[str], siblings: set[str], part: int
+    ) -> tuple[bool, int, int, int, str]:
+        return min(
+            (
+                name in siblings,
+                self._loads[name],
+                self._part_loads[part, name],
+                self._order[name],
+                name,
+            )
+            for name in names
         )
 
-    def _entry(self, name: str) -> tuple[int, int, str]:
-        return self._loads[name], stable_hash("slot_load", name), name
-
     def _set_holder(self, index: int, holder: str) -> None:
+        part = index % PARTS
         self._loads[self._holders[index]] -= 1
+        self._part_loads[part, self._holders[index]] -= 1
         self._loads[holder] += 1
-        for name in (self._holders[index], holder):
-            member = self._members.get(name)
-            if member is not None:
-                heapq.heappush(self._queues[member.data_centre], self._entry(name))
+        self._part_loads[part, holder] += 1
         self._holders[index] = holder
 
     def _siblings(self, index: int) -> list[str]:
--- a/flamingoshelf/membership/_changer.py
+++ b/flamingoshelf/membership/_changer.py
@@ -9,7 +9,7 @@
 from flamingoshelf.base import NodeLink
 from flamingoshelf.exceptions import FlamingoshelfError
 from flamingoshelf.membership._absence import AbsenceRecord
-from flamingoshelf.membership._assignment import Assignment
+from flamingoshelf.membership._assignment import Assignment, Member
 from flamingoshelf.membership._keeper import eligible_members
 from flamingoshelf.membership._members import MemberBook
 from flamingoshelf.membership._messages import MoveRequest, SlotMove
@@ -64,6 +64,7 @@
         self._absence = absence
         self._is_first = is_first
         self._rebalanced_s = float("-inf")
+        self._level_basis: tuple[int, tuple[Member, ...]] | None = None
         self._tasks = TaskGroup(owner="slot_changer")
 
     async def start(self) -> None:
@@ -118,7 +119,12 @@
     def _request_moves(self) -> None:
         """Ask holders to hand over slots, so that the loads become level."""
         table = self._tables.table
+        basis = (table.version, tuple(eligible_members(self._vms, self._members)))
+        if basis == self._level_basis:
+            return
         changes = self._assignment(table).rebalance(max_moves=_MAX_MOVES)
+        if not changes:
+            self._level_basis = basis
         moves = [
             SlotMove(index=index, holder=holder, incarnation=incarnation)
             for index, (holder, incarnation) in changes.items()
--- a/flamingoshelf/membership/_keeper.py
+++ b/flamingoshelf/membership/_keeper.py
@@ -146,8 +146,12 @@
         await self._change(plan)
 
     async def _change(self, plan: Callable[[SlotTable], Changes]) -> None:
-        """Release what `plan` gives away, then write it; try again until the outcome is known."""
+        """Release what `plan` gives away, then write it; try again until the outcome is known.
+
+        A release is cancelled only if no write before can still take effect.
+        """
         pending: list[Changes] = []
+        is_unresolved = False
 
         def write(table: SlotTable) -> SlotTable | None:
             changes = plan(table)
@@ -162,10 +166,13 @@
             try:
                 await self._tables.change(write)
                 return
-            except (ConflictError, OutcomeUnknownError) as error:
+            except OutcomeUnknownError as error:
+                is_unresolved = True
+                logger.bind(step=error.step).info("slots perhaps handed over: {}", error)
+            except ConflictError as error:
                 logger.bind(step=error.step).info("slots not handed over yet: {}", error)
             except ObjectServiceError as error:
-                for changes in pending:
+                for changes in () if is_unresolved else pending:
                     self._ownership.cancel_release(changes)
                 logger.bind(step=error.step).warning("slots not handed over: {}", error)
             except FlamingoshelfError as error:
--- a/flamingoshelf/membership/_ownership.py
+++ b/flamingoshelf/membership/_ownership.py
@@ -116,6 +116,8 @@
 
     def held_indexes(self) -> list[int]:
         """Return the indexes of the slots that this node may exercise."""
+        if not self.may_exercise:
+            return []
         held = self._tables.table.held_by(self._node_name)
         return [index for index in held if self._is_held(index)]
 
--- a/flamingoshelf/membership/_table_store.py
+++ b/flamingoshelf/membership/_table_store.py
@@ -38,13 +38,17 @@
 
     def __init__(self, *, store: ObjectService) -> None:
         self._store = store
+        self._last = StoredTable(table=SlotTable(), object_version=0)
 
     async def read(self) -> StoredTable:
         """Return the newest table; an empty one if there is none yet."""
         stored = await self._store.get(SLOTS_KEY)
         if stored is None:
             return StoredTable(table=SlotTable(), object_version=0)
-        return StoredTable(table=SlotTable.decode(stored.value), object_version=stored.version)
+        if stored.version != self._last.object_version:
+            table = SlotTable.decode(stored.value)
+            self._last = StoredTable(table=table, object_version=stored.version)
+        return self._last
 
     async def replace(self, base: StoredTable, table: SlotTable) -> None:
         """Write `table` in the place of `base`.
--- a/flamingoshelf/membership/tests/test_assignment.py
+++ b/flamingoshelf/membership/tests/test_assignment.py
@@ -45,6 +45,12 @@
         assert len({name.split("-")[0] for name in names}) == PARTS
 
 
+def test_each_part_is_spread_over_all_nodes():
+    table = formed(fleet({"a": 1, "b": 1, "c": 1}))
+    first_parts = Counter(slot.holder for slot in table.slots[::PARTS])
+    assert min(first_parts.values()) >= COLUMNS // 4
+
+
 def test_parts_are_on_different_nodes_where_there_is_one_data_centre():
     table = formed(fleet({"a": 3}))
     assert all(len(set(names)) == PARTS for names in columns(table))
