Close the link to strangers; add TLS between nodes

Cause: a stranger got a websocket answer and a nonce; one unknown message or one frame above the limit closed a connection with all requests on it; dials had no backoff, their time did not count against a request's timeout, and the lock of every peer ever dialled was kept.

Change: the opening request carries an authenticated greeting that is accepted once; without it the connection is closed with no reply, counted and logged. TLS 1.3 with certificates on both sides when set; the proofs cover the accepting side's certificate. One dial for a peer at a time, with backoff and jitter, shared by all that wait. Large frames fail alone; unknown messages get an error. Counters of messages, bytes, dials and strangers.

--- a/flamingoshelf/daemon/_node.py
+++ b/flamingoshelf/daemon/_node.py
@@ -5,6 +5,7 @@
 import time
 from typing import Any
 
+import attrs
 from loguru import logger
 
 from flamingoshelf.backends import HttpEngineClient, PlainServiceClient
@@ -23,7 +24,7 @@
 from flamingoshelf.dispatch import DispatcherService
 from flamingoshelf.limits import PerNodeLimiter
 from flamingoshelf.membership import Membership, VmView
-from flamingoshelf.nodes import WebsocketNodeLink
+from flamingoshelf.nodes import NodeTls, WebsocketNodeLink, load_node_tls
 from flamingoshelf.objects import Catalog
 from flamingoshelf.operators import build_operator_app
 from flamingoshelf.platform import HttpObjectService, HttpVmList
@@ -141,8 +142,18 @@
             listen_address=self._settings.peer_address,
             secret=self._settings.cluster_secret,
             resolve=self._vms.address_of,
+            tls=self._load_tls(),
+            count_event=self._metrics.count_event,
         )
 
+    def _load_tls(self) -> NodeTls | None:
+        settings = self._settings
+        certificate, key = settings.tls_certificate_file, settings.tls_key_file
+        authority = settings.tls_authority_file
+        if certificate is None or key is None or authority is None:
+            return None
+        return load_node_tls(certificate_file=certificate, key_file=key, authority_file=authority)
+
     def _build_placer(self) -> PlacerParts:
         return build_placer(
             self._settings.placer,
@@ -228,4 +239,5 @@
             "configuration_age_s": finite_or_none(self._configuration.age_s),
             "vm_list_version": self._vms.snapshot.version,
             "membership": self._membership.status(),
+            "link": attrs.asdict(self._link.counters),
         }
--- a/flamingoshelf/nodes/__init__.py
+++ b/flamingoshelf/nodes/__init__.py
@@ -3,5 +3,6 @@
 from flamingoshelf.nodes._codec import message
 from flamingoshelf.nodes._link import WebsocketNodeLink
 from flamingoshelf.nodes._messages import Acknowledgement, Failure
+from flamingoshelf.nodes._tls import NodeTls, load_node_tls
 
-__all__ = ["Acknowledgement", "Failure", "WebsocketNodeLink", "message"]
+__all__ = ["Acknowledgement", "Failure", "NodeTls", "WebsocketNodeLink", "load_node_tls", "message"]
--- a/flamingoshelf/nodes/_codec.py
+++ b/flamingoshelf/nodes/_codec.py
@@ -13,7 +13,7 @@
 
 from flamingoshelf.exceptions import ProtocolError
 
-__all__ = ["Frame", "FrameKind", "decode_frame", "encode_frame", "message"]
+__all__ = ["Frame", "FrameKind", "UnknownMessage", "decode_frame", "encode_frame", "message"]
 
 ClassT = TypeVar("ClassT", bound=type)
 
@@ -41,6 +41,13 @@
     message: Any
 
 
+@attrs.frozen(kw_only=True)
+class UnknownMessage:
+    """Stands for a message whose class this node does not have, as sent by a newer node."""
+
+    name: str
+
+
 def message(cls: ClassT) -> ClassT:
     """Class decorator: register an `attrs` class as a message between nodes."""
     if cls.__name__ in _message_classes:
@@ -62,11 +69,15 @@
     Raises
     ------
     ProtocolError
-        It is not a frame, or its message class is not known.
+        It is not a frame, or the fields are not those of its message class.
     """
     try:
         kind, number, name, body = cbor2.loads(data)
-        decoded = _converter.structure(body, _message_classes[name])
+        message_class = _message_classes.get(name)
+        if message_class is None:
+            unknown = UnknownMessage(name=str(name))
+            return Frame(kind=FrameKind(kind), number=int(number), message=unknown)
+        decoded = _converter.structure(body, message_class)
         return Frame(kind=FrameKind(kind), number=int(number), message=decoded)
     except Exception as error:
         raise ProtocolError(f"not a frame: {error!r}", step="decode", peer=peer) from error
--- a/flamingoshelf/nodes/_connection.py
+++ b/flamingoshelf/nodes/_connection.py
@@ -10,13 +10,22 @@
 from websockets.asyncio.server import ServerConnection
 from websockets.exceptions import ConnectionClosed
 
-from flamingoshelf.exceptions import OutcomeUnknownError, ProtocolError, RemoteError
+from flamingoshelf.exceptions import (
+    OutcomeUnknownError,
+    PeerUnreachableError,
+    ProtocolError,
+    RemoteError,
+)
 from flamingoshelf.nodes._codec import Frame, FrameKind, decode_frame, encode_frame
+from flamingoshelf.nodes._counters import LinkCounters
 from flamingoshelf.nodes._handshake import Identity
 from flamingoshelf.nodes._messages import Acknowledgement, Failure
 from flamingoshelf.utils import TaskGroup
 
-__all__ = ["Dispatch", "NodeConnection"]
+__all__ = ["MAX_FRAME_BYTES", "Dispatch", "NodeConnection"]
+
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+_MAX_RUNNING_ANSWERS = 256
 
 Dispatch = Callable[[str, Any], Awaitable[Any]]
 
@@ -24,6 +33,9 @@
 class NodeConnection:
     """Requests, replies and notifications over one websocket.
 
+    Messages are answered at the same time, in no fixed order. While `_MAX_RUNNING_ANSWERS` are
+    being answered, nothing more is read.
+
     Parameters
     ----------
     socket : ClientConnection or ServerConnection
@@ -32,16 +44,25 @@
         The node at the other end.
     dispatch : callable
         ``dispatch(peer_name, message)`` answers the peer's messages.
+    counters : LinkCounters
+        Counts what is carried.
     """
 
     def __init__(
-        self, *, socket: ClientConnection | ServerConnection, peer: Identity, dispatch: Dispatch
+        self,
+        *,
+        socket: ClientConnection | ServerConnection,
+        peer: Identity,
+        dispatch: Dispatch,
+        counters: LinkCounters,
     ) -> None:
         self._socket = socket
         self._peer = peer
         self._dispatch = dispatch
+        self._counters = counters
         self._numbers = itertools.count(1)
         self._pending: dict[int, asyncio.Future[Any]] = {}
+        self._answering = asyncio.Semaphore(_MAX_RUNNING_ANSWERS)
         self._tasks = TaskGroup(owner=f"connection.{peer.name}")
 
     @property
@@ -53,7 +74,7 @@
         """Receive frames until the connection closes."""
         try:
             async for data in self._socket:
-                self._receive(data)
+                await self._receive(data)
         except (ConnectionClosed, ProtocolError) as error:
             logger.bind(step="receive", peer=self._peer.name).debug("closed: {}", error)
         finally:
@@ -68,17 +89,15 @@
         await self._tasks.stop()
         await self._socket.close()
 
-    async def request(self, message: Any, *, timeout_s: float) -> Any:
+    async def request(self, message: Any) -> Any:
         """Send `message` and return the reply; errors as in `flamingoshelf.base.NodeLink`."""
         number = next(self._numbers)
+        data = self._encode(FrameKind.REQUEST, number, message)
         future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self._pending[number] = future
         try:
-            async with asyncio.timeout(timeout_s):
-                await self._send(FrameKind.REQUEST, number, message)
-                return await future
-        except TimeoutError as error:
-            raise self._lost(f"no reply within {timeout_s} s") from error
+            await self._send(data)
+            return await future
         except ConnectionClosed as error:
             raise self._lost("connection closed") from error
         finally:
@@ -86,19 +105,32 @@
 
     async def notify(self, message: Any) -> None:
         """Send `message` without a reply."""
-        await self._send(FrameKind.NOTIFICATION, 0, message)
-
-    async def _send(self, kind: FrameKind, number: int, message: Any) -> None:
-        await self._socket.send(encode_frame(Frame(kind=kind, number=number, message=message)))
-
-    def _receive(self, data: str | bytes) -> None:
+        await self._send(self._encode(FrameKind.NOTIFICATION, 0, message))
+
+    def _encode(self, kind: FrameKind, number: int, message: Any) -> bytes:
+        data = encode_frame(Frame(kind=kind, number=number, message=message))
+        if len(data) > MAX_FRAME_BYTES:
+            name = type(message).__name__
+            text = f"{name} has {len(data)} bytes; at most {MAX_FRAME_BYTES} are allowed"
+            raise PeerUnreachableError(text, step="encode", peer=self._peer.name)
+        return data
+
+    async def _send(self, data: bytes) -> None:
+        self._counters.messages_sent += 1
+        self._counters.bytes_sent += len(data)
+        await self._socket.send(data)
+
+    async def _receive(self, data: str | bytes) -> None:
         if isinstance(data, str):
             raise ProtocolError("text frame", step="receive", peer=self._peer.name)
+        self._counters.messages_received += 1
+        self._counters.bytes_received += len(data)
         frame = decode_frame(data, peer=self._peer.name)
         if frame.kind in (FrameKind.REPLY, FrameKind.ERROR):
             self._settle(frame)
-        else:
-            self._tasks.start(self._answer(frame), name="answer")
+            return
+        await self._answering.acquire()
+        self._tasks.start(self._answer(frame), name="answer")
 
     def _settle(self, frame: Frame) -> None:
         future = self._pending.get(frame.number)
@@ -106,22 +138,33 @@
             return
         if frame.kind is FrameKind.REPLY:
             future.set_result(frame.message)
-        else:
-            failure: Failure = frame.message
-            error = RemoteError(failure.reason, step=failure.step, peer=self._peer.name)
-            future.set_exception(error)
+            return
+        failure = frame.message
+        if not isinstance(failure, Failure):
+            raise ProtocolError("not a failure", step="receive", peer=self._peer.name)
+        error = RemoteError(failure.reason, step=failure.step, peer=self._peer.name)
+        future.set_exception(error)
 
     async def _answer(self, frame: Frame) -> None:
+        try:
+            data = await self._reply_to(frame)
+            if frame.kind is FrameKind.REQUEST:
+                await self._send(data)
+        except ConnectionClosed as error:
+            logger.bind(step="reply", peer=self._peer.name).debug("not sent: {}", error)
+        finally:
+            self._answering.release()
+
+    async def _reply_to(self, frame: Frame) -> bytes:
+        name = type(frame.message).__name__
         try:
             reply = await self._dispatch(self._peer.name, frame.message)
-            kind = FrameKind.REPLY
+            reply = Acknowledgement() if reply is None else reply
+            return self._encode(FrameKind.REPLY, frame.number, reply)
         except Exception as error:
-            name = type(frame.message).__name__
             logger.bind(step=name, peer=self._peer.name).warning("handler failed: {!r}", error)
-            reply = Failure(step=name, reason=str(error))
-            kind = FrameKind.ERROR
-        if frame.kind is FrameKind.REQUEST:
-            await self._send(kind, frame.number, Acknowledgement() if reply is None else reply)
+            failure = Failure(step=name, reason=str(error))
+            return self._encode(FrameKind.ERROR, frame.number, failure)
 
     def _lost(self, reason: str) -> OutcomeUnknownError:
         return OutcomeUnknownError(reason, step="request", peer=self._peer.name)
--- a/flamingoshelf/nodes/_link.py
+++ b/flamingoshelf/nodes/_link.py
@@ -1,27 +1,43 @@
 """All connections of one node to its peers."""
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
 
+import attrs
 from loguru import logger
 from websockets.asyncio.client import connect
-from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import WebSocketException
 
-from flamingoshelf.exceptions import FlamingoshelfError, PeerUnreachableError, ProtocolError
-from flamingoshelf.nodes._connection import NodeConnection
-from flamingoshelf.nodes._handshake import Identity, accept_handshake, offer_handshake
+from flamingoshelf.exceptions import (
+    FlamingoshelfError,
+    OutcomeUnknownError,
+    PeerUnreachableError,
+    ProtocolError,
+    RemoteError,
+)
+from flamingoshelf.nodes._acceptor import PING_INTERVAL_S, PING_TIMEOUT_S, Acceptor
+from flamingoshelf.nodes._connection import MAX_FRAME_BYTES, NodeConnection
+from flamingoshelf.nodes._counters import LinkCounters
+from flamingoshelf.nodes._dialler import Dialler
+from flamingoshelf.nodes._handshake import (
+    GREETING_HEADER,
+    Identity,
+    new_greeting,
+    offer_handshake,
+)
+from flamingoshelf.nodes._messages import Acknowledgement
+from flamingoshelf.nodes._tls import NodeTls, peer_certificate_digest
 from flamingoshelf.utils import TaskGroup
 
 __all__ = ["WebsocketNodeLink"]
 
 MessageT = TypeVar("MessageT")
 
-_HANDSHAKE_TIMEOUT_S = 2.0
-_MAX_FRAME_BYTES = 4 * 1024 * 1024
-_PING_INTERVAL_S = 10.0
 _NOTIFY_TIMEOUT_S = 2.0
+_CLOSE_TIMEOUT_S = 2.0
+_REPORT_INTERVAL_S = 5.0
 
 
 class WebsocketNodeLink:
@@ -40,6 +56,10 @@
         Secret that the nodes share.
     resolve : callable
         ``resolve(peer)`` returns the ``ip:port`` of a peer, or None if it is not known.
+    tls : NodeTls, optional
+        If given, connections without it are neither opened nor accepted.
+    count_event : callable, optional
+        ``count_event(event, amount)`` is told from time to time what was carried.
     """
 
     def __init__(
@@ -50,15 +70,30 @@
         listen_address: str,
         secret: bytes,
         resolve: Callable[[str], str | None],
+        tls: NodeTls | None = None,
+        count_event: Callable[[str, int], None] | None = None,
     ) -> None:
         self._identity = Identity(name=node_name, incarnation=incarnation)
-        self._listen_address = listen_address
         self._secret = secret
-        self._resolve = resolve
+        self._tls = tls
+        self._count_event = count_event
+        self._counters = LinkCounters()
+        self._reported = LinkCounters()
         self._handlers: dict[type[Any], Callable[[str, Any], Awaitable[Any]]] = {}
-        self._connections: dict[str, NodeConnection] = {}
-        self._dialling: dict[str, asyncio.Lock] = {}
-        self._server: Server | None = None
+        self._dialler = Dialler(
+            resolve=resolve,
+            open_connection=self._open,
+            counters=self._counters,
+            random_source=random.Random(incarnation),
+        )
+        self._acceptor = Acceptor(
+            identity=self._identity,
+            listen_address=listen_address,
+            secret=secret,
+            tls=tls,
+            dispatch=self._dispatch,
+            counters=self._counters,
+        )
         self._tasks = TaskGroup(owner="nodes")
 
     @property
@@ -71,6 +106,20 @@
         """Identifier of this run of the node's process."""
         return self._identity.incarnation
 
+    @property
+    def counters(self) -> LinkCounters:
+        """What was carried so far."""
+        return self._counters
+
+    def incarnation_of(self, peer: str) -> str | None:
+        """Return the incarnation that a connected peer has proved."""
+        connection = self._dialler.get(peer)
+        return (
+            self._acceptor.incarnation_of(peer)
+            if connection is None
+            else connection.peer.incarnation
+        )
+
     def register(
         self, message_type: type[MessageT], handler: Callable[[str, MessageT], Awaitable[Any]]
     ) -> None:
@@ -78,24 +127,22 @@
         self._handlers[message_type] = handler
 
     async def start(self) -> None:
-        """Accept connections of peers."""
-        host, _, port = self._listen_address.rpartition(":")
-        self._server = await serve(
-            self._accept,
-            host,
-            int(port),
-            max_size=_MAX_FRAME_BYTES,
-            compression=None,
-            ping_interval=_PING_INTERVAL_S,
-        )
+        """Accept connections of peers.
+
+        Raises
+        ------
+        OSError
+            The address is taken, as it is while an earlier run of this node still exists.
+        """
+        await self._acceptor.start()
+        self._tasks.start(self._report(), name="report")
 
     async def stop(self) -> None:
         """Close all connections."""
-        if self._server is not None:
-            self._server.close()
         await self._tasks.stop()
-        for connection in list(self._connections.values()):
-            await connection.close()
+        await self._dialler.stop()
+        await self._acceptor.stop()
+        self._report_once()
 
     async def request(self, peer: str, message: Any, *, timeout_s: float) -> Any:
         """Send `message` and return the peer's reply; errors as in `NodeLink`.
@@ -103,9 +150,17 @@
         A message to this node itself is answered without a connection.
         """
         if peer == self.node_name:
-            return await self._dispatch(peer, message)
-        connection = await self._connection(peer)
-        return await connection.request(message, timeout_s=timeout_s)
+            return await self._request_self(message, timeout_s=timeout_s)
+        connection: NodeConnection | None = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self._dialler.connection(peer)
+                return await connection.request(message)
+        except TimeoutError as error:
+            reason = f"no reply within {timeout_s} s"
+            if connection is None:
+                raise PeerUnreachableError(reason, step="dial", peer=peer) from error
+            raise OutcomeUnknownError(reason, step="request", peer=peer) from error
 
     def notify(self, peer: str, message: Any) -> None:
         """Send `message` without a reply; it may be lost."""
@@ -113,15 +168,27 @@
 
     async def _notify(self, peer: str, message: Any) -> None:
         try:
-            if peer == self.node_name:
-                await self._dispatch(peer, message)
-                return
             async with asyncio.timeout(_NOTIFY_TIMEOUT_S):
-                connection = await self._connection(peer)
+                if peer == self.node_name:
+                    await self._dispatch(peer, message)
+                    return
+                connection = await self._dialler.connection(peer)
                 await connection.notify(message)
         except (FlamingoshelfError, WebSocketException, TimeoutError) as error:
             logger.bind(step="notify", peer=peer).debug("lost: {!r}", error)
 
+    async def _request_self(self, message: Any, *, timeout_s: float) -> Any:
+        try:
+            async with asyncio.timeout(timeout_s):
+                reply = await self._dispatch(self.node_name, message)
+        except TimeoutError as error:
+            reason = f"no reply within {timeout_s} s"
+            raise OutcomeUnknownError(reason, step="request", peer=self.node_name) from error
+        except Exception as error:
+            name = type(message).__name__
+            raise RemoteError(str(error), step=name, peer=self.node_name) from error
+        return Acknowledgement() if reply is None else reply
+
     async def _dispatch(self, peer: str, message: Any) -> Any:
         handler = self._handlers.get(type(message))
         if handler is None:
@@ -129,60 +196,46 @@
             raise ProtocolError(f"no handler for {name}", step="dispatch", peer=peer)
         return await handler(peer, message)
 
-    async def _connection(self, peer: str) -> NodeConnection:
-        lock = self._dialling.setdefault(peer, asyncio.Lock())
-        async with lock:
-            connection = self._connections.get(peer)
-            if connection is None:
-                connection = await self._dial(peer)
-            return connection
-
-    async def _dial(self, peer: str) -> NodeConnection:
-        address = self._resolve(peer)
-        if address is None:
-            raise PeerUnreachableError("not in the VM list", step="dial", peer=peer)
-        try:
-            async with asyncio.timeout(_HANDSHAKE_TIMEOUT_S):
-                connection = await self._open(address, peer)
-        except (OSError, TimeoutError, WebSocketException, FlamingoshelfError) as error:
-            raise PeerUnreachableError(repr(error), step="dial", peer=peer) from error
-        self._connections[peer] = connection
-        self._tasks.start(self._run_dialled(peer, connection), name=f"peer.{peer}")
-        return connection
-
-    async def _open(self, address: str, peer: str) -> NodeConnection:
-        own_ip = self._listen_address.rpartition(":")[0]
+    async def _open(self, peer: str, address: str) -> NodeConnection:
+        greeting = new_greeting(self._identity, target=peer)
+        scheme = "ws" if self._tls is None else "wss"
         socket = await connect(
-            f"ws://{address}",
-            local_addr=(own_ip, 0),
-            max_size=_MAX_FRAME_BYTES,
+            f"{scheme}://{address}",
+            additional_headers={GREETING_HEADER: greeting.encode(self._secret)},
+            ssl=None if self._tls is None else self._tls.client,
+            max_size=MAX_FRAME_BYTES,
             compression=None,
-            ping_interval=_PING_INTERVAL_S,
+            ping_interval=PING_INTERVAL_S,
+            ping_timeout=PING_TIMEOUT_S,
+            close_timeout=_CLOSE_TIMEOUT_S,
             proxy=None,
         )
         try:
-            identity = await offer_handshake(socket, identity=self._identity, secret=self._secret)
-            if identity.name != peer:
-                raise ProtocolError(f"{identity.name} answered", step="handshake", peer=peer)
+            identity = await offer_handshake(
+                socket,
+                greeting=greeting,
+                secret=self._secret,
+                certificate_digest=peer_certificate_digest(socket.transport),
+            )
         except BaseException:
             await socket.close()
             raise
-        return NodeConnection(socket=socket, peer=identity, dispatch=self._dispatch)
+        return NodeConnection(
+            socket=socket, peer=identity, dispatch=self._dispatch, counters=self._counters
+        )
 
-    async def _run_dialled(self, peer: str, connection: NodeConnection) -> None:
-        try:
-            await connection.run()
-        finally:
-            if self._connections.get(peer) is connection:
-                del self._connections[peer]
+    async def _report(self) -> None:
+        while True:
+            await asyncio.sleep(_REPORT_INTERVAL_S)
+            self._report_once()
 
-    async def _accept(self, socket: ServerConnection) -> None:
-        try:
-            async with asyncio.timeout(_HANDSHAKE_TIMEOUT_S):
-                peer = await accept_handshake(socket, identity=self._identity, secret=self._secret)
-        except Exception as error:
-            where = str(socket.remote_address)
-            logger.bind(step="handshake", peer=where).warning("refused: {!r}", error)
+    def _report_once(self) -> None:
+        """Count what was carried since the last report."""
+        if self._count_event is None:
             return
-        connection = NodeConnection(socket=socket, peer=peer, dispatch=self._dispatch)
-        await connection.run()
+        for name in attrs.fields_dict(LinkCounters):
+            total = getattr(self._counters, name)
+            amount = total - getattr(self._reported, name)
+            if amount:
+                self._count_event(f"link_{name}", amount)
+            setattr(self._reported, name, total)
--- a/flamingoshelf/settings/_loader.py
+++ b/flamingoshelf/settings/_loader.py
@@ -31,6 +31,9 @@
     placer: str
     log_format: str
     log_level: str
+    tls_certificate_file: Path | None = None
+    tls_key_file: Path | None = None
+    tls_authority_file: Path | None = None
 
 
 def load_settings(path: Path) -> Settings:
@@ -50,11 +53,14 @@
         raise ConfigurationError("\n".join(sorted(errors)), step="settings", peer=str(path))
     values = {**_defaults(), **document}
     del values["cluster_secret_file"]
+    for name in _PATH_FIELDS & values.keys():
+        values[name] = path.parent / values[name]
     return Settings(cluster_secret=secret, **values)
 
 
 _VALIDATOR = Draft202012Validator(SETTINGS_SCHEMA)
 _MIN_SECRET_BYTES = 16
+_PATH_FIELDS = {"tls_certificate_file", "tls_key_file", "tls_authority_file"}
 
 
 def _defaults() -> dict[str, Any]:
@@ -84,7 +90,7 @@
 
 def _describe(path: Path, error: Any) -> str:
     field = ".".join(str(part) for part in error.absolute_path) or "(top level)"
-    if error.validator in ("required", "additionalProperties"):
+    if error.validator in ("required", "additionalProperties", "dependentRequired"):
         return f"{path}: {field}: {error.message}"
     valid = {key: value for key, value in error.schema.items() if key in _RANGE_KEYWORDS}
     return f"{path}: {field}: {error.instance!r} is not valid; expected {json.dumps(valid)}"
--- a/flamingoshelf/settings/_schema.py
+++ b/flamingoshelf/settings/_schema.py
@@ -5,6 +5,8 @@
 __all__ = ["SETTINGS_SCHEMA"]
 
 _ADDRESS = {"type": "string", "pattern": r"^[0-9.]+:[0-9]{1,5}$", "description": "ip:port"}
+_FILE = {"type": "string", "minLength": 1}
+_TLS_FIELDS = ("tls_certificate_file", "tls_key_file", "tls_authority_file")
 _SECONDS = {"type": "number", "exclusiveMinimum": 0, "maximum": 86400}
 
 SETTINGS_SCHEMA: dict[str, Any] = {
@@ -22,6 +24,7 @@
         "vm_list_address",
         "cluster_secret_file",
     ],
+    "dependentRequired": {name: list(_TLS_FIELDS) for name in _TLS_FIELDS},
     "properties": {
         "node_name": {
             "type": "string",
@@ -43,6 +46,15 @@
             "minLength": 1,
             "description": "File with the secret that the nodes share.",
         },
+        "tls_certificate_file": {
+            **_FILE,
+            "description": "Certificate (PEM) for connections between nodes.",
+        },
+        "tls_key_file": {**_FILE, "description": "Private key (PEM) of that certificate."},
+        "tls_authority_file": {
+            **_FILE,
+            "description": "Certificates (PEM) of the authority that signed all nodes' ones.",
+        },
         "max_body_bytes": {
             "type": "integer",
             "minimum": 1024,
