Count limits over the whole fleet at two homes for each workspace

The per-node limiter divided rate and burst by the number of nodes, so that a workspace whose callers met one node was refused within its rate. Now each limit has two parts, each an exclusive duty with a bucket at its holder. A request is charged at one part, at both if it fits in none alone, and at the other one if a home is gone.

A bucket counts reserved tokens as present until they are used: balance falls by use only, and refill stops at the burst. So the window bound holds for the tokens that are really used, whenever that is between charge and settlement. The engine's count of the prompt frees the rest of the estimate early. A tenure starts with an empty bucket; reservations end with it, so a refund can't reach another tenure. A node is ready once it knows the homes and its own parts had a second to refill.

Old tenure's running requests are outside the bound of the uses in windows that begin after a move; their grants keep it.

--- a/flamingoshelf/callers/_completion_run.py
+++ b/flamingoshelf/callers/_completion_run.py
@@ -188,6 +188,7 @@
         finally:
             self._runner.placer.release_prefill(grant)
         self._prompt_tokens = result.prompt_tokens
+        self._report_use()
         self._lifecycle.trigger("prefilled")
         await engines.import_kv(
             grant.decode_address,
@@ -250,6 +251,15 @@
                 logger.bind(request_id=request_id, step="cancel", peer=address).debug("{}", error)
                 await asyncio.sleep(_CANCEL_RETRY_S)
 
+    def _report_use(self) -> None:
+        """Give back what the estimate of the prompt was too high."""
+        if self._charge is not None:
+            self._runner.limiter.update(
+                self._charge,
+                used_tokens=self._prompt_tokens + len(self._generated),
+                reserved_tokens=self._request.max_tokens - len(self._generated),
+            )
+
     def _settle(self) -> None:
         if self._charge is None:
             return
--- a/flamingoshelf/daemon/_node.py
+++ b/flamingoshelf/daemon/_node.py
@@ -18,7 +18,14 @@
 from flamingoshelf.configuration import ConfigurationFollower
 from flamingoshelf.daemon._http_server import HttpServer
 from flamingoshelf.dispatch import LocalPlacer
-from flamingoshelf.limits import PerNodeLimiter
+from flamingoshelf.limits import (
+    FleetLimiter,
+    KeyedParts,
+    Limiter,
+    LimitHome,
+    LimitService,
+    PerNodeLimiter,
+)
 from flamingoshelf.membership import ListedOwnership, VmView
 from flamingoshelf.nodes import WebsocketNodeLink
 from flamingoshelf.objects import Catalog
@@ -56,8 +63,15 @@
         self._ownership = ListedOwnership(vms=self._vms, node_name=settings.node_name)
         self._engines = HttpEngineClient()
         self._placer = LocalPlacer(catalog=self._catalog)
-        self._limiter = PerNodeLimiter(catalog=self._catalog, node_count=self._node_count)
-        self._parts: tuple[Service, ...] = (self._vms, self._link, self._configuration)
+        self._limit_parts = KeyedParts(ownership=self._ownership)
+        self._limiter = self._build_limiter()
+        self._limit_service = self._build_limit_service()
+        self._parts: tuple[Service, ...] = (
+            self._vms,
+            self._link,
+            self._configuration,
+            self._limit_service,
+        )
         self._callers = HttpServer(
             app=self._build_caller_app(),
             address=settings.caller_address,
@@ -72,7 +86,8 @@
     @property
     def is_ready(self) -> bool:
         """Whether the node serves callers."""
-        return self._configuration.is_ready and not self._is_leaving
+        is_prepared = self._configuration.is_ready and self._limit_service.is_ready
+        return is_prepared and not self._is_leaving
 
     async def start(self) -> None:
         """Start all parts, the one for callers last."""
@@ -112,6 +127,26 @@
             resolve=self._vms.address_of,
         )
 
+    def _build_limiter(self) -> Limiter:
+        if self._settings.limiter == "per_node":
+            return PerNodeLimiter(catalog=self._catalog, node_count=self._node_count)
+        return FleetLimiter(
+            link=self._link,
+            parts=self._limit_parts,
+            catalog=self._catalog,
+            metrics=self._metrics,
+            background=self._background,
+        )
+
+    def _build_limit_service(self) -> LimitService:
+        return LimitService(
+            home=LimitHome(parts=self._limit_parts, catalog=self._catalog),
+            parts=self._limit_parts,
+            link=self._link,
+            catalog=self._catalog,
+            metrics=self._metrics,
+        )
+
     def _build_caller_app(self) -> Any:
         admission = Admission(
             catalog=self._catalog,
--- a/flamingoshelf/limits/__init__.py
+++ b/flamingoshelf/limits/__init__.py
@@ -1,6 +1,21 @@
 """Rate and burst of workspaces, counted in tokens."""
 
+from flamingoshelf.limits._fleet import FleetLimiter
+from flamingoshelf.limits._home import LimitHome
+from flamingoshelf.limits._parts import PARTS, KeyedParts, PartOwnership
 from flamingoshelf.limits._per_node import PerNodeLimiter
-from flamingoshelf.limits._types import Charge, Limiter
+from flamingoshelf.limits._service import LimitService
+from flamingoshelf.limits._types import Charge, ChargeShare, Limiter
 
-__all__ = ["Charge", "Limiter", "PerNodeLimiter"]
+__all__ = [
+    "Charge",
+    "ChargeShare",
+    "FleetLimiter",
+    "KeyedParts",
+    "LimitHome",
+    "LimitService",
+    "Limiter",
+    "PARTS",
+    "PartOwnership",
+    "PerNodeLimiter",
+]
--- a/flamingoshelf/limits/_per_node.py
+++ b/flamingoshelf/limits/_per_node.py
@@ -5,9 +5,10 @@
 import attrs
 from result import Err, Ok, Result
 
+from flamingoshelf.limits._refusals import rate_exceeded, unavailable
 from flamingoshelf.limits._types import Charge
 from flamingoshelf.objects import Catalog, Workspace
-from flamingoshelf.refusals import Refusal, RefusalReason
+from flamingoshelf.refusals import Refusal
 from flamingoshelf.utils import now_s
 
 __all__ = ["PerNodeLimiter"]
@@ -41,15 +42,16 @@
         """Take `tokens` from this node's part."""
         spec = self._catalog().workspace(workspace)
         if spec is None:
-            return Err(_unavailable(workspace))
+            return Err(unavailable(workspace))
         bucket = self._refilled(workspace, spec)
         if bucket.level < tokens:
             missing = tokens - bucket.level
-            return Err(_exceeded(missing * self._node_count() / spec.rate_tokens_s))
+            return Err(rate_exceeded(missing * self._node_count() / spec.rate_tokens_s))
         bucket.level -= tokens
-        return Ok(
-            Charge(request_id=request_id, workspace=workspace, tokens=tokens, home="", epoch="")
-        )
+        return Ok(Charge(request_id=request_id, workspace=workspace, tokens=tokens))
+
+    def update(self, charge: Charge, *, used_tokens: int, reserved_tokens: int) -> None:
+        """Do nothing: this limiter refunds at the end only."""
 
     def settle(self, charge: Charge, *, used_tokens: int) -> None:
         """Refund what was not used."""
@@ -66,25 +68,3 @@
         bucket.level = min(capacity, bucket.level + earned)
         bucket.updated_s = now
         return bucket
-
-
-def _unavailable(workspace: str) -> Refusal:
-    return Refusal(
-        reason=RefusalReason.LIMIT_UNAVAILABLE,
-        status=503,
-        detail=f"The limit of workspace {workspace!r} can't be read now.",
-        not_run=True,
-        retry_after_s=1.0,
-        step="charge",
-    )
-
-
-def _exceeded(wait_s: float) -> Refusal:
-    return Refusal(
-        reason=RefusalReason.RATE_EXCEEDED,
-        status=429,
-        detail="The workspace is above its rate and burst.",
-        not_run=True,
-        retry_after_s=wait_s,
-        step="charge",
-    )
--- a/flamingoshelf/limits/_types.py
+++ b/flamingoshelf/limits/_types.py
@@ -7,32 +7,48 @@
 
 from flamingoshelf.refusals import Refusal
 
-__all__ = ["Charge", "Limiter"]
+__all__ = ["Charge", "ChargeShare", "Limiter"]
+
+
+@attrs.frozen(kw_only=True)
+class ChargeShare:
+    """The part of a charge that one home reserved.
+
+    Parameters
+    ----------
+    part : int
+        Part of the workspace's limit.
+    home : str
+        Node that holds the part.
+    tokens : int
+        Tokens that were reserved.
+    """
+
+    part: int
+    home: str
+    tokens: int
 
 
 @attrs.frozen(kw_only=True)
 class Charge:
-    """Tokens that were taken from a workspace's limit.
+    """Tokens that were reserved in a workspace's limit.
 
     Parameters
     ----------
     request_id : str
-        Request that they were taken for.
+        Request that they were reserved for.
     workspace : str
         Workspace that pays.
     tokens : int
         Tokens, prompt and maximum output.
-    home : str
-        Node that took them.
-    epoch : str
-        Incarnation of the bucket that they were taken from; a refund to another one is void.
+    shares : tuple of ChargeShare
+        Where they were reserved; one share as a rule.
     """
 
     request_id: str
     workspace: str
     tokens: int
-    home: str
-    epoch: str
+    shares: tuple[ChargeShare, ...] = ()
 
 
 class Limiter(Protocol):
@@ -41,7 +57,10 @@
     async def charge(
         self, *, request_id: str, workspace: str, tokens: int
     ) -> Result[Charge, Refusal]:
-        """Take `tokens` from the workspace's limit."""
+        """Reserve `tokens` of the workspace's limit."""
+
+    def update(self, charge: Charge, *, used_tokens: int, reserved_tokens: int) -> None:
+        """Report the tokens used so far and those that may still be used."""
 
     def settle(self, charge: Charge, *, used_tokens: int) -> None:
-        """Refund what was not used, once."""
+        """End the reservation; what was not used goes back, once."""
--- a/flamingoshelf/settings/_loader.py
+++ b/flamingoshelf/settings/_loader.py
@@ -28,6 +28,7 @@
     max_body_bytes: int
     shutdown_timeout_s: float
     vm_list_lag_s: float
+    limiter: str
     log_format: str
     log_level: str
 
--- a/flamingoshelf/settings/_schema.py
+++ b/flamingoshelf/settings/_schema.py
@@ -60,6 +60,11 @@
             "default": 5,
             "description": "Lag of the VM list that the platform states.",
         },
+        "limiter": {
+            "enum": ["fleet", "per_node"],
+            "default": "fleet",
+            "description": "Whether limits count over the fleet or are divided by the nodes.",
+        },
         "log_format": {
             "enum": ["text", "json"],
             "default": "text",
