--- a/flamingoshelf/daemon/_node.py
+++ b/flamingoshelf/daemon/_node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from typing import Any
 
 from loguru import logger
@@ -15,29 +16,25 @@
     ServiceEndpoint,
     build_caller_app,
 )
+from flamingoshelf.claims import Attempts, ClaimBook, ClaimWriter, RetentionRule, WritePace
 from flamingoshelf.configuration import ConfigurationFollower
 from flamingoshelf.daemon._http_server import HttpServer
-from flamingoshelf.dispatch import LocalPlacer
-from flamingoshelf.limits import (
-    FleetLimiter,
-    KeyedParts,
-    Limiter,
-    LimitHome,
-    LimitService,
-    PerNodeLimiter,
-)
-from flamingoshelf.membership import ListedOwnership, VmView
+from flamingoshelf.daemon._limiters import LimiterParts, build_limiter
+from flamingoshelf.daemon._placers import PlacerParts, build_placer
+from flamingoshelf.dispatch import DispatcherService
+from flamingoshelf.membership import Membership, VmView
 from flamingoshelf.nodes import WebsocketNodeLink
 from flamingoshelf.objects import Catalog
 from flamingoshelf.operators import build_operator_app
 from flamingoshelf.platform import HttpObjectService, HttpVmList
+from flamingoshelf.services import EjectionRule, ServerBoard, ServiceRouter, ShareBudget
 from flamingoshelf.settings import Settings
 from flamingoshelf.telemetry import Metrics
-from flamingoshelf.utils import TaskGroup, new_incarnation
+from flamingoshelf.utils import TaskGroup, finite_or_none, new_incarnation
 
 __all__ = ["Node"]
 
-_READINESS_NOTICE_S = 1.0
+_READY_POLL_S = 0.05
 _OPERATOR_SHUTDOWN_S = 1.0
 
 
@@ -54,23 +51,41 @@
         self._settings = settings
         self._incarnation = new_incarnation()
         self._metrics = Metrics(node_name=settings.node_name)
+        self._is_open = False
         self._is_leaving = False
+        self._tasks = TaskGroup(owner="node")
         self._background = TaskGroup(owner="background")
         self._store = HttpObjectService(address=settings.object_service_address)
         self._vms = VmView(vm_list=HttpVmList(address=settings.vm_list_address))
         self._configuration = ConfigurationFollower(store=self._store)
         self._link = self._build_link()
-        self._ownership = ListedOwnership(vms=self._vms, node_name=settings.node_name)
+        self._membership = Membership(
+            link=self._link,
+            vms=self._vms,
+            store=self._store,
+            vm_list_lag_s=settings.vm_list_lag_s,
+        )
+        self._ownership = self._membership.ownership
         self._engines = HttpEngineClient()
-        self._placer = LocalPlacer(catalog=self._catalog)
-        self._limit_parts = KeyedParts(ownership=self._ownership)
-        self._limiter = self._build_limiter()
-        self._limit_service = self._build_limit_service()
+        self._placer = self._build_placer()
+        self._limits = self._build_limits()
+        self._random = random.Random(self._incarnation)
+        self._claims = self._build_claims()
+        self._dispatcher = DispatcherService(
+            link=self._link,
+            catalog=self._catalog,
+            engines=self._engines,
+            peers=self._node_names,
+            metrics=self._metrics,
+        )
         self._parts: tuple[Service, ...] = (
-            self._vms,
             self._link,
+            self._membership,
             self._configuration,
-            self._limit_service,
+            self._claims,
+            self._dispatcher,
+            self._limits.service,
+            *self._placer.services,
         )
         self._callers = HttpServer(
             app=self._build_caller_app(),
@@ -86,22 +101,23 @@
     @property
     def is_ready(self) -> bool:
         """Whether the node serves callers."""
-        is_prepared = self._configuration.is_ready and self._limit_service.is_ready
-        return is_prepared and not self._is_leaving
+        return self._is_open and not self._is_leaving
 
     async def start(self) -> None:
-        """Start all parts, the one for callers last."""
+        """Start all parts; callers are served once the node is ready."""
         await self._operators.start()
         for part in self._parts:
             await part.start()
-        await self._callers.start()
+        self._tasks.start(self._open_callers(), name="open_callers")
         logger.info("started, incarnation {}", self._incarnation)
 
     async def stop(self) -> None:
         """Stop without cutting a request."""
         self._is_leaving = True
         logger.info("leaving")
-        await asyncio.sleep(_READINESS_NOTICE_S)
+        await asyncio.sleep(self._settings.readiness_notice_s)
+        await self._membership.leave()
+        await self._tasks.stop()
         await self._callers.stop()
         await self._background.drain()
         for part in reversed(self._parts):
@@ -109,12 +125,24 @@
         await self._operators.stop()
         logger.info("stopped")
 
+    async def _open_callers(self) -> None:
+        """Listen for callers once there is a configuration to serve them by."""
+        while not (self._configuration.is_ready and self._membership.is_ready):
+            await asyncio.sleep(_READY_POLL_S)
+        while not self._limits.service.is_ready:
+            await asyncio.sleep(_READY_POLL_S)
+        await self._callers.start()
+        self._is_open = True
+
     def _catalog(self) -> Catalog:
         return self._configuration.catalog
 
     def _node_count(self) -> int:
         return len(self._vms.snapshot.vms)
 
+    def _node_names(self) -> list[str]:
+        return [vm.name for vm in self._vms.snapshot.vms]
+
     def _is_fresh(self) -> bool:
         return self._configuration.age_s <= self._catalog().fleet.key_freshness_s
 
@@ -127,24 +155,26 @@
             resolve=self._vms.address_of,
         )
 
-    def _build_limiter(self) -> Limiter:
-        if self._settings.limiter == "per_node":
-            return PerNodeLimiter(catalog=self._catalog, node_count=self._node_count)
-        return FleetLimiter(
+    def _build_limits(self) -> LimiterParts:
+        return build_limiter(
+            self._settings.limiter,
             link=self._link,
-            parts=self._limit_parts,
+            ownership=self._ownership,
             catalog=self._catalog,
+            node_count=self._node_count,
             metrics=self._metrics,
             background=self._background,
         )
 
-    def _build_limit_service(self) -> LimitService:
-        return LimitService(
-            home=LimitHome(parts=self._limit_parts, catalog=self._catalog),
-            parts=self._limit_parts,
+    def _build_placer(self) -> PlacerParts:
+        return build_placer(
+            self._settings.placer,
             link=self._link,
+            ownership=self._ownership,
             catalog=self._catalog,
+            engines=self._engines,
             metrics=self._metrics,
+            random_source=random.Random(self._incarnation),
         )
 
     def _build_caller_app(self) -> Any:
@@ -156,8 +186,8 @@
         )
         runner = CompletionRunner(
             engines=self._engines,
-            placer=self._placer,
-            limiter=self._limiter,
+            placer=self._placer.placer,
+            limiter=self._limits.limiter,
             metrics=self._metrics,
             background=self._background,
         )
@@ -166,11 +196,50 @@
         )
         services = ServiceEndpoint(
             admission=admission,
+            router=self._build_service_router(),
+            claims=self._claims,
+            background=self._background,
+        )
+        return build_caller_app(
+            admission=admission,
+            completions=completions,
+            services=services,
+            is_leaving=lambda: self._is_leaving,
+        )
+
+    def _build_claims(self) -> ClaimBook:
+        writer = ClaimWriter(
+            store=self._store,
+            link=self._link,
+            metrics=self._metrics,
+            rule=RetentionRule(),
+            pace=WritePace(),
+            wall_time_s=time.time,
+            random_source=self._random,
+        )
+        return ClaimBook(
+            writer=writer,
+            attempts=Attempts(link=self._link),
+            link=self._link,
+            ownership=self._ownership,
+            metrics=self._metrics,
+            wall_time_s=time.time,
+        )
+
+    def _build_service_router(self) -> ServiceRouter:
+        board = ServerBoard(
+            data_centre=self._settings.data_centre,
+            rule=EjectionRule(),
+            random_source=self._random,
+        )
+        return ServiceRouter(
+            catalog=self._catalog,
             client=PlainServiceClient(),
+            board=board,
+            budget=ShareBudget(),
             metrics=self._metrics,
-            random_source=random.Random(self._incarnation),
+            random_source=self._random,
         )
-        return build_caller_app(completions=completions, services=services)
 
     def _build_operator_app(self) -> Any:
         return build_operator_app(
@@ -184,6 +253,7 @@
             "incarnation": self._incarnation,
             "ready": self.is_ready,
             "revision": self._catalog().revision,
-            "configuration_age_s": round(self._configuration.age_s, 3),
+            "configuration_age_s": finite_or_none(self._configuration.age_s),
             "vm_list_version": self._vms.snapshot.version,
+            "membership": self._membership.status(),
         }
--- a/flamingoshelf/limits/__init__.py
+++ b/flamingoshelf/limits/__init__.py
@@ -2,7 +2,7 @@
 
 from flamingoshelf.limits._fleet import FleetLimiter
 from flamingoshelf.limits._home import LimitHome
-from flamingoshelf.limits._parts import PARTS, KeyedParts, PartOwnership
+from flamingoshelf.limits._parts import PARTS, DutyParts, PartOwnership, SlotParts
 from flamingoshelf.limits._per_node import PerNodeLimiter
 from flamingoshelf.limits._service import LimitService
 from flamingoshelf.limits._types import Charge, ChargeShare, Limiter
@@ -10,12 +10,13 @@
 __all__ = [
     "Charge",
     "ChargeShare",
+    "DutyParts",
     "FleetLimiter",
-    "KeyedParts",
     "LimitHome",
     "LimitService",
     "Limiter",
     "PARTS",
     "PartOwnership",
     "PerNodeLimiter",
+    "SlotParts",
 ]
--- a/flamingoshelf/limits/_parts.py
+++ b/flamingoshelf/limits/_parts.py
@@ -2,9 +2,9 @@
 
 from typing import Protocol
 
-from flamingoshelf.base import Duty, Ownership
+from flamingoshelf.base import Duty
 
-__all__ = ["PARTS", "KeyedParts", "PartOwnership"]
+__all__ = ["PARTS", "DutyParts", "PartOwnership", "SlotParts"]
 
 PARTS = 2
 
@@ -19,30 +19,32 @@
         """Return the fencing number under which this node holds a part now, or None."""
 
 
-class KeyedParts:
-    """Makes each part an exclusive duty of its own; implements `PartOwnership`.
+class DutyParts(Protocol):
+    """Ownership of exclusive duties that are split into parts."""
+
+    def part_holder(self, duty: Duty, key: str, part: int) -> str | None:
+        """Return the holder of one part of the duty, or None if the part is free."""
+
+    def part_fencing_number(self, duty: Duty, key: str, part: int) -> int | None:
+        """Return the fencing number of a part that this node holds now, or None."""
+
+
+class SlotParts:
+    """Parts by the slot table, in different data centres; implements `PartOwnership`.
 
     Parameters
     ----------
-    ownership : Ownership
-        Holders of exclusive duties.
+    ownership : DutyParts
+        Holders of the parts of exclusive duties.
     """
 
-    def __init__(self, *, ownership: Ownership) -> None:
+    def __init__(self, *, ownership: DutyParts) -> None:
         self._ownership = ownership
 
     def home(self, workspace: str, part: int) -> str | None:
         """Return the holder of a part as this node sees it."""
-        holders = self._ownership.holders(Duty.WORKSPACE_LIMIT, _key(workspace, part))
-        return next(iter(holders), None)
+        return self._ownership.part_holder(Duty.WORKSPACE_LIMIT, workspace, part)
 
     def tenure(self, workspace: str, part: int) -> int | None:
         """Return the fencing number under which this node holds a part now, or None."""
-        key = _key(workspace, part)
-        if not self._ownership.holds(Duty.WORKSPACE_LIMIT, key):
-            return None
-        return self._ownership.fencing_number(Duty.WORKSPACE_LIMIT, key)
-
-
-def _key(workspace: str, part: int) -> str:
-    return f"{workspace}/{part}"
+        return self._ownership.part_fencing_number(Duty.WORKSPACE_LIMIT, workspace, part)
--- a/flamingoshelf/refusals.py
+++ b/flamingoshelf/refusals.py
@@ -33,8 +33,10 @@
     CLAIM_IN_PROGRESS = "claim_in_progress"
     CLAIM_OUTCOME_UNKNOWN = "claim_outcome_unknown"
     CLAIM_BODY_DIFFERS = "claim_body_differs"
+    CLAIM_ANSWER_NOT_KEPT = "claim_answer_not_kept"
     QUARANTINED = "quarantined"
     SHUTTING_DOWN = "shutting_down"
+    INTERNAL_ERROR = "internal_error"
 
 
 class RetryReason(StrEnum):
--- a/flamingoshelf/settings/_schema.py
+++ b/flamingoshelf/settings/_schema.py
@@ -55,6 +55,11 @@
             "default": 60,
             "description": "Longest time a graceful shutdown waits for running requests.",
         },
+        "readiness_notice_s": {
+            **_SECONDS,
+            "default": 5,
+            "description": "Time from readiness off to the end of new connections at a shutdown.",
+        },
         "vm_list_lag_s": {
             **_SECONDS,
             "default": 5,
@@ -65,6 +70,11 @@
             "default": "fleet",
             "description": "Whether limits count over the fleet or are divided by the nodes.",
         },
+        "placer": {
+            "enum": ["fleet", "local", "two_choice", "round_robin"],
+            "default": "fleet",
+            "description": "How requests are placed; all but fleet are for comparison.",
+        },
         "log_format": {
             "enum": ["text", "json"],
             "default": "text",
