--- a/flamingoshelf/callers/_completion_run.py
+++ b/flamingoshelf/callers/_completion_run.py
@@ -210,6 +210,7 @@
         finally:
             self._runner.placer.release_prefill(grant)
         self._prompt_tokens = result.prompt_tokens
+        self._report_use()
         self._lifecycle.trigger("prefilled")
 
     async def _transfer(self, grant: Grant) -> None:
@@ -273,6 +274,15 @@
         self._avoid = (fault.server,)
         self._lifecycle.trigger("retry")
 
+    def _report_use(self) -> None:
+        """Give back what the estimate of the prompt was too high."""
+        if self._charge is not None:
+            self._runner.limiter.update(
+                self._charge,
+                used_tokens=self._prompt_tokens + len(self._answer),
+                reserved_tokens=self._request.max_tokens - len(self._answer),
+            )
+
     def _settle(self) -> None:
         if self._charge is None:
             return
--- a/flamingoshelf/daemon/_node.py
+++ b/flamingoshelf/daemon/_node.py
@@ -20,9 +20,9 @@
 from flamingoshelf.claims import Attempts, ClaimBook, ClaimWriter, RetentionRule, WritePace
 from flamingoshelf.configuration import ConfigurationFollower
 from flamingoshelf.daemon._http_server import HttpServer
+from flamingoshelf.daemon._limiters import LimiterParts, build_limiter
 from flamingoshelf.daemon._placers import PlacerParts, build_placer
 from flamingoshelf.dispatch import DispatcherService
-from flamingoshelf.limits import PerNodeLimiter
 from flamingoshelf.membership import Membership, VmView
 from flamingoshelf.nodes import NodeTls, WebsocketNodeLink, load_node_tls
 from flamingoshelf.objects import Catalog
@@ -77,7 +77,7 @@
         )
         self._engines = HttpEngineClient()
         self._placer = self._build_placer()
-        self._limiter = PerNodeLimiter(catalog=self._catalog, node_count=self._node_count)
+        self._limits = self._build_limits()
         self._random = random.Random(self._incarnation)
         self._claims = self._build_claims()
         self._dispatcher = DispatcherService(
@@ -93,6 +93,7 @@
             self._configuration,
             self._claims,
             self._dispatcher,
+            self._limits.service,
             *self._placer.services,
         )
         self._callers = HttpServer(
@@ -137,6 +138,8 @@
         """Listen for callers once there is a configuration to serve them by."""
         while not (self._configuration.is_ready and self._membership.is_ready):
             await asyncio.sleep(_READY_POLL_S)
+        while not self._limits.service.is_ready:
+            await asyncio.sleep(_READY_POLL_S)
         await self._callers.start()
         self._is_open = True
 
@@ -168,6 +171,17 @@
             return None
         return load_node_tls(certificate_file=certificate, key_file=key, authority_file=authority)
 
+    def _build_limits(self) -> LimiterParts:
+        return build_limiter(
+            self._settings.limiter,
+            link=self._link,
+            ownership=self._ownership,
+            catalog=self._catalog,
+            node_count=self._node_count,
+            metrics=self._metrics,
+            background=self._background,
+        )
+
     def _build_placer(self) -> PlacerParts:
         return build_placer(
             self._settings.placer,
@@ -189,7 +203,7 @@
         runner = CompletionRunner(
             engines=self._engines,
             placer=self._placer.placer,
-            limiter=self._limiter,
+            limiter=self._limits.limiter,
             metrics=self._metrics,
             background=self._background,
         )
--- a/flamingoshelf/daemon/tests/test_node.py
+++ b/flamingoshelf/daemon/tests/test_node.py
@@ -29,6 +29,7 @@
         shutdown_timeout_s=1,
         readiness_notice_s=0.1,
         vm_list_lag_s=1,
+        limiter="fleet",
         placer="fleet",
         log_format="text",
         log_level="INFO",
--- a/flamingoshelf/settings/_loader.py
+++ b/flamingoshelf/settings/_loader.py
@@ -29,6 +29,7 @@
     shutdown_timeout_s: float
     readiness_notice_s: float
     vm_list_lag_s: float
+    limiter: str
     placer: str
     log_format: str
     log_level: str
--- a/flamingoshelf/settings/_schema.py
+++ b/flamingoshelf/settings/_schema.py
@@ -77,6 +77,11 @@
             "default": 5,
             "description": "Lag of the VM list that the platform states.",
         },
+        "limiter": {
+            "enum": ["fleet", "per_node"],
+            "default": "fleet",
+            "description": "Whether limits count over the fleet or are divided by the nodes.",
+        },
         "placer": {
             "enum": ["fleet", "local", "two_choice", "round_robin"],
             "default": "fleet",
--- a/lab/local_fleet.py
+++ b/lab/local_fleet.py
@@ -40,11 +40,12 @@
     ) -> Result[Charge, Refusal]:
         """Take the tokens."""
         self.charged += 1
-        charge = Charge(
-            request_id=request_id, workspace=workspace, tokens=tokens, home="", epoch=""
-        )
+        charge = Charge(request_id=request_id, workspace=workspace, tokens=tokens)
         return Ok(charge)
 
+    def update(self, charge: Charge, *, used_tokens: int, reserved_tokens: int) -> None:
+        """Ignore reports of running requests."""
+
     def settle(self, charge: Charge, *, used_tokens: int) -> None:
         """Record the tokens that were used."""
         self.settled.append(used_tokens)
