--- a/flamingoshelf/configuration/_follower.py
+++ b/flamingoshelf/configuration/_follower.py
@@ -167,8 +167,7 @@
             age_s=0.0,
             reached=self._tree.follower_count,
         )
-        if self._freshness.report_outage(report, at_s=asked_s):
-            self._state.wake()
+        self._freshness.report_outage(report, at_s=asked_s)
 
     async def _follow_peers(self) -> None:
         await asyncio.sleep(self._jittered(_IDLE_S) / 2)
--- a/flamingoshelf/configuration/_freshness.py
+++ b/flamingoshelf/configuration/_freshness.py
@@ -61,16 +61,14 @@
         """Note that the revision was the newest at a time of this node's clock."""
         self._confirmed_s = max(self._confirmed_s, at_s)
 
-    def report_outage(self, report: OutageReport, *, at_s: float) -> bool:
-        """Note an outage report made `report.age_s` before `at_s`; return whether it is news."""
+    def report_outage(self, report: OutageReport, *, at_s: float) -> None:
+        """Note an outage report made `report.age_s` before `at_s`."""
         outage = _Outage(
             data_centre=report.data_centre, seen_s=at_s - report.age_s, reached=report.reached
         )
         known = self._outages.get(report.node)
-        if known is not None and known.seen_s >= outage.seen_s:
-            return False
-        self._outages[report.node] = outage
-        return known is None or not self._is_recent(known) or known.reached != outage.reached
+        if known is None or known.seen_s < outage.seen_s:
+            self._outages[report.node] = outage
 
     def end_outage(self, node: str) -> None:
         """Drop the report of a node that reaches the object service again."""
--- a/flamingoshelf/configuration/_peers.py
+++ b/flamingoshelf/configuration/_peers.py
@@ -87,13 +87,9 @@
             self._freshness.confirm(replied_s - reply.age_s)
 
     def _take_reports(self, reply: StateReply, replied_s: float) -> None:
-        news = [
-            self._freshness.report_outage(report, at_s=replied_s)
-            for report in reply.outages
-            if report.node != self._link.node_name
-        ]
-        if any(news):
-            self._state.wake()
+        for report in reply.outages:
+            if report.node != self._link.node_name:
+                self._freshness.report_outage(report, at_s=replied_s)
 
     async def _adopt_from(self, peer: str, reply: StateReply) -> None:
         if reply.steps:
--- a/flamingoshelf/configuration/_reading.py
+++ b/flamingoshelf/configuration/_reading.py
@@ -120,11 +120,11 @@
 
     async def history(self, *, limit: int) -> Sequence[Manifest]:
         """Return the newest manifests, newest first, as far back as they are kept."""
-        stored = await self._store.get(HEAD_KEY)
+        stored = await self._get_with_retry(HEAD_KEY)
         key = "" if stored is None else Head.decode(stored.value).manifest
         manifests: list[Manifest] = []
         while key and len(manifests) < limit:
-            found = await self._store.get(key)
+            found = await self._get_with_retry(key)
             if found is None:
                 break
             manifests.append(Manifest.decode(found.value))
@@ -154,7 +154,7 @@
         return steps[::-1]
 
     async def _load_newest(self) -> PublishedRevision:
-        stored = await self._store.get(HEAD_KEY)
+        stored = await self._get_with_retry(HEAD_KEY)
         if stored is None:
             empty = Catalog(revision=0, objects=())
             return PublishedRevision(catalog=empty, head=None, head_version=0)
--- a/flamingoshelf/configuration/_state.py
+++ b/flamingoshelf/configuration/_state.py
@@ -88,13 +88,8 @@
         end = offset + len(items)
         return zlib.compress(encode_objects(items)), end if end < len(self._catalog) else 0
 
-    def wake(self) -> None:
-        """Have all waiting `wait` calls return."""
-        self._news.set()
-        self._news = asyncio.Event()
-
     async def wait(self, timeout_s: float) -> None:
-        """Wait for a newer revision or `wake`, for `timeout_s` at the most."""
+        """Wait for a newer revision, for `timeout_s` at the most."""
         try:
             async with asyncio.timeout(timeout_s):
                 await self._news.wait()
@@ -105,7 +100,8 @@
         self._catalog = catalog
         self._manifest = manifest
         logger.info("revision {} in force", catalog.revision)
-        self.wake()
+        self._news.set()
+        self._news = asyncio.Event()
 
 
 def decode_steps(data: bytes) -> Sequence[RevisionStep]:
--- a/flamingoshelf/configuration/tests/test_repository.py
+++ b/flamingoshelf/configuration/tests/test_repository.py
@@ -67,6 +67,14 @@
     assert await repository.publish(list(objects.values()), base=base) == 2
 
 
+@pytest.mark.parametrize("position", [0, 1, 2])
+async def test_lost_reads_are_tried_again(store, repository, position):
+    store.faults = [*[F.NONE] * position, F.LOST_ANSWER, F.REFUSED]
+    assert (await repository.newest()).catalog.revision == 1
+    store.faults = [F.LOST_ANSWER]
+    assert len(await repository.history(limit=5)) == 1
+
+
 @pytest.mark.parametrize("published_on_top", [1, 3])
 async def test_lost_answer_with_later_revisions_on_top(store, repository, published_on_top):
     original_put = store.put
--- a/flamingoshelf/daemon/_node.py
+++ b/flamingoshelf/daemon/_node.py
@@ -158,5 +158,7 @@
             "configuration_watcher": self._configuration.is_watcher,
             "honours_keys": self._configuration.honours_keys,
             "configuration_age_s": age_s if math.isfinite(age_s) else None,
+            "peer_bytes_sent": self._link.traffic.sent_bytes,
+            "peer_bytes_received": self._link.traffic.received_bytes,
             "vm_list_version": self._vms.snapshot.version,
         }
--- a/flamingoshelf/nodes/_connection.py
+++ b/flamingoshelf/nodes/_connection.py
@@ -14,6 +14,7 @@
 from flamingoshelf.nodes._codec import Frame, FrameKind, decode_frame, encode_frame
 from flamingoshelf.nodes._handshake import Identity
 from flamingoshelf.nodes._messages import Acknowledgement, Failure
+from flamingoshelf.nodes._traffic import Traffic
 from flamingoshelf.utils import TaskGroup
 
 __all__ = ["Dispatch", "NodeConnection"]
@@ -32,14 +33,22 @@
         The node at the other end.
     dispatch : callable
         ``dispatch(peer_name, message)`` answers the peer's messages.
+    traffic : Traffic
+        Counts of the node.
     """
 
     def __init__(
-        self, *, socket: ClientConnection | ServerConnection, peer: Identity, dispatch: Dispatch
+        self,
+        *,
+        socket: ClientConnection | ServerConnection,
+        peer: Identity,
+        dispatch: Dispatch,
+        traffic: Traffic,
     ) -> None:
         self._socket = socket
         self._peer = peer
         self._dispatch = dispatch
+        self._traffic = traffic
         self._numbers = itertools.count(1)
         self._pending: dict[int, asyncio.Future[Any]] = {}
         self._tasks = TaskGroup(owner=f"connection.{peer.name}")
@@ -89,11 +98,14 @@
         await self._send(FrameKind.NOTIFICATION, 0, message)
 
     async def _send(self, kind: FrameKind, number: int, message: Any) -> None:
-        await self._socket.send(encode_frame(Frame(kind=kind, number=number, message=message)))
+        data = encode_frame(Frame(kind=kind, number=number, message=message))
+        self._traffic.sent_bytes += len(data)
+        await self._socket.send(data)
 
     def _receive(self, data: str | bytes) -> None:
         if isinstance(data, str):
             raise ProtocolError("text frame", step="receive", peer=self._peer.name)
+        self._traffic.received_bytes += len(data)
         frame = decode_frame(data, peer=self._peer.name)
         if frame.kind in (FrameKind.REPLY, FrameKind.ERROR):
             self._settle(frame)
--- a/flamingoshelf/nodes/_link.py
+++ b/flamingoshelf/nodes/_link.py
@@ -12,6 +12,7 @@
 from flamingoshelf.exceptions import FlamingoshelfError, PeerUnreachableError, ProtocolError
 from flamingoshelf.nodes._connection import NodeConnection
 from flamingoshelf.nodes._handshake import Identity, accept_handshake, offer_handshake
+from flamingoshelf.nodes._traffic import Traffic
 from flamingoshelf.utils import TaskGroup
 
 __all__ = ["WebsocketNodeLink"]
@@ -60,6 +61,7 @@
         self._dialling: dict[str, asyncio.Lock] = {}
         self._server: Server | None = None
         self._tasks = TaskGroup(owner="nodes")
+        self.traffic = Traffic()
 
     @property
     def node_name(self) -> str:
@@ -165,7 +167,9 @@
         except BaseException:
             await socket.close()
             raise
-        return NodeConnection(socket=socket, peer=identity, dispatch=self._dispatch)
+        return NodeConnection(
+            socket=socket, peer=identity, dispatch=self._dispatch, traffic=self.traffic
+        )
 
     async def _run_dialled(self, peer: str, connection: NodeConnection) -> None:
         try:
@@ -182,5 +186,7 @@
             where = str(socket.remote_address)
             logger.bind(step="handshake", peer=where).warning("refused: {!r}", error)
             return
-        connection = NodeConnection(socket=socket, peer=peer, dispatch=self._dispatch)
+        connection = NodeConnection(
+            socket=socket, peer=peer, dispatch=self._dispatch, traffic=self.traffic
+        )
         await connection.run()
