Keep bookings running longer than the readiness notice in their test

Cause: with the notice now at 5 s, bookings of 2 s ended before the node stopped its server, so that the test on leaving callers and nodes could not fail. With 8 s it fails when the server cuts running requests at a stop. It does not fail when the background tasks are cancelled in place of drained, because the server already waits for the handler of a caller that has left.

--- a/flamingoshelf/backends/tests/test_plain.py
+++ b/flamingoshelf/backends/tests/test_plain.py
@@ -128,3 +128,12 @@
     reply = await client.call(address, call_of("POST"), timeout_s=5)
     assert reply.body == b"ok"
     assert server.requests[0].startswith(b"POST /bookings/van-7 HTTP/1.1\r\n")
+
+
+async def test_second_answer_reaches_no_other_call(start_server, client):
+    late = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate"
+    server, address = await start_server("answer", REPLY + late)
+    for _ in range(3):
+        reply = await client.call(address, call_of("POST"), timeout_s=5)
+        assert (reply.status, reply.body) == (201, b"ok")
+    assert server.connections == 3
--- a/flamingoshelf/claims/tests/test_processes.py
+++ b/flamingoshelf/claims/tests/test_processes.py
@@ -127,7 +127,7 @@
 async def test_running_booking_ends_though_its_caller_and_its_node_leave(site):
     """The first caller disconnects; then the node is asked to stop while a second one waits."""
     for name in ("plain-0", "plain-1", "plain-2"):
-        await site.control(site.engine_addresses[name], {"delay_s": 2.0})
+        await site.control(site.engine_addresses[name], {"delay_s": 8.0})
     callers = Callers(site)
     node = site.nodes["node-0"]
     host, _, port = node.caller_address.rpartition(":")
