--- a/flamingoshelf/callers/tests/conftest.py
+++ b/flamingoshelf/callers/tests/conftest.py
@@ -161,9 +161,10 @@
     used: list[int] = attrs.field(factory=list)
 
     async def charge(self, *, request_id, workspace, tokens):
-        return Ok(
-            Charge(request_id=request_id, workspace=workspace, tokens=tokens, home="", epoch="")
-        )
+        return Ok(Charge(request_id=request_id, workspace=workspace, tokens=tokens))
+
+    def update(self, charge, *, used_tokens, reserved_tokens):
+        pass
 
     def settle(self, charge, *, used_tokens):
         self.used.append(used_tokens)
--- a/flamingoshelf/daemon/_node.py
+++ b/flamingoshelf/daemon/_node.py
@@ -5,6 +5,7 @@
 import time
 from typing import Any
 
+import attrs
 from loguru import logger
 
 from flamingoshelf.backends import HttpEngineClient, PlainServiceClient
@@ -19,11 +20,11 @@
 from flamingoshelf.claims import Attempts, ClaimBook, ClaimWriter, RetentionRule, WritePace
 from flamingoshelf.configuration import ConfigurationFollower
 from flamingoshelf.daemon._http_server import HttpServer
+from flamingoshelf.daemon._limiters import LimiterParts, build_limiter
 from flamingoshelf.daemon._placers import PlacerParts, build_placer
 from flamingoshelf.dispatch import DispatcherService
-from flamingoshelf.limits import PerNodeLimiter
 from flamingoshelf.membership import Membership, VmView
-from flamingoshelf.nodes import WebsocketNodeLink
+from flamingoshelf.nodes import NodeTls, WebsocketNodeLink, load_node_tls
 from flamingoshelf.objects import Catalog
 from flamingoshelf.operators import build_operator_app
 from flamingoshelf.platform import HttpObjectService, HttpVmList
@@ -58,7 +59,6 @@
         self._background = TaskGroup(owner="background")
         self._store = HttpObjectService(address=settings.object_service_address)
         self._vms = VmView(vm_list=HttpVmList(address=settings.vm_list_address))
-        self._configuration = ConfigurationFollower(store=self._store)
         self._link = self._build_link()
         self._membership = Membership(
             link=self._link,
@@ -67,9 +67,17 @@
             vm_list_lag_s=settings.vm_list_lag_s,
         )
         self._ownership = self._membership.ownership
+        self._configuration = ConfigurationFollower(
+            store=self._store,
+            link=self._link,
+            ownership=self._ownership,
+            vms=lambda: self._vms.snapshot.vms,
+            data_centre=settings.data_centre,
+            metrics=self._metrics,
+        )
         self._engines = HttpEngineClient()
         self._placer = self._build_placer()
-        self._limiter = PerNodeLimiter(catalog=self._catalog, node_count=self._node_count)
+        self._limits = self._build_limits()
         self._random = random.Random(self._incarnation)
         self._claims = self._build_claims()
         self._dispatcher = DispatcherService(
@@ -85,6 +93,7 @@
             self._configuration,
             self._claims,
             self._dispatcher,
+            self._limits.service,
             *self._placer.services,
         )
         self._callers = HttpServer(
@@ -129,6 +138,8 @@
         """Listen for callers once there is a configuration to serve them by."""
         while not (self._configuration.is_ready and self._membership.is_ready):
             await asyncio.sleep(_READY_POLL_S)
+        while not self._limits.service.is_ready:
+            await asyncio.sleep(_READY_POLL_S)
         await self._callers.start()
         self._is_open = True
 
@@ -141,9 +152,6 @@
     def _node_names(self) -> list[str]:
         return [vm.name for vm in self._vms.snapshot.vms]
 
-    def _is_fresh(self) -> bool:
-        return self._configuration.age_s <= self._catalog().fleet.key_freshness_s
-
     def _build_link(self) -> WebsocketNodeLink:
         return WebsocketNodeLink(
             node_name=self._settings.node_name,
@@ -151,6 +159,27 @@
             listen_address=self._settings.peer_address,
             secret=self._settings.cluster_secret,
             resolve=self._vms.address_of,
+            tls=self._load_tls(),
+            count_event=self._metrics.count_event,
+        )
+
+    def _load_tls(self) -> NodeTls | None:
+        settings = self._settings
+        certificate, key = settings.tls_certificate_file, settings.tls_key_file
+        authority = settings.tls_authority_file
+        if certificate is None or key is None or authority is None:
+            return None
+        return load_node_tls(certificate_file=certificate, key_file=key, authority_file=authority)
+
+    def _build_limits(self) -> LimiterParts:
+        return build_limiter(
+            self._settings.limiter,
+            link=self._link,
+            ownership=self._ownership,
+            catalog=self._catalog,
+            node_count=self._node_count,
+            metrics=self._metrics,
+            background=self._background,
         )
 
     def _build_placer(self) -> PlacerParts:
@@ -167,14 +196,14 @@
     def _build_caller_app(self) -> Any:
         admission = Admission(
             catalog=self._catalog,
-            is_fresh=self._is_fresh,
+            is_fresh=lambda: self._configuration.honours_keys,
             metrics=self._metrics,
             max_body_bytes=self._settings.max_body_bytes,
         )
         runner = CompletionRunner(
             engines=self._engines,
             placer=self._placer.placer,
-            limiter=self._limiter,
+            limiter=self._limits.limiter,
             metrics=self._metrics,
             background=self._background,
         )
@@ -240,7 +269,10 @@
             "incarnation": self._incarnation,
             "ready": self.is_ready,
             "revision": self._catalog().revision,
+            "configuration_watcher": self._configuration.is_watcher,
+            "honours_keys": self._configuration.honours_keys,
             "configuration_age_s": finite_or_none(self._configuration.age_s),
             "vm_list_version": self._vms.snapshot.version,
             "membership": self._membership.status(),
+            "link": attrs.asdict(self._link.counters),
         }
