--- a/flamingoshelf/callers/_completions.py
+++ b/flamingoshelf/callers/_completions.py
@@ -1,6 +1,5 @@
 """Endpoints for completions, in the shape of the OpenAI API."""
 
-import asyncio
 import itertools
 import json
 from collections.abc import AsyncGenerator, AsyncIterator
@@ -17,10 +16,13 @@
 from flamingoshelf.callers._authentication import Caller
 from flamingoshelf.callers._completion_request import CompletionRequest, parse_completion
 from flamingoshelf.callers._completion_run import CompletionRun, CompletionRunner, RefusedError
+from flamingoshelf.callers._disconnects import while_connected
 from flamingoshelf.refusals import Refusal, RefusalReason
 
 __all__ = ["CompletionEndpoints"]
 
+_CLIENT_GONE = 499
+
 
 @attrs.define(kw_only=True)
 class _Answer:
@@ -82,7 +84,7 @@
         if isinstance(run, Refusal):
             return self._admission.refuse(run)
         if completion.stream:
-            return await self._stream(completion, run)
+            return await self._stream(request, completion, run)
         return await self._whole(request, completion, run)
 
     def _new_run(self, completion: CompletionRequest, caller: Caller) -> CompletionRun | Refusal:
@@ -105,31 +107,25 @@
     async def _whole(
         self, request: Request, completion: CompletionRequest, run: CompletionRun
     ) -> Response:
-        answering = asyncio.create_task(_collect(run))
-        vanishing = asyncio.create_task(_wait_for_disconnect(request))
         try:
-            await asyncio.wait((answering, vanishing), return_when=asyncio.FIRST_COMPLETED)
-            if not answering.done():
-                answering.cancel()
-            answer = await answering
+            answer = await while_connected(request, _collect(run))
         except RefusedError as error:
             return self._admission.refuse(error.refusal)
-        except asyncio.CancelledError:
-            if not vanishing.done():
-                raise
-            return Response(status_code=499)
-        finally:
-            answering.cancel()
-            vanishing.cancel()
+        if answer is None:
+            return Response(status_code=_CLIENT_GONE)
         return JSONResponse(_whole_document(completion, run, answer))
 
-    async def _stream(self, completion: CompletionRequest, run: CompletionRun) -> Response:
+    async def _stream(
+        self, request: Request, completion: CompletionRequest, run: CompletionRun
+    ) -> Response:
         """Answer once the first event is there, so that a refusal is still a plain response."""
         events = run.tokens()
         try:
-            first = await anext(events)
+            first = await while_connected(request, anext(events))
         except RefusedError as error:
             return self._admission.refuse(error.refusal)
+        if first is None:
+            return Response(status_code=_CLIENT_GONE)
         return StreamingResponse(
             _server_sent_events(completion, run, first, events), media_type="text/event-stream"
         )
@@ -146,11 +142,6 @@
     return answer
 
 
-async def _wait_for_disconnect(request: Request) -> None:
-    while not await request.is_disconnected():
-        await asyncio.sleep(0.1)
-
-
 async def _server_sent_events(
     completion: CompletionRequest,
     run: CompletionRun,
