Give orders to model engines from the objects

Cause: nothing brought roles and model versions of the objects to the engines.

Change: the holder of a server's exclusive duty observes it and orders role, removals and one load at a time, with the duty's fencing number, idempotent and with backoff. A load needs a permit of the weight store's holder, which keeps to the store's rate; a new holder first waits as long as the largest load lasts. The engine stand-in takes POST /orders. Process tests: a node that is stopped over a move and goes on holds no slot; restarting all nodes one by one keeps every slot held.

--- a/flamingoshelf/daemon/_node.py
+++ b/flamingoshelf/daemon/_node.py
@@ -27,6 +27,7 @@
 from flamingoshelf.nodes import NodeTls, WebsocketNodeLink, load_node_tls
 from flamingoshelf.objects import Catalog
 from flamingoshelf.operators import build_operator_app
+from flamingoshelf.orders import HttpOrderClient, LoadPermits, OrderReconciler
 from flamingoshelf.platform import HttpObjectService, HttpVmList
 from flamingoshelf.services import EjectionRule, ServerBoard, ServiceRouter, ShareBudget
 from flamingoshelf.settings import Settings
@@ -77,10 +78,23 @@
             peers=self._node_names,
             metrics=self._metrics,
         )
+        self._permits = LoadPermits(
+            link=self._link, ownership=self._ownership, catalog=self._catalog
+        )
+        self._orders = OrderReconciler(
+            client=HttpOrderClient(),
+            ownership=self._ownership,
+            permits=self._permits,
+            catalog=self._catalog,
+            count_event=self._metrics.count_event,
+            random_source=self._random,
+        )
         self._parts: tuple[Service, ...] = (
             self._link,
             self._membership,
             self._configuration,
+            self._permits,
+            self._orders,
             self._claims,
             self._dispatcher,
             *self._placer.services,
--- a/lab/engine.py
+++ b/lab/engine.py
@@ -19,7 +19,7 @@
 from starlette.applications import Starlette
 from starlette.middleware import Middleware
 from starlette.requests import Request
-from starlette.responses import Response, StreamingResponse
+from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
 from flamingoshelf.utils import new_http_client
@@ -71,6 +71,8 @@
     step_per_request_s: float = 0.0008
     load_lag_s: float = 0.5
     stalled: bool = False
+    checks_fencing: bool = False
+    load_s: float = 0.5
 
 
 @attrs.define(kw_only=True)
@@ -109,6 +111,9 @@
         self._recorder = recorder
         self.records: Counter[str] = Counter()
         self.prompts: dict[str, str] = {}
+        self.orders: list[dict[str, Any]] = []
+        self._versions: dict[str, str] = {}
+        self._is_loading = False
         self._results: dict[str, _Prefilled] = {}
         self._cancelled: OrderedDict[str, None] = OrderedDict()
         self._running: dict[str, _Running] = {}
@@ -243,6 +248,29 @@
             self._loads.popleft()
         return self._loads[0][1]
 
+    async def give_order(self, request: Request) -> Response:
+        """Report role and versions; with POST, take an order and load what is missing."""
+        if request.method == "POST":
+            order = json.loads(await request.body())
+            newest = max((known["fencing_number"] for known in self.orders), default=0)
+            if self.options.checks_fencing and order["fencing_number"] < newest:
+                self.records["orders_refused"] += 1
+                return JSONResponse("old fencing number", 409)
+            self.orders.append(order)
+            asyncio.get_running_loop().call_later(self.options.load_s, self._finish_order, order)
+            self._is_loading = True
+        state = {
+            "role": self.options.role,
+            "versions": self._versions,
+            "is_loading": self._is_loading,
+        }
+        return JSONResponse(state)
+
+    def _finish_order(self, order: dict[str, Any]) -> None:
+        self.options.role = order["role"]
+        self._versions = order["versions"]
+        self._is_loading = False
+
     async def control(self, order: dict[str, Any]) -> Any:
         """Change options and return the records."""
         for name, value in order.items():
@@ -252,6 +280,7 @@
             "records": dict(self.records),
             "held": sorted(self._running),
             "keys_seen": KeyWatch.seen,
+            "orders": self.orders,
         }
 
     def _load_now(self) -> dict[str, Any]:
@@ -363,6 +392,7 @@
             Route("/decode", engine.decode, methods=["POST"]),
             Route("/cancel", handler(engine.cancel), methods=["POST"]),
             Route("/load", handler(engine.load), methods=["POST"]),
+            Route("/orders", engine.give_order, methods=["GET", "POST"]),
             Route("/control", handler(engine.control), methods=["GET", "POST"]),
         ],
         middleware=[Middleware(KeyWatch)],
