--- a/flamingoshelf/callers/tests/conftest.py
+++ b/flamingoshelf/callers/tests/conftest.py
@@ -28,6 +28,7 @@
 from flamingoshelf.objects import Catalog, parse_document
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import TaskGroup, new_http_client
+from lab.local_fleet import LocalFleet
 from lab.processes import AddressPool, wait_until_listening
 
 KEY = "fsk-desk-0123456789abcdef"
@@ -160,9 +161,10 @@
     used: list[int] = attrs.field(factory=list)
 
     async def charge(self, *, request_id, workspace, tokens):
-        return Ok(
-            Charge(request_id=request_id, workspace=workspace, tokens=tokens, home="", epoch="")
-        )
+        return Ok(Charge(request_id=request_id, workspace=workspace, tokens=tokens))
+
+    def update(self, charge, *, used_tokens, reserved_tokens):
+        pass
 
     def settle(self, charge, *, used_tokens):
         self.used.append(used_tokens)
@@ -178,6 +180,7 @@
     limiter: FakeLimiter
     client: aiosonic.HTTPClient
     is_fresh: bool = True
+    is_leaving: bool = False
 
     async def post(self, document, *, path="/v1/completions", key=KEY, headers=None):
         """Return status and parsed body."""
@@ -242,6 +245,7 @@
             claims=None,  # type: ignore[arg-type]
             background=background,
         ),
+        is_leaving=lambda: site.is_leaving,
     )
     server = HttpServer(app=app, address=site.address, shutdown_timeout_s=1)
     await server.start()
@@ -250,3 +254,11 @@
     await server.stop()
     await background.drain()
     await client.connector.cleanup()
+
+
+@pytest.fixture
+async def fleet():
+    """Nodes and engines of one process under the paused clock, which the test starts."""
+    fleet = LocalFleet()
+    yield fleet
+    await fleet.stop()
--- a/flamingoshelf/daemon/tests/test_node.py
+++ b/flamingoshelf/daemon/tests/test_node.py
@@ -1,5 +1,6 @@
 """A node without anything around it."""
 
+import asyncio
 import json
 
 import aiosonic
@@ -26,7 +27,9 @@
         cluster_secret=b"0123456789abcdef",
         max_body_bytes=1024,
         shutdown_timeout_s=1,
+        readiness_notice_s=0.1,
         vm_list_lag_s=1,
+        limiter="fleet",
         placer="fleet",
         log_format="text",
         log_level="INFO",
@@ -34,7 +37,7 @@
     node = Node(settings=settings)
     await node.start()
     await wait_until_listening(operator)
-    yield operator
+    yield operator, caller
     await node.stop()
 
 
@@ -43,8 +46,14 @@
 )
 async def test_operators_are_answered_before_the_first_revision(lonely_node, path, status):
     client = aiosonic.HTTPClient()
-    response = await client.get(f"http://{lonely_node}{path}")
+    response = await client.get(f"http://{lonely_node[0]}{path}")
     assert response.status_code == status
     if path == "/status":
         assert json.loads(await response.content())["ready"] is False
     await client.connector.cleanup()
+
+
+async def test_callers_are_not_served_before_the_first_revision(lonely_node):
+    host, _, port = lonely_node[1].rpartition(":")
+    with pytest.raises(ConnectionRefusedError):
+        await asyncio.open_connection(host, int(port))
--- a/flamingoshelf/dispatch/tests/test_dispatcher.py
+++ b/flamingoshelf/dispatch/tests/test_dispatcher.py
@@ -114,6 +114,31 @@
     assert pool.dispatcher.counter("b") == pytest.approx(pool.dispatcher.counter("a"))
 
 
+def test_work_done_while_others_were_idle_is_not_held_against_a_workspace(make_pool):
+    pool = make_pool(places=1, decode=1)
+    for number in range(4):
+        pool.ask(number, workspace="a")
+        pool.decide()
+        pool.dispatcher.release(f"inc.{number}.0")
+    pool.ask(10, workspace="b")
+    pool.ask(11, workspace="a")
+    assert pool.dispatcher.counter("b") == pytest.approx(pool.dispatcher.counter("a"))
+
+
+def test_short_work_passes_a_waiting_workspace_only_within_the_knob(make_pool):
+    pool = make_pool(places=1, decode=1, unfairness=2000, target=1000.0)
+    pool.ask(0, workspace="a", prompt_tokens=9000)
+    served = []
+    for number in range(1, 20):
+        pool.ask(number, workspace="b", prompt_tokens=100)
+        served += list(pool.decide())
+        pool.dispatcher.release(served[-1])
+        if "inc.0.0" in served:
+            break
+    cost = 100 + 4 * 100
+    assert served.index("inc.0.0") == 2000 // cost + 1
+
+
 def test_renewal_frees_a_grant_whose_release_was_lost(make_pool):
     pool = make_pool(places=1, decode=1)
     pool.ask(0)
@@ -151,6 +176,14 @@
     assert list(pool.decide()) == ["inc.0.0"]
 
 
+def test_reserved_places_stay_free(make_pool):
+    pool = make_pool(places=10, decode=1, kv_pieces=64)
+    pool.dispatcher.reserved_share = 0.2
+    for number in range(10):
+        pool.ask(number)
+    assert len(pool.decide()) == 8
+
+
 def test_lagging_report_of_a_released_attempt_is_ignored(make_pool):
     pool = make_pool(places=1, decode=1)
     pool.ask(0)
@@ -162,3 +195,15 @@
     pool.clock.advance(4.0)
     pool.dispatcher.decode_account("decode-0").observe(("inc.0.0",), 1, pool.clock())
     assert pool.dispatcher.decode_account("decode-0").foreign
+
+
+def test_late_requests_leave_the_last_places_to_those_that_can_be_on_time(make_pool):
+    pool = make_pool(places=50, decode=1, kv_pieces=64, prefill=2)
+    account = pool.dispatcher.decode_account("decode-0")
+    account.observe([f"old.{number}" for number in range(48)], 48, pool.clock())
+    pool.ask(0, waited_s=3.0)
+    assert pool.decide() == {}
+    pool.ask(1)
+    assert list(pool.decide()) == ["inc.1.0"]
+    account.observe([f"old.{number}" for number in range(40)], 40, pool.clock())
+    assert list(pool.decide()) == ["inc.0.0"]
--- a/flamingoshelf/membership/_ownership.py
+++ b/flamingoshelf/membership/_ownership.py
@@ -79,6 +79,17 @@
         indexes = self._indexes(duty, key)
         return [part for part, index in enumerate(indexes) if self._is_held(index)]
 
+    def part_holder(self, duty: Duty, key: str, part: int) -> str | None:
+        """Return the holder of one part of the duty, or None if the part is free."""
+        return self._tables.table.slots[self._indexes(duty, key)[part]].holder or None
+
+    def part_fencing_number(self, duty: Duty, key: str, part: int) -> int | None:
+        """Return the version at which this node's part was assigned; None if it isn't held now."""
+        index = self._indexes(duty, key)[part]
+        if not self.may_exercise or not self._is_held(index):
+            return None
+        return self._tables.table.slots[index].version
+
     def fencing_number(self, duty: Duty, key: str) -> int:
         """Return the version at which this node's part was assigned, else that of the first part.
 
