--- a/flamingoshelf/daemon/_main.py
+++ b/flamingoshelf/daemon/_main.py
@@ -36,7 +36,11 @@
     configure_logging(
         node_name=settings.node_name, level=settings.log_level, log_format=settings.log_format
     )
-    asyncio.run(_serve(settings))
+    try:
+        asyncio.run(_serve(settings))
+    except ConfigurationError as error:
+        print(error.message, file=sys.stderr)
+        return _EXIT_BAD_SETTINGS
     return _EXIT_OK
 
 
--- a/flamingoshelf/platform/_vm_list.py
+++ b/flamingoshelf/platform/_vm_list.py
@@ -50,4 +50,6 @@
         )
         for entry in document["vms"]
     )
+    if len({vm.name for vm in vms}) != len(vms):
+        raise ValueError("a name is listed twice")
     return VmListSnapshot(version=int(document["version"]), vms=vms)
