--- a/flamingoshelf/cli/_parser.py
+++ b/flamingoshelf/cli/_parser.py
@@ -9,9 +9,9 @@
 from flamingoshelf.cli._results import ExitStatus
 from flamingoshelf.objects import Kind
 
-__all__ = ["build_parser", "check_options"]
+__all__ = ["COMMANDS", "build_parser", "check_options"]
 
-_DESCRIPTIONS = {
+COMMANDS = {
     "check": "Check objects in files. With --store they are checked together with the newest "
     "revision, as 'apply' would do.",
     "diff": "Show what 'apply' would change. The exit status is 1 if there are differences.",
@@ -39,7 +39,7 @@
     commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
 
     def add(name: str) -> argparse.ArgumentParser:
-        text = _DESCRIPTIONS[name]
+        text = COMMANDS[name]
         command = commands.add_parser(
             name,
             help=text.split(". ")[0].rstrip("."),
--- a/flamingoshelf/objects/_kinds.py
+++ b/flamingoshelf/objects/_kinds.py
@@ -160,7 +160,15 @@
 
 @attrs.frozen(kw_only=True)
 class WeightStore:
-    """A store of model weights with a limited rate."""
+    """A store of model weights with a limited rate.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port``.
+    bytes_per_s : float
+        Rate that all loads together may use.
+    """
 
     address: str = attrs.field(validator=_address)
     bytes_per_s: float = attrs.field(validator=_positive)
@@ -285,7 +293,7 @@
 
 @attrs.frozen(kw_only=True)
 class Route:
-    """A path prefix that leads to a plain service.
+    """A path prefix that leads to a plain service; the longest one that covers a path counts.
 
     Parameters
     ----------
--- a/lab/memory_store.py
+++ b/lab/memory_store.py
@@ -12,6 +12,9 @@
 __all__ = ["MemoryObjectService", "StoreFault"]
 
 
+_CALL_S = 0.001
+
+
 class StoreFault(Enum):
     """What happens to one call."""
 
@@ -46,6 +49,7 @@
 
     async def get(self, key: str) -> VersionedObject | None:
         """Return the object, or None if there is none."""
+        await asyncio.sleep(_CALL_S)
         fault = self._begin("read")
         if fault in (StoreFault.LOST_REQUEST, StoreFault.LOST_ANSWER):
             raise ObjectServiceError("answer lost", step="get")
@@ -57,6 +61,7 @@
         """Write `value` if the object has `expected_version` (0: absent); return the version."""
         if len(value) > 1_000_000:
             raise ValueError(f"value has {len(value)} bytes; at most 1000000 are allowed")
+        await asyncio.sleep(_CALL_S)
         fault = self._begin("write")
         if fault is StoreFault.LOST_REQUEST:
             raise OutcomeUnknownError("request lost", step="put")
