--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of single matters; each module is a command that prints JSON."""
+"""Measurement commands; each ends by itself and writes JSON and plots."""
--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -142,7 +142,7 @@
         "calls": platform["calls"],
         "cpu": {name: _cpu_s(node.process.pid) for name, node in site.nodes.items()},
         "bytes": {
-            name: status["peer_bytes_sent"] + status["peer_bytes_received"]
+            name: status["link"]["bytes_sent"] + status["link"]["bytes_received"]
             for name, status in statuses.items()
         },
     }
--- a/flamingoshelf/daemon/_node.py
+++ b/flamingoshelf/daemon/_node.py
@@ -1,10 +1,11 @@
 """Puts the parts of a node together."""
 
 import asyncio
-import math
 import random
+import time
 from typing import Any
 
+import attrs
 from loguru import logger
 
 from flamingoshelf.backends import HttpEngineClient, PlainServiceClient
@@ -16,22 +17,26 @@
     ServiceEndpoint,
     build_caller_app,
 )
+from flamingoshelf.claims import Attempts, ClaimBook, ClaimWriter, RetentionRule, WritePace
 from flamingoshelf.configuration import ConfigurationFollower
 from flamingoshelf.daemon._http_server import HttpServer
-from flamingoshelf.dispatch import LocalPlacer
-from flamingoshelf.limits import PerNodeLimiter
-from flamingoshelf.membership import ListedOwnership, VmView
-from flamingoshelf.nodes import WebsocketNodeLink
+from flamingoshelf.daemon._limiters import LimiterParts, build_limiter
+from flamingoshelf.daemon._placers import PlacerParts, build_placer
+from flamingoshelf.dispatch import DispatcherService
+from flamingoshelf.membership import Membership, VmView
+from flamingoshelf.nodes import NodeTls, WebsocketNodeLink, load_node_tls
 from flamingoshelf.objects import Catalog
 from flamingoshelf.operators import build_operator_app
 from flamingoshelf.platform import HttpObjectService, HttpVmList
+from flamingoshelf.retries import Backoff, RetryBudgets
+from flamingoshelf.services import EjectionRule, ServerBoard, ServiceRouter
 from flamingoshelf.settings import Settings
 from flamingoshelf.telemetry import Metrics
-from flamingoshelf.utils import TaskGroup, new_incarnation
+from flamingoshelf.utils import TaskGroup, finite_or_none, new_incarnation
 
 __all__ = ["Node"]
 
-_READINESS_NOTICE_S = 1.0
+_READY_POLL_S = 0.05
 _OPERATOR_SHUTDOWN_S = 1.0
 
 
@@ -48,12 +53,20 @@
         self._settings = settings
         self._incarnation = new_incarnation()
         self._metrics = Metrics(node_name=settings.node_name)
+        self._is_open = False
         self._is_leaving = False
+        self._tasks = TaskGroup(owner="node")
         self._background = TaskGroup(owner="background")
         self._store = HttpObjectService(address=settings.object_service_address)
         self._vms = VmView(vm_list=HttpVmList(address=settings.vm_list_address))
         self._link = self._build_link()
-        self._ownership = ListedOwnership(vms=self._vms, node_name=settings.node_name)
+        self._membership = Membership(
+            link=self._link,
+            vms=self._vms,
+            store=self._store,
+            vm_list_lag_s=settings.vm_list_lag_s,
+        )
+        self._ownership = self._membership.ownership
         self._configuration = ConfigurationFollower(
             store=self._store,
             link=self._link,
@@ -63,9 +76,26 @@
             metrics=self._metrics,
         )
         self._engines = HttpEngineClient()
-        self._placer = LocalPlacer(catalog=self._catalog)
-        self._limiter = PerNodeLimiter(catalog=self._catalog, node_count=self._node_count)
-        self._parts: tuple[Service, ...] = (self._vms, self._link, self._configuration)
+        self._placer = self._build_placer()
+        self._limits = self._build_limits()
+        self._random = random.Random(self._incarnation)
+        self._claims = self._build_claims()
+        self._dispatcher = DispatcherService(
+            link=self._link,
+            catalog=self._catalog,
+            engines=self._engines,
+            peers=self._node_names,
+            metrics=self._metrics,
+        )
+        self._parts: tuple[Service, ...] = (
+            self._link,
+            self._membership,
+            self._configuration,
+            self._claims,
+            self._dispatcher,
+            self._limits.service,
+            *self._placer.services,
+        )
         self._callers = HttpServer(
             app=self._build_caller_app(),
             address=settings.caller_address,
@@ -80,21 +110,23 @@
     @property
     def is_ready(self) -> bool:
         """Whether the node serves callers."""
-        return self._configuration.is_ready and not self._is_leaving
+        return self._is_open and not self._is_leaving
 
     async def start(self) -> None:
-        """Start all parts, the one for callers last."""
+        """Start all parts; callers are served once the node is ready."""
         await self._operators.start()
         for part in self._parts:
             await part.start()
-        await self._callers.start()
+        self._tasks.start(self._open_callers(), name="open_callers")
         logger.info("started, incarnation {}", self._incarnation)
 
     async def stop(self) -> None:
         """Stop without cutting a request."""
         self._is_leaving = True
         logger.info("leaving")
-        await asyncio.sleep(_READINESS_NOTICE_S)
+        await asyncio.sleep(self._settings.readiness_notice_s)
+        await self._membership.leave()
+        await self._tasks.stop()
         await self._callers.stop()
         await self._background.drain()
         for part in reversed(self._parts):
@@ -102,12 +134,24 @@
         await self._operators.stop()
         logger.info("stopped")
 
+    async def _open_callers(self) -> None:
+        """Listen for callers once there is a configuration to serve them by."""
+        while not (self._configuration.is_ready and self._membership.is_ready):
+            await asyncio.sleep(_READY_POLL_S)
+        while not self._limits.service.is_ready:
+            await asyncio.sleep(_READY_POLL_S)
+        await self._callers.start()
+        self._is_open = True
+
     def _catalog(self) -> Catalog:
         return self._configuration.catalog
 
     def _node_count(self) -> int:
         return len(self._vms.snapshot.vms)
 
+    def _node_names(self) -> list[str]:
+        return [vm.name for vm in self._vms.snapshot.vms]
+
     def _build_link(self) -> WebsocketNodeLink:
         return WebsocketNodeLink(
             node_name=self._settings.node_name,
@@ -115,6 +159,38 @@
             listen_address=self._settings.peer_address,
             secret=self._settings.cluster_secret,
             resolve=self._vms.address_of,
+            tls=self._load_tls(),
+            count_event=self._metrics.count_event,
+        )
+
+    def _load_tls(self) -> NodeTls | None:
+        settings = self._settings
+        certificate, key = settings.tls_certificate_file, settings.tls_key_file
+        authority = settings.tls_authority_file
+        if certificate is None or key is None or authority is None:
+            return None
+        return load_node_tls(certificate_file=certificate, key_file=key, authority_file=authority)
+
+    def _build_limits(self) -> LimiterParts:
+        return build_limiter(
+            self._settings.limiter,
+            link=self._link,
+            ownership=self._ownership,
+            catalog=self._catalog,
+            node_count=self._node_count,
+            metrics=self._metrics,
+            background=self._background,
+        )
+
+    def _build_placer(self) -> PlacerParts:
+        return build_placer(
+            self._settings.placer,
+            link=self._link,
+            ownership=self._ownership,
+            catalog=self._catalog,
+            engines=self._engines,
+            metrics=self._metrics,
+            random_source=random.Random(self._incarnation),
         )
 
     def _build_caller_app(self) -> Any:
@@ -126,8 +202,8 @@
         )
         runner = CompletionRunner(
             engines=self._engines,
-            placer=self._placer,
-            limiter=self._limiter,
+            placer=self._placer.placer,
+            limiter=self._limits.limiter,
             metrics=self._metrics,
             background=self._background,
         )
@@ -136,11 +212,50 @@
         )
         services = ServiceEndpoint(
             admission=admission,
+            router=self._build_service_router(),
+            claims=self._claims,
+            background=self._background,
+        )
+        return build_caller_app(
+            admission=admission,
+            completions=completions,
+            services=services,
+            is_leaving=lambda: self._is_leaving,
+        )
+
+    def _build_claims(self) -> ClaimBook:
+        writer = ClaimWriter(
+            store=self._store,
+            link=self._link,
+            metrics=self._metrics,
+            rule=RetentionRule(),
+            pace=WritePace(),
+            wall_time_s=time.time,
+            random_source=self._random,
+        )
+        return ClaimBook(
+            writer=writer,
+            attempts=Attempts(link=self._link),
+            link=self._link,
+            ownership=self._ownership,
+            metrics=self._metrics,
+            wall_time_s=time.time,
+        )
+
+    def _build_service_router(self) -> ServiceRouter:
+        board = ServerBoard(
+            data_centre=self._settings.data_centre,
+            rule=EjectionRule(),
+            random_source=self._random,
+        )
+        return ServiceRouter(
+            catalog=self._catalog,
             client=PlainServiceClient(),
+            board=board,
+            budgets=RetryBudgets(node_count=self._node_count),
             metrics=self._metrics,
-            random_source=random.Random(self._incarnation),
+            backoff=Backoff(random_source=self._random),
         )
-        return build_caller_app(completions=completions, services=services)
 
     def _build_operator_app(self) -> Any:
         return build_operator_app(
@@ -148,7 +263,6 @@
         )
 
     def _status(self) -> dict[str, Any]:
-        age_s = round(self._configuration.age_s, 3)
         return {
             "node": self._settings.node_name,
             "data_centre": self._settings.data_centre,
@@ -157,8 +271,8 @@
             "revision": self._catalog().revision,
             "configuration_watcher": self._configuration.is_watcher,
             "honours_keys": self._configuration.honours_keys,
-            "configuration_age_s": age_s if math.isfinite(age_s) else None,
-            "peer_bytes_sent": self._link.traffic.sent_bytes,
-            "peer_bytes_received": self._link.traffic.received_bytes,
+            "configuration_age_s": finite_or_none(self._configuration.age_s),
             "vm_list_version": self._vms.snapshot.version,
+            "membership": self._membership.status(),
+            "link": attrs.asdict(self._link.counters),
         }
