--- a/flamingoshelf/callers/tests/test_disconnects.py
+++ b/flamingoshelf/callers/tests/test_disconnects.py
@@ -3,20 +3,21 @@
 import asyncio
 
 import pytest
+from starlette.requests import Request
 
-from flamingoshelf.callers._disconnects import while_connected
+from flamingoshelf.callers._streams import CallerGoneError, unless_caller_leaves
 
 pytestmark = pytest.mark.looptime
 
 
-class FakeRequest:
-    """A request whose caller goes away after a time."""
+def make_request(*, leaves_after_s):
+    """Return a request whose caller goes away after a time."""
 
-    def __init__(self, leaves_after_s):
-        self._leaves_after_s = leaves_after_s
+    async def receive():
+        await asyncio.sleep(leaves_after_s)
+        return {"type": "http.disconnect"}
 
-    async def is_disconnected(self):
-        return asyncio.get_running_loop().time() >= self._leaves_after_s
+    return Request({"type": "http", "headers": []}, receive)
 
 
 async def wait_for_a_place(seconds, log):
@@ -29,18 +30,21 @@
 
 async def test_work_ends_soon_after_its_caller_left():
     log: list[float] = []
-    assert await while_connected(FakeRequest(1.0), wait_for_a_place(20.0, log)) is None
-    await asyncio.sleep(0)
+    with pytest.raises(CallerGoneError):
+        await unless_caller_leaves(make_request(leaves_after_s=1.0), wait_for_a_place(20.0, log))
     assert log and log[0] < 1.5
 
 
 async def test_work_of_a_connected_caller_is_finished():
-    assert await while_connected(FakeRequest(60.0), wait_for_a_place(2.0, [])) == "answer"
+    request = make_request(leaves_after_s=60.0)
+    assert await unless_caller_leaves(request, wait_for_a_place(2.0, [])) == "answer"
 
 
 async def test_a_cancelled_handler_cancels_its_work():
     log: list[float] = []
-    handler = asyncio.create_task(while_connected(FakeRequest(60.0), wait_for_a_place(20.0, log)))
+    request = make_request(leaves_after_s=60.0)
+    work = wait_for_a_place(20.0, log)
+    handler = asyncio.create_task(unless_caller_leaves(request, work))
     await asyncio.sleep(1.0)
     handler.cancel()
     await asyncio.wait((handler,))
