--- a/lab/site.py
+++ b/lab/site.py
@@ -176,7 +176,9 @@
 
     async def control(self, address: str, order: dict[str, Any]) -> Any:
         """Send a stand-in an order; return its records."""
-        response = await self._client.post(f"http://{address}/control", json=order)
+        response = await self._client.post(
+            f"http://{address}/control", json=order, headers={"Connection": "close"}
+        )
         return json.loads(await response.content())
 
     async def status(self, name: str) -> Any:
--- a/lab/soak.py
+++ b/lab/soak.py
@@ -22,6 +22,7 @@
 )
 from lab.faults import Fault, FaultKind, draw_faults
 from lab.load import LoadOptions, LoadResult, run_load
+from lab.processes import wait_until_listening
 from lab.records import read_records
 from lab.scenarios import Scenario, WorkspaceLoad, key_of
 from lab.site import Site
@@ -299,6 +300,7 @@
 
     async def _check_engines(self) -> None:
         self._restart_engines()
+        await asyncio.gather(*map(wait_until_listening, self._site.engine_addresses.values()))
         for name, address in self._site.engine_addresses.items():
             report = await self._site.control(address, {})
             if report.get("held"):
--- a/lab/tests/test_reference.py
+++ b/lab/tests/test_reference.py
@@ -1,7 +1,13 @@
-"""The committed reference of objects is current."""
+"""The committed references of objects and settings are current."""
+
+import pytest
 
 from lab.reference import REFERENCE_PATH, render_reference
+from lab.settings_reference import SETTINGS_PATH, render_settings
 
 
-def test_reference_is_current():
-    assert REFERENCE_PATH.read_text() == render_reference()
+@pytest.mark.parametrize(
+    ("path", "render"), [(REFERENCE_PATH, render_reference), (SETTINGS_PATH, render_settings)]
+)
+def test_reference_is_current(path, render):
+    assert path.read_text() == render()
