--- a/flamingoshelf/callers/_admission.py
+++ b/flamingoshelf/callers/_admission.py
@@ -9,6 +9,7 @@
 
 from flamingoshelf.callers._authentication import Caller, KeyFilter, authenticate, read_key
 from flamingoshelf.callers._bodies import read_body
+from flamingoshelf.callers._completion_run import RefusedError
 from flamingoshelf.callers._problems import problem_response
 from flamingoshelf.objects import Catalog
 from flamingoshelf.refusals import Refusal, RefusalReason
@@ -75,6 +76,9 @@
 
     async def answer_failure(self, request: Request, error: Exception) -> Response:
         """Answer a request whose handler failed."""
+        if isinstance(error, RefusedError):
+            logger.bind(step=error.step, peer=error.peer).info("answer cut: {}", error.message)
+            return self.refuse(_internal_error())
         logger.opt(exception=error).bind(step="answer").error("{} failed", request.url.path)
         return self.refuse(_internal_error())
 
