Run a short mixed run in the tests

Cause: the mixed run was a command only, so that a change could break it unseen. Conclusion: stays in the suite.

--- /dev/null
+++ b/lab/tests/test_soak.py
@@ -0,0 +1,17 @@
+"""A short mixed run: faults from a seed, and no breach."""
+
+import pytest
+
+from lab.scenarios import SCENARIOS
+from lab.soak import SoakOptions, run_soak
+
+pytestmark = pytest.mark.processes
+
+
+async def test_mixed_run_finds_no_breach(tmp_path):
+    scenario = SCENARIOS["himal"].resized(node_count=3, prefill_count=2, decode_count=3)
+    options = SoakOptions(seed=3, duration_s=12.0, load=0.2, mean_gap_s=2.0)
+    report = await run_soak(scenario=scenario, folder=tmp_path, options=options)
+    assert report.breaches == [], report.faults
+    assert report.measures["completions"] > 10
+    assert report.faults
