Add the engine interface's contract test; type an answer that is not JSON

Cause: the engine was the one interface without a contract test. The test found that an answer that is not JSON escaped as a JSONDecodeError, so that the request ended as internal_error instead of being tried at another engine. Change: such an answer is a ProtocolError with step and peer. Fault cases in tables: refused, crossed, malformed, cut, closed, stalled.

--- a/flamingoshelf/backends/_engine.py
+++ b/flamingoshelf/backends/_engine.py
@@ -270,7 +270,10 @@
             raise EngineError(repr(error), step=step, peer=address, crashed=True) from error
         if response.status_code != 200:
             raise _refused(response.status_code, step=step, address=address)
-        return json.loads(content)
+        try:
+            return json.loads(content)
+        except ValueError as error:
+            raise ProtocolError("answer is not JSON", step=step, peer=address) from error
 
     @staticmethod
     def _check_id(answer: Any, request_id: str, *, step: str, address: str) -> None:
--- /dev/null
+++ b/flamingoshelf/backends/tests/test_engine.py
@@ -0,0 +1,126 @@
+"""Contract of the engine interface: answers, and the fault cases in tables."""
+
+import asyncio
+
+import pytest
+
+from flamingoshelf.backends import DecodedToken, DecodeEnd, HttpEngineClient, PrefillTask
+from flamingoshelf.exceptions import EngineError, ProtocolError
+from lab.processes import AddressPool
+
+ID = "i.1.0"
+TOKEN = b'data: {"request_id": "i.1.0", "index": 0, "text": "a "}\n\n'
+END = (
+    b'data: {"request_id": "i.1.0", "done": true, "finish_reason": "stop", '
+    b'"completion_tokens": 1}\n\n'
+)
+CROSSED = TOKEN.replace(b"i.1.0", b"i.2.0")
+
+
+def answer(body, *, status=200, length=None):
+    size = len(body) if length is None else length
+    head = (
+        f"HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nContent-Length: {size}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def stream(body, *, is_finished=True):
+    head = b"HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    chunk = f"{len(body):x}\r\n".encode() + body + b"\r\n"
+    return head + chunk + (b"0\r\n\r\n" if is_finished else b"")
+
+
+@pytest.fixture
+async def engine():
+    """An engine that answers every request with `script`, and closes unless it stalls."""
+
+    class Engine:
+        script = b""
+        stalls = False
+        address = AddressPool().take()[0]
+        client = HttpEngineClient()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(Engine.script)
+        await writer.drain()
+        if Engine.stalls:
+            await asyncio.sleep(5)
+        writer.close()
+
+    host, _, port = Engine.address.rpartition(":")
+    server = await asyncio.start_server(serve, host, int(port))
+    yield Engine
+    await Engine.client.close()
+    server.close()
+
+
+async def prefill(engine):
+    task = PrefillTask(request_id=ID, model="m", prompt="x")
+    return await engine.client.prefill(engine.address, task, timeout_s=0.5)
+
+
+async def decode(engine):
+    stream = engine.client.decode(engine.address, request_id=ID, from_index=0, stall_timeout_s=0.5)
+    return [event async for event in stream]
+
+
+async def test_prefill(engine):
+    engine.script = answer(
+        b'{"request_id": "i.1.0", "prompt_tokens": 3, "cached_tokens": 1, "kv_bytes": 9, '
+        b'"lifetime_s": 0.8}'
+    )
+    result = await prefill(engine)
+    assert (result.prompt_tokens, result.cached_tokens, result.kv_bytes) == (3, 1, 9)
+
+
+async def test_decode(engine):
+    engine.script = stream(TOKEN + END)
+    assert await decode(engine) == [
+        DecodedToken(request_id=ID, index=0, text="a "),
+        DecodeEnd(request_id=ID, finish_reason="stop", completion_tokens=1),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("script", "stalls", "error", "crashed"),
+    [
+        (answer(b"full", status=503), False, EngineError, False),
+        (answer(b'{"request_id": "i.2.0"}'), False, ProtocolError, None),
+        (answer(b"no JSON"), False, ProtocolError, None),
+        (answer(b"{", length=100), False, EngineError, True),
+        (b"", False, EngineError, True),
+        (b"", True, EngineError, False),
+    ],
+    ids=["refused", "crossed", "malformed", "cut", "closed", "stalled"],
+)
+async def test_prefill_faults(engine, script, stalls, error, crashed):
+    engine.script, engine.stalls = script, stalls
+    with pytest.raises(error) as caught:
+        await prefill(engine)
+    assert caught.value.step == "prefill"
+    assert caught.value.peer == engine.address
+    if crashed is not None:
+        assert caught.value.crashed is crashed
+
+
+@pytest.mark.parametrize(
+    ("script", "stalls", "error", "crashed"),
+    [
+        (answer(b"gone", status=404), False, EngineError, False),
+        (stream(TOKEN + CROSSED), False, ProtocolError, None),
+        (stream(TOKEN, is_finished=False), False, EngineError, True),
+        (b"", False, EngineError, True),
+        (stream(TOKEN, is_finished=False), True, EngineError, False),
+    ],
+    ids=["refused", "crossed", "cut", "closed", "stalled"],
+)
+async def test_decode_faults(engine, script, stalls, error, crashed):
+    engine.script, engine.stalls = script, stalls
+    with pytest.raises(error) as caught:
+        await decode(engine)
+    assert caught.value.step == "decode"
+    assert caught.value.peer == engine.address
+    if crashed is not None:
+        assert caught.value.crashed is crashed
