--- a/lab/load.py
+++ b/lab/load.py
@@ -169,8 +169,9 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + self._options.duration_s
         next_s = loop.time()
+        arrivals = random.Random(f"{self._options.seed}.{send.__name__}")
         while rate_per_s > 0:
-            next_s += self._random.expovariate(rate_per_s)
+            next_s += arrivals.expovariate(rate_per_s)
             if next_s >= end_s:
                 return
             await asyncio.sleep(next_s - loop.time())
