Take changed settings over while a node runs, with or without SIGHUP

Cause: a changed settings file was only noted in the log, and one that changed without a signal was not seen at all; bounds stayed as they were at the start of the process. Change: SettingsWatch looks at the file once a second and at SIGHUP; bounds are taken over, names and addresses are logged as needing a restart, a file that is not valid changes nothing. Budgets of repeats can be resized; the lease of orders is read at each use. Settings that no code read (seeds, notices, memory, descriptors, wake pause) are gone from our types.

--- a/flamingoshelf/cluster/_duty.py
+++ b/flamingoshelf/cluster/_duty.py
@@ -41,8 +41,8 @@
         Name of the duty.
     holder : str
         Name of this node.
-    lease_s : float
-        Time for which other nodes leave the duty alone after it was used.
+    lease_s : callable
+        Returns the time for which other nodes leave the duty alone after it was used.
     clock : callable
         Returns the time in seconds, with the time for which the process was suspended.
     """
@@ -53,7 +53,7 @@
         store: KindStore,
         name: str,
         holder: str,
-        lease_s: float,
+        lease_s: Callable[[], float],
         clock: Callable[[], float],
     ) -> None:
         self._store = store
@@ -107,4 +107,4 @@
             logger.bind(step="duty", duty=self._name, peer=holder, token=found.revision).info(
                 "another node has it"
             )
-        return now - self._seen[1] >= self._lease_s + _USE_S + _MARGIN_S
+        return now - self._seen[1] >= self._lease_s() + _USE_S + _MARGIN_S
--- a/flamingoshelf/gateway/__init__.py
+++ b/flamingoshelf/gateway/__init__.py
@@ -13,6 +13,7 @@
 from flamingoshelf.gateway._node import GatewayNode
 from flamingoshelf.gateway._plain_forwarder import PlainForwarder
 from flamingoshelf.gateway._settings import GatewaySettings
+from flamingoshelf.gateway._settings_watch import SettingsWatch
 from flamingoshelf.gateway._sources import SourceFormat
 from flamingoshelf.gateway._stream_forwarder import StreamForwarder
 from flamingoshelf.gateway._target_choice import TargetChoice
@@ -41,6 +42,7 @@
     "OrderOutcome",
     "PlainForwarder",
     "RoleOrder",
+    "SettingsWatch",
     "SourceFormat",
     "StreamForwarder",
     "TargetChoice",
--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 
+import attrs
 from loguru import logger
 
 from flamingoshelf.cluster import Coordination, ExclusiveDuty, Member, MemberList, Registration
@@ -17,7 +18,7 @@
 from flamingoshelf.gateway._load_watch import LoadWatch
 from flamingoshelf.gateway._plain_forwarder import PlainForwarder
 from flamingoshelf.gateway._role_keeper import RoleKeeper
-from flamingoshelf.gateway._settings import GatewaySettings
+from flamingoshelf.gateway._settings import GatewaySettings, changed_fields
 from flamingoshelf.gateway._shutdown import ShutdownPlan
 from flamingoshelf.gateway._sources import ConfigurationSource, InstanceSource, SourceFormat
 from flamingoshelf.gateway._status_server import StatusServer
@@ -36,7 +37,7 @@
     WorkspaceLimits,
 )
 from flamingoshelf.quarantine import ContentGuard, Quarantine, QuarantineService
-from flamingoshelf.retries import RetryBudget, RetryBudgets
+from flamingoshelf.retries import RetryBudgets
 from flamingoshelf.routing import EjectionRule, EngineProfile, InstanceDirectory, ServerBoard
 from flamingoshelf.store import KindStore
 from flamingoshelf.telemetry import Metrics
@@ -99,6 +100,7 @@
         self._is_leaving = False
         self._pool = ConnectionPool(max_connections=self._max_connections)
         self._client = BackendClient(pool=self._pool, wire=wire)
+        self._budgets = RetryBudgets(node_count=self._node_count, **self._retry_bounds())
         self._tasks = TaskGroup(owner="node")
         self._incarnation = new_incarnation()
         self._members = MemberList()
@@ -146,7 +148,7 @@
                 store=store,
                 name=_ORDER_DUTY,
                 holder=settings.node_name,
-                lease_s=settings.order_lease_s,
+                lease_s=lambda: self._settings.order_lease_s,
                 clock=boot_time_s,
             ),
             holder=settings.node_name,
@@ -201,6 +203,13 @@
         self._tasks.start(self._remove_gone_nodes(), name="gone_nodes")
         logger.bind(step="start", address=self._settings.caller_address).info("started")
 
+    def apply_settings(self, settings: GatewaySettings) -> None:
+        """Take over new settings, but for those that need a restart."""
+        taken, fixed = changed_fields(self._settings, settings)
+        self._settings = attrs.evolve(self._settings, **taken)
+        self._budgets.resize(**self._retry_bounds())
+        logger.bind(step="reload", taken=taken, needs_restart=fixed).info("settings taken over")
+
     async def stop(self) -> None:
         """Leave without cutting a request."""
         self._is_leaving = True
@@ -321,7 +330,7 @@
             rule=EjectionRule(),
             random_source=self._random,
         )
-        budget = self._build_budgets()
+        budget = self._budgets.budget
         return Gateway(
             configuration=self._configuration,
             admission=Admission(configuration=self._configuration, wire=wire),
@@ -346,15 +355,16 @@
             metrics=self._metrics,
         )
 
-    def _build_budgets(self) -> Callable[[str], RetryBudget]:
-        """Return the budgets of repeats: within the bound that holds for any window."""
+    def _retry_bounds(self) -> dict[str, float]:
+        """Return the bounds of repeats that keep within what is allowed in any window."""
         settings = self._settings
-        return RetryBudgets(
-            node_count=self._node_count,
-            ratio=_RETRY_RATIO_SHARE * settings.retry_ratio,
-            fleet_reserve=_RETRY_RESERVE_SHARE * settings.retry_reserve,
-            fleet_floor_per_s=_RETRY_FLOOR_SHARE * settings.retry_reserve / settings.retry_window_s,
-        ).budget
+        return {
+            "ratio": _RETRY_RATIO_SHARE * settings.retry_ratio,
+            "fleet_reserve": _RETRY_RESERVE_SHARE * settings.retry_reserve,
+            "fleet_floor_per_s": (
+                _RETRY_FLOOR_SHARE * settings.retry_reserve / settings.retry_window_s
+            ),
+        }
 
     def _node_count(self) -> int:
         return max(1, len(self._members))
--- a/flamingoshelf/gateway/_settings.py
+++ b/flamingoshelf/gateway/_settings.py
@@ -1,8 +1,23 @@
 """Settings of a gateway node."""
 
+from typing import Any
+
 import attrs
 
-__all__ = ["GatewaySettings"]
+__all__ = ["GatewaySettings", "changed_fields"]
+
+# What is set up once: a change of it needs a new process.
+_FIXED_FIELDS = frozenset(
+    {
+        "node_name",
+        "data_centre",
+        "caller_address",
+        "readiness_address",
+        "peer_address",
+        "store_address",
+        "is_first_start",
+    }
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -17,14 +32,10 @@
         ``ip:port`` for callers, for readiness checks and for other nodes.
     store_address : str
         ``ip:port`` of the platform's store.
-    seed_addresses : tuple of str
-        Peer addresses of some nodes; they may be out of date.
     is_first_start : bool
         Whether the fleet starts for the first time.
     shutdown_grace_s : float
         Time from SIGTERM until the process is killed.
-    drain_notice_s, configuration_notice_s : float
-        Time within which a leaving server gets no new work and a configuration is in force.
     order_lease_s : float
         Time for which the right to give orders is kept from others.
     retry_ratio, retry_window_s, retry_reserve : float
@@ -32,10 +43,6 @@
         the reserve.
     limit_excess, limit_slack_tokens : float
         What is tolerated above workspaces' limits: a part of them, and tokens in each window.
-    wake_pause_s : float
-        Time for which a process that was frozen gives no orders.
-    max_memory_bytes, max_descriptors : int
-        Limits of the process.
     """
 
     node_name: str
@@ -44,17 +51,34 @@
     readiness_address: str
     peer_address: str
     store_address: str
-    seed_addresses: tuple[str, ...] = ()
     is_first_start: bool = False
     shutdown_grace_s: float = 8.0
-    drain_notice_s: float = 2.0
-    configuration_notice_s: float = 2.0
     order_lease_s: float = 3.0
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_reserve: float = 20.0
     limit_excess: float = 0.0
     limit_slack_tokens: float = 0.0
-    wake_pause_s: float = 0.3
-    max_memory_bytes: int = 150 * 1024 * 1024
-    max_descriptors: int = 1024
+
+
+def changed_fields(
+    before: GatewaySettings, after: GatewaySettings
+) -> tuple[dict[str, Any], dict[str, Any]]:
+    """Return the new values that a running node takes over, and those that need a restart.
+
+    Examples
+    --------
+    >>> addresses = dict.fromkeys(
+    ...     ["caller_address", "readiness_address", "peer_address", "store_address"], "10.0.0.1:1"
+    ... )
+    >>> old = GatewaySettings(node_name="a", data_centre="z", **addresses)
+    >>> changed_fields(old, attrs.evolve(old, shutdown_grace_s=5.0, data_centre="y"))
+    ({'shutdown_grace_s': 5.0}, {'data_centre': 'y'})
+    """
+    new = {
+        field.name: getattr(after, field.name)
+        for field in attrs.fields(GatewaySettings)
+        if getattr(before, field.name) != getattr(after, field.name)
+    }
+    taken = {name: value for name, value in new.items() if name not in _FIXED_FIELDS}
+    return taken, {name: value for name, value in new.items() if name in _FIXED_FIELDS}
--- a/flamingoshelf/platform/_main.py
+++ b/flamingoshelf/platform/_main.py
@@ -7,10 +7,8 @@
 import sys
 from pathlib import Path
 
-from loguru import logger
-
 from flamingoshelf.exceptions import ConfigurationError
-from flamingoshelf.gateway import GatewayNode, GatewaySettings, SourceFormat
+from flamingoshelf.gateway import GatewayNode, GatewaySettings, SettingsWatch, SourceFormat
 from flamingoshelf.http1 import ConnectionPool
 from flamingoshelf.platform._configuration import (
     CONFIGURATION_KIND,
@@ -55,11 +53,15 @@
     if arguments.check_settings:
         return
     output = configure_bounded_logging(node_name=settings.node_name, level=arguments.log_level)
-    asyncio.run(_run(settings, metrics_port=arguments.metrics_port, log_output=output))
+    asyncio.run(_run(settings, path=path, metrics_port=arguments.metrics_port, log_output=output))
 
 
 async def _run(
-    settings: GatewaySettings, *, metrics_port: int | None, log_output: BoundedOutput
+    settings: GatewaySettings,
+    *,
+    path: Path,
+    metrics_port: int | None,
+    log_output: BoundedOutput,
 ) -> None:
     ip = settings.caller_address.rpartition(":")[0]
     pool = ConnectionPool(max_connections=lambda key: _STORE_CONNECTIONS)
@@ -82,12 +84,10 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
     loop.add_signal_handler(signal.SIGINT, stopped.set)
-    loop.add_signal_handler(signal.SIGHUP, _note_reload)
+    watch = SettingsWatch(path=path, load=load_settings, apply=node.apply_settings)
+    loop.add_signal_handler(signal.SIGHUP, lambda: watch.reload(reason="SIGHUP"))
+    await watch.start()
     await node.start()
     await stopped.wait()
     await node.stop()
-
-
-def _note_reload() -> None:
-    """Note that the settings file changed; what a running node uses of it does not change."""
-    logger.bind(step="reload").info("the settings file changed; addresses and bounds stay")
+    await watch.stop()
--- a/flamingoshelf/platform/_settings_file.py
+++ b/flamingoshelf/platform/_settings_file.py
@@ -41,22 +41,14 @@
         "peer_address": fields.required("bind.control", _address),
         "store_address": fields.required("platform.address", _address),
         "is_first_start": fields.optional("bootstrap", _flag, False),
-        "seed_addresses": fields.optional("seeds", _addresses, ()),
         # The time from a stop's announcement until the process is killed.
         "shutdown_grace_s": fields.optional("bounds.graceS", _positive, 8.0),
-        # How long a server is given new work after it is known to leave, at most.
-        "drain_notice_s": fields.optional("bounds.drainMs", _milliseconds, 2.0),
-        "configuration_notice_s": fields.optional("bounds.configApplyMs", _milliseconds, 2.0),
         "order_lease_s": fields.optional("bounds.leaseMs", _milliseconds, 3.0),
         "retry_ratio": fields.optional("bounds.retryRatio", _ratio, 0.2),
         "retry_window_s": fields.optional("bounds.retryWindowS", _positive, 10.0),
         "retry_reserve": fields.optional("bounds.retrySlack", _not_negative, 20.0),
         "limit_excess": fields.optional("bounds.quotaExcess", _ratio, 0.0),
         "limit_slack_tokens": fields.optional("bounds.quotaSlack", _not_negative, 0.0),
-        # A frozen process that wakes gives no orders for this long.
-        "wake_pause_s": fields.optional("bounds.thawMs", _milliseconds, 0.3),
-        "max_memory_bytes": fields.optional("limits.memoryMb", _megabytes, 150 * 1024 * 1024),
-        "max_descriptors": fields.optional("limits.maxFds", _count, 1024),
     }
     if fields.errors:
         lines = "\n".join(f"{source}: {error}" for error in fields.errors)
@@ -119,10 +111,6 @@
     return value == "true"
 
 
-def _addresses(value: str) -> tuple[str, ...]:
-    return tuple(_address(part.strip()) for part in value.split(",") if part.strip())
-
-
 def _number(value: str, *, low: float, expected: str) -> float:
     try:
         number = float(value)
@@ -153,11 +141,3 @@
 
 def _milliseconds(value: str) -> float:
     return _not_negative(value) / 1000
-
-
-def _megabytes(value: str) -> int:
-    return int(_positive(value) * 1024 * 1024)
-
-
-def _count(value: str) -> int:
-    return int(_positive(value))
--- a/flamingoshelf/retries/_budget.py
+++ b/flamingoshelf/retries/_budget.py
@@ -59,6 +59,15 @@
         self._balance = self._reserve
         self._updated_s: float | None = None
 
+    def resize(self, *, ratio: float, fleet_reserve: float, fleet_floor_per_s: float) -> None:
+        """Set other bounds; what was saved up beyond the new reserve is lost."""
+        check_range("ratio", ratio, low=0, high=1)
+        check_positive("fleet_reserve", fleet_reserve)
+        self._ratio = ratio
+        self._fleet_reserve = fleet_reserve
+        self._fleet_floor_per_s = fleet_floor_per_s
+        self._balance = min(self._balance, self._reserve)
+
     def record_request(self) -> None:
         """Earn the part of a retry that one first attempt is worth."""
         self._earn(self._ratio)
@@ -109,6 +118,16 @@
         self._fleet_floor_per_s = fleet_floor_per_s
         self._budgets: dict[str, RetryBudget] = {}
 
+    def resize(self, *, ratio: float, fleet_reserve: float, fleet_floor_per_s: float) -> None:
+        """Set other bounds for all pools."""
+        self._ratio = ratio
+        self._fleet_reserve = fleet_reserve
+        self._fleet_floor_per_s = fleet_floor_per_s
+        for budget in self._budgets.values():
+            budget.resize(
+                ratio=ratio, fleet_reserve=fleet_reserve, fleet_floor_per_s=fleet_floor_per_s
+            )
+
     def budget(self, pool: str) -> RetryBudget:
         """Return the budget of `pool`."""
         budget = self._budgets.get(pool)
--- a/flamingoshelf/retries/tests/test_retries.py
+++ b/flamingoshelf/retries/tests/test_retries.py
@@ -45,6 +45,20 @@
     assert not budgets.budget("decode").try_spend()
 
 
+@pytest.mark.looptime
+async def test_bounds_that_change_apply_to_the_pools_that_exist():
+    budgets = RetryBudgets(node_count=lambda: 1)
+    budgets.budget("decode")
+    budgets.resize(ratio=0.5, fleet_reserve=8.0, fleet_floor_per_s=2.0)
+    assert spend_all(budgets.budget("decode")) == 8
+    for _ in range(4):
+        budgets.budget("decode").record_request()
+    assert spend_all(budgets.budget("decode")) == 2
+    await asyncio.sleep(1.0)
+    assert spend_all(budgets.budget("decode")) == 2
+    assert spend_all(budgets.budget("plain")) == 8
+
+
 def test_backoff_is_bounded_by_cap_and_deadline():
     backoff = Backoff(base_s=0.1, cap_s=0.5, random_source=random.Random(1))
     delays = [backoff.delay_s(attempt, remaining_s=10.0) for attempt in range(30)]
--- a/lab/tests/test_gateway_site.py
+++ b/lab/tests/test_gateway_site.py
@@ -165,6 +165,25 @@
     assert node._popen.returncode == 0
 
 
+@pytest.mark.parametrize("is_signalled", [True, False], ids=["signal", "no signal"])
+async def test_changed_settings_are_taken_over_without_cutting_a_request(
+    new_site, tmp_path, is_signalled
+):
+    site = await new_site()
+    address, node = site.node_addresses[0], site.nodes[0]
+    running = asyncio.ensure_future(site.caller.call(address, f"{NOTES}1", tokens=(1000, 1600)))
+    await asyncio.sleep(0.3)
+    file = tmp_path / "node-0.conf"
+    file.write_text(file.read_text().replace("bounds.graceS=4", "bounds.graceS=6"))
+    if is_signalled:
+        node.send(signal.SIGHUP)
+    await until(lambda: '"shutdown_grace_s": 6.0' in node.log)
+    file.write_text("nodeName=\n")  # half-written, as while it is replaced
+    await until(lambda: "settings not valid, those in force stay" in node.log)
+    assert (await site.caller.call(address, f"{BOOKINGS}1")).status == 200
+    assert (await running).is_whole
+
+
 async def test_stream_that_may_be_resumed_survives_its_engine(new_site):
     site = await new_site(prefill_count=1, decode_count=3)
     await settle_roles(site)
