Soak: disturb the paths between gateway nodes, too

Nodes now reach each other through a fault proxy each: it refuses, silences, delays by 0.2 s, or cuts one way; so does the path to the store. For that a node can listen for its peers elsewhere than where they reach it (--peer-listen), as behind a forwarder. Clocks: the gateway decides by the steady clock and the time since boot only; the time of day stands in log lines alone, so nothing of it is disturbed here.

--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -240,7 +240,7 @@
         link = WebsocketNodeLink(
             node_name=own.name,
             incarnation=self._incarnation,
-            listen_address=self._settings.peer_address,
+            listen_address=self._settings.peer_listen_address or self._settings.peer_address,
             secret=secret,
             resolve=self._members.address_of,
             count_event=self._metrics.count_event,
--- a/flamingoshelf/gateway/_settings.py
+++ b/flamingoshelf/gateway/_settings.py
@@ -14,6 +14,7 @@
         "caller_address",
         "readiness_address",
         "peer_address",
+        "peer_listen_address",
         "store_address",
         "is_first_start",
         "processor_share",
@@ -37,6 +38,8 @@
         ``ip:port`` for callers, for readiness checks and for other nodes.
     store_address : str
         ``ip:port`` of the platform's store.
+    peer_listen_address : str or None
+        ``ip:port`` to listen at for other nodes, if they reach this one through a forwarder.
     is_first_start : bool
         Whether the fleet starts for the first time.
     shutdown_grace_s : float
@@ -60,6 +63,7 @@
     readiness_address: str
     peer_address: str
     store_address: str
+    peer_listen_address: str | None = None
     is_first_start: bool = False
     shutdown_grace_s: float = 8.0
     order_lease_s: float = 3.0
--- a/flamingoshelf/platform/_main.py
+++ b/flamingoshelf/platform/_main.py
@@ -7,6 +7,8 @@
 import sys
 from pathlib import Path
 
+import attrs
+
 from flamingoshelf.exceptions import ConfigurationError
 from flamingoshelf.gateway import GatewayNode, GatewaySettings, SettingsWatch, SourceFormat
 from flamingoshelf.http1 import ConnectionPool
@@ -39,6 +41,11 @@
         help=f"settings file, by default the one that {_SETTINGS_VARIABLE} names",
     )
     parser.add_argument("--metrics-port", type=int, help="port at which metrics are served")
+    parser.add_argument(
+        "--peer-listen",
+        metavar="IP:PORT",
+        help="where to listen for other nodes, if they reach this one through a forwarder",
+    )
     parser.add_argument("--log-level", default="INFO", help="lowest level that is logged")
     parser.add_argument(
         "--check-settings", action="store_true", help="check the settings file and end"
@@ -52,6 +59,7 @@
         sys.exit(_EXIT_BAD_SETTINGS)
     if arguments.check_settings:
         return
+    settings = attrs.evolve(settings, peer_listen_address=arguments.peer_listen)
     output = configure_bounded_logging(node_name=settings.node_name, level=arguments.log_level)
     asyncio.run(_run(settings, path=path, metrics_port=arguments.metrics_port, log_output=output))
 
--- a/lab/gateway/_site.py
+++ b/lab/gateway/_site.py
@@ -55,8 +55,10 @@
         self.version = 0
         self.node_addresses: list[str] = []
         self.ready_addresses: list[str] = []
+        self.metrics_addresses: list[str] = []
         self.nodes: list[Process] = []
         self.store_proxies: list[FaultProxy] = []
+        self.peer_proxies: list[FaultProxy] = []
         for number in range(node_count):
             self._add_node(number)
 
@@ -73,7 +75,7 @@
     async def start(self) -> None:
         """Start everything and wait until all nodes are ready."""
         await self.store.start()
-        for proxy in self.store_proxies:
+        for proxy in self._proxies:
             await proxy.start()
         for server in self.servers:
             await server.start()
@@ -90,7 +92,7 @@
             node.kill()
         for server in self.servers:
             await server.stop()
-        for proxy in self.store_proxies:
+        for proxy in self._proxies:
             await proxy.stop()
         await self.store.stop()
 
@@ -114,12 +116,17 @@
         """Return the engine at an address."""
         return next((engine for engine in self.engines if engine.address == address), None)
 
+    @property
+    def _proxies(self) -> list[FaultProxy]:
+        return [*self.store_proxies, *self.peer_proxies]
+
     def _add_node(self, number: int) -> None:
-        front, ready, control, metrics = self._addresses.take(4)
+        front, ready, control, listen, metrics = self._addresses.take(5)
         proxy = FaultProxy(
             listen_address=self._addresses.take()[0], target_address=self.store_address
         )
         self.store_proxies.append(proxy)
+        self.peer_proxies.append(FaultProxy(listen_address=control, target_address=listen))
         path = self._folder / f"node-{number}.conf"
         lines = {
             "nodeName": f"front-{number}",
@@ -135,11 +142,13 @@
         path.write_text("".join(f"{name}={value}\n" for name, value in lines.items()))
         port = metrics.rpartition(":")[2]
         arguments = ["flamingoshelf.platform", "--settings", str(path), "--metrics-port", port]
+        arguments += ["--peer-listen", listen]
         self.nodes.append(
             Process(name=f"node-{number}", arguments=arguments, log_folder=self._folder)
         )
         self.node_addresses.append(front)
         self.ready_addresses.append(ready)
+        self.metrics_addresses.append(metrics)
 
     def _engine(self, role: str) -> EngineStandIn:
         return EngineStandIn(
--- a/lab/gateway/_soak.py
+++ b/lab/gateway/_soak.py
@@ -14,7 +14,7 @@
 from lab.gateway._servers import EngineStandIn, PlainStandIn, ServerFaults
 from lab.gateway._site import BOOKINGS, KEY, NOTES, RESUMABLE, STOCK, GatewaySite
 from lab.processes import Process
-from lab.proxy import ProxyMode
+from lab.proxy import FaultProxy, ProxyMode
 
 __all__ = ["run_gateway_faults"]
 
@@ -22,6 +22,7 @@
 _PAUSE_S = 0.05  # of a caller between two calls
 _EVENTS = 20  # of a stream, 0.2 s of an engine
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
+_PATH_DELAY_S = 0.2  # of each chunk; messages between nodes then take longer than a heartbeat may
 _RECOVERY_S = 15.0  # the platform's bound after which calls are to be served again
 _GRACE_S = 6.0  # for a planned stop: its grace period of 4 s, and a start
 _SERVER_FAULTS = (
@@ -95,9 +96,9 @@
                 await asyncio.sleep(fault.duration_s)
                 node.send(signal.SIGCONT)
             case FaultKind.CUT_NODE_FROM_STORE:
-                await self._disturb_path(number, ProxyMode.STALL, fault.duration_s)
+                await self._disturb_path(self._site.store_proxies[number], fault.duration_s)
             case FaultKind.CUT_NODE_FROM_PEERS:
-                await self._disturb_path(number, ProxyMode.LOSE_ANSWERS, fault.duration_s)
+                await self._disturb_path(self._site.peer_proxies[number], fault.duration_s)
             case FaultKind.STORE_DOWN | FaultKind.STORE_SLOW | FaultKind.STORE_LOSES_ANSWERS:
                 await self._disturb_store(fault)
             case FaultKind.CHANGE_OBJECTS:
@@ -145,11 +146,12 @@
         await server.start()
         self._site.register(server)
 
-    async def _disturb_path(self, number: int, mode: ProxyMode, for_s: float) -> None:
-        proxy = self._site.store_proxies[number]
-        proxy.mode = mode
+    async def _disturb_path(self, proxy: FaultProxy, for_s: float) -> None:
+        """Refuse, silence, delay or cut one way what passes a proxy, then reset it."""
+        proxy.mode = self._random.choice(list(ProxyMode))
+        proxy.delay_s = _PATH_DELAY_S if proxy.mode is ProxyMode.PASS else 0.0
         await asyncio.sleep(for_s)
-        proxy.mode = ProxyMode.PASS
+        proxy.mode, proxy.delay_s = ProxyMode.PASS, 0.0
         proxy.cut()
 
     async def _disturb_store(self, fault: Fault) -> None:
--- a/lab/tests/test_gateway_site.py
+++ b/lab/tests/test_gateway_site.py
@@ -262,9 +262,7 @@
     site = await new_site(node_count=1)
     await site.caller.call(site.node_addresses[0], "/none/1", request_id="q-refused")
     assert '"reason": "no_route"' in site.nodes[0].log
-    host = site.node_addresses[0].rpartition(":")[0]
-    port = int(site.node_addresses[0].rpartition(":")[2]) + 3
-    metrics = await site.caller.call(f"{host}:{port}", "/metrics", method="GET")
+    metrics = await site.caller.call(site.metrics_addresses[0], "/metrics", method="GET")
     assert b'reason="no_route"' in metrics.body
 
 
