Keep repeats of large fleets within the fleet's reserve

Change: the least reserve is a parameter; the gateway uses one repeat. The product's default stays. Test: test_nodes_of_a_large_fleet_keep_within_its_reserve, which failed at 300 nodes with two.

--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -50,6 +50,8 @@
 _RETRY_RATIO_SHARE = 0.75
 _RETRY_RESERVE_SHARE = 0.5
 _RETRY_FLOOR_SHARE = 0.35
+# Repeats that a node may save up in a fleet so large that its part is less than one.
+_LEAST_RETRY_RESERVE = 1.0
 # Part of the tokens tolerated above a limit that is used; the rest is for a second coordinator.
 _LIMIT_SLACK_SHARE = 0.7
 _METRICS_DELAY_S = 2.0  # building them takes 0.1 s of processor, which a start can't spare
@@ -100,7 +102,11 @@
         self._is_leaving = False
         self._pool = ConnectionPool(max_connections=self._max_connections)
         self._client = BackendClient(pool=self._pool, wire=wire)
-        self._budgets = RetryBudgets(node_count=self._node_count, **self._retry_bounds())
+        self._budgets = RetryBudgets(
+            node_count=self._node_count,
+            least_reserve=_LEAST_RETRY_RESERVE,
+            **self._retry_bounds(),
+        )
         self._tasks = TaskGroup(owner="node")
         self._incarnation = new_incarnation()
         self._members = MemberList()
--- a/flamingoshelf/retries/_budget.py
+++ b/flamingoshelf/retries/_budget.py
@@ -15,7 +15,7 @@
 _RATIO = 0.1
 _FLEET_RESERVE = 60.0
 _FLEET_FLOOR_PER_S = 1.0
-_MIN_RESERVE = 2.0
+_LEAST_RESERVE = 2.0
 
 
 class RetryBudget:
@@ -28,9 +28,11 @@
     ratio : float
         Retries that one request earns.
     fleet_reserve : float
-        Retries that all nodes together may save up. Each node saves its part, but at least two.
+        Retries that all nodes together may save up. Each node saves its part.
     fleet_floor_per_s : float
         Retries a second that all nodes together earn without requests.
+    least_reserve : float
+        What a node saves at least, however many there are; below 1 it could never retry.
 
     Examples
     --------
@@ -49,13 +51,16 @@
         ratio: float = _RATIO,
         fleet_reserve: float = _FLEET_RESERVE,
         fleet_floor_per_s: float = _FLEET_FLOOR_PER_S,
+        least_reserve: float = _LEAST_RESERVE,
     ) -> None:
         check_range("ratio", ratio, low=0, high=1)
+        check_range("least_reserve", least_reserve, low=1, high=float("inf"))
         check_positive("fleet_reserve", fleet_reserve)
         self._node_count = node_count
         self._ratio = ratio
         self._fleet_reserve = fleet_reserve
         self._fleet_floor_per_s = fleet_floor_per_s
+        self._least_reserve = least_reserve
         self._balance = self._reserve
         self._updated_s: float | None = None
 
@@ -82,7 +87,7 @@
 
     @property
     def _reserve(self) -> float:
-        return max(_MIN_RESERVE, self._fleet_reserve / max(1, self._node_count()))
+        return max(self._least_reserve, self._fleet_reserve / max(1, self._node_count()))
 
     def _earn(self, retries: float) -> None:
         now = now_s()
@@ -100,7 +105,7 @@
     ----------
     node_count : callable
         Returns the number of nodes in the fleet.
-    ratio, fleet_reserve, fleet_floor_per_s : float
+    ratio, fleet_reserve, fleet_floor_per_s, least_reserve : float
         As in `RetryBudget`.
     """
 
@@ -111,11 +116,13 @@
         ratio: float = _RATIO,
         fleet_reserve: float = _FLEET_RESERVE,
         fleet_floor_per_s: float = _FLEET_FLOOR_PER_S,
+        least_reserve: float = _LEAST_RESERVE,
     ) -> None:
         self._node_count = node_count
         self._ratio = ratio
         self._fleet_reserve = fleet_reserve
         self._fleet_floor_per_s = fleet_floor_per_s
+        self._least_reserve = least_reserve
         self._budgets: dict[str, RetryBudget] = {}
 
     def resize(self, *, ratio: float, fleet_reserve: float, fleet_floor_per_s: float) -> None:
@@ -137,6 +144,7 @@
                 ratio=self._ratio,
                 fleet_reserve=self._fleet_reserve,
                 fleet_floor_per_s=self._fleet_floor_per_s,
+                least_reserve=self._least_reserve,
             )
             self._budgets[pool] = budget
         return budget
--- a/flamingoshelf/retries/tests/test_retries.py
+++ b/flamingoshelf/retries/tests/test_retries.py
@@ -37,6 +37,22 @@
     assert spend_all(budget) == expected
 
 
+@pytest.mark.looptime
+@pytest.mark.parametrize("nodes", [9, 81, 300])
+async def test_nodes_of_a_large_fleet_keep_within_its_reserve(nodes):
+    """Two repeats that each of 300 nodes may save up were three times the fleet's reserve."""
+    budgets = [
+        RetryBudget(node_count=lambda: nodes, fleet_reserve=300, least_reserve=1.0)
+        for _ in range(nodes)
+    ]
+    assert sum(map(spend_all, budgets)) <= 300
+
+
+def test_reserve_of_which_nothing_could_be_spent_is_refused():
+    with pytest.raises(ValueError, match="least_reserve"):
+        RetryBudget(node_count=lambda: 1, least_reserve=0.5)
+
+
 @pytest.mark.looptime
 async def test_pools_do_not_share_a_budget():
     budgets = RetryBudgets(node_count=lambda: 6)
