--- a/conftest.py
+++ b/conftest.py
@@ -1,12 +1,29 @@
-"""Fixtures that several packages share."""
+"""Fixtures that several packages share, and the tests that are known to fail."""
 
 from pathlib import Path
 
 import pytest
 
+from lab.known_red import read_known_failures
 from lab.scenarios import SCENARIOS
 from lab.site import Site
 
+_KNOWN_FAILURES = read_known_failures(Path(__file__).with_name("KNOWN-RED.txt"))
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Run the tests that are known to fail, but let their failures pass."""
+    reasons = {entry.test: f"{entry.seen} ({entry.issue})" for entry in _KNOWN_FAILURES}
+    for item in items:
+        if item.nodeid in reasons:
+            item.add_marker(pytest.mark.xfail(reason=reasons[item.nodeid], strict=False))
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    """Print the tests that are known to fail."""
+    for entry in _KNOWN_FAILURES:
+        terminalreporter.write_line(f"known to fail: {entry.test}: {entry.seen} ({entry.issue})")
+
 
 @pytest.fixture
 async def site(tmp_path: Path):
