--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -12,6 +12,7 @@
 from flamingoshelf.gateway._admission import Admission
 from flamingoshelf.gateway._app import Gateway
 from flamingoshelf.gateway._backend_client import BackendClient
+from flamingoshelf.gateway._bounds import LEAST_RETRY_RESERVE, Bounds
 from flamingoshelf.gateway._crash_watch import CrashWatch
 from flamingoshelf.gateway._engine_control import EngineControl, EngineWire
 from flamingoshelf.gateway._engine_prober import EngineProber
@@ -33,27 +34,17 @@
     DispatcherService,
     FleetPlacer,
     PlainCallMeter,
-    WorkspaceLimit,
     WorkspaceLimits,
 )
 from flamingoshelf.quarantine import ContentGuard, Quarantine, QuarantineService
 from flamingoshelf.retries import RetryBudgets
-from flamingoshelf.routing import EjectionRule, EngineProfile, InstanceDirectory, ServerBoard
+from flamingoshelf.routing import EjectionRule, InstanceDirectory, ServerBoard
 from flamingoshelf.store import KindStore
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import TaskGroup, boot_time_s, new_incarnation
 
 __all__ = ["GatewayNode"]
 
-# Parts of the fleet's bound of repeats in a window that are used: what is saved up and what is
-# earned without requests may fall into one window, and the nodes' counts of nodes may differ.
-_RETRY_RATIO_SHARE = 0.75
-_RETRY_RESERVE_SHARE = 0.5
-_RETRY_FLOOR_SHARE = 0.35
-# Repeats that a node may save up in a fleet so large that its part is less than one.
-_LEAST_RETRY_RESERVE = 1.0
-# Part of the tokens tolerated above a limit that is used; the rest is for a second coordinator.
-_LIMIT_SLACK_SHARE = 0.7
 _METRICS_DELAY_S = 2.0  # building them takes 0.1 s of processor, which a start can't spare
 _GONE_NODES_INTERVAL_S = 3.0  # entries of nodes that are gone cost a dial each
 _ORDER_DUTY = "engine-orders"
@@ -100,16 +91,23 @@
         self._directory = InstanceDirectory()
         self._has_servers = False
         self._is_leaving = False
-        self._pool = ConnectionPool(max_connections=self._max_connections)
+        self._members = MemberList()
+        self._bounds = Bounds(
+            settings=lambda: self._settings,
+            configuration=self._configuration,
+            node_count=self._node_count,
+        )
+        self._pool = ConnectionPool(
+            max_connections=lambda key: self._bounds.connections(self._directory.get(key))
+        )
         self._client = BackendClient(pool=self._pool, wire=wire)
         self._budgets = RetryBudgets(
             node_count=self._node_count,
-            least_reserve=_LEAST_RETRY_RESERVE,
-            **self._retry_bounds(),
+            least_reserve=LEAST_RETRY_RESERVE,
+            **self._bounds.retries(),
         )
         self._tasks = TaskGroup(owner="node")
         self._incarnation = new_incarnation()
-        self._members = MemberList()
         self._link: WebsocketNodeLink | None = None
         self._coordination: Coordination | None = None
         self._registration = Registration(
@@ -126,7 +124,7 @@
         )
         self._dispatchers = DispatcherService(
             new_dispatcher=self._new_dispatcher,
-            limits=WorkspaceLimits(limit=self._workspace_limit),
+            limits=WorkspaceLimits(limit=self._bounds.workspace_limit),
             owners=self._answering_nodes,
         )
         self._plain_calls = PlainCallMeter()
@@ -212,7 +210,7 @@
         """Take over new settings, but for those that need a restart."""
         taken, fixed = changed_fields(self._settings, settings)
         self._settings = attrs.evolve(self._settings, **taken)
-        self._budgets.resize(**self._retry_bounds())
+        self._budgets.resize(**self._bounds.retries())
         logger.bind(step="reload", taken=taken, needs_restart=fixed).info("settings taken over")
 
     async def stop(self) -> None:
@@ -362,17 +360,6 @@
             metrics=self._metrics,
         )
 
-    def _retry_bounds(self) -> dict[str, float]:
-        """Return the bounds of repeats that keep within what is allowed in any window."""
-        settings = self._settings
-        return {
-            "ratio": _RETRY_RATIO_SHARE * settings.retry_ratio,
-            "fleet_reserve": _RETRY_RESERVE_SHARE * settings.retry_reserve,
-            "fleet_floor_per_s": (
-                _RETRY_FLOOR_SHARE * settings.retry_reserve / settings.retry_window_s
-            ),
-        }
-
     def _node_count(self) -> int:
         return max(1, len(self._members))
 
@@ -380,38 +367,10 @@
         return Dispatcher(
             service=service,
             instances=lambda: self._directory.ready(service),
-            profile=lambda: self._engine_profile(service),
+            profile=lambda: self._bounds.engine_profile(service),
             random_source=self._random,
         )
 
-    def _workspace_limit(self, name: str) -> WorkspaceLimit | None:
-        if not self._configuration.is_known:
-            return None
-        workspace = self._configuration.current.workspaces.get(name)
-        if workspace is None:
-            return None
-        factor = 1 + self._settings.limit_excess
-        slack = _LIMIT_SLACK_SHARE * self._settings.limit_slack_tokens
-        return WorkspaceLimit(
-            rate_tokens_s=factor * workspace.rate_tokens_s,
-            burst_tokens=factor * workspace.burst_tokens + slack,
-            initial_tokens=workspace.burst_tokens,
-        )
-
-    def _engine_profile(self, service: str) -> EngineProfile | None:
-        if not self._configuration.is_known:
-            return None
-        profile = self._configuration.current.services.get(service)
-        return None if profile is None else profile.engine
-
-    def _max_connections(self, key: str) -> int:
-        instance = self._directory.get(key)
-        if instance is None or not self._configuration.is_known:
-            return 8
-        profile = self._configuration.current.services.get(instance.service)
-        limit = 0 if profile is None else profile.max_connections
-        return max(2, limit // self._node_count()) if limit else 64
-
     def _on_servers(self) -> None:
         self._has_servers = True
         self._pool.retain(self._directory.ids())
--- a/flamingoshelf/placement/_dispatcher.py
+++ b/flamingoshelf/placement/_dispatcher.py
@@ -8,22 +8,19 @@
 from flamingoshelf.placement._decisions import Decision, DecodeChosen, Holding, TurnDecided
 from flamingoshelf.placement._engine_choice import choose_decode, choose_prefill
 from flamingoshelf.placement._engines import EngineTable
-from flamingoshelf.placement._forecast import MemoryForecast, PrefillForecast
-from flamingoshelf.placement._ledgers import need_at_start
+from flamingoshelf.placement._forecast import PrefillForecast
+from flamingoshelf.placement._hopeless import FIRST_EVENT_S, HopelessJudge
 from flamingoshelf.placement._queue import Ticket, WaitingQueue
 from flamingoshelf.placement._refusals import full_refusal, no_engine_refusal
 from flamingoshelf.placement._refused_requests import RefusedRequests
 from flamingoshelf.placement._request_cost import CostMeter
 from flamingoshelf.placement._role_plan import RequestCost
 from flamingoshelf.placement._types import DecodeRun, PlacementRequest, Turn, request_of
-from flamingoshelf.refusals import Refusal
 from flamingoshelf.routing import BackendInstance, EngineProfile
 from flamingoshelf.utils import now_s
 
 __all__ = ["Dispatcher"]
 
-# From the end of a prefill to the first event: KV transfer, first step, messages.
-_FIRST_EVENT_S = 0.05
 # When a caller that can't be served in time is told to come back: bursts last for some seconds,
 # and returns at one moment would make another one.
 _COME_BACK_MIN_S = 1.0
@@ -291,51 +288,28 @@
         if not len(self._queue) or now < self._judged_s + _JUDGE_INTERVAL_S:
             return []
         self._judged_s = now
-        memory = MemoryForecast(engines=self._engines, now_s=now)
-        prefill = PrefillForecast(engines=self._engines, now_s=now)
+        judge = HopelessJudge(
+            engines=self._engines,
+            now_s=now,
+            waiting=len(self._queue),
+            turns=len(self._holdings),
+        )
         refused = []
-        for ticket, _ in self._ordered(prefill, now):
-            refusal = self._hopeless(ticket, memory, prefill, now)
-            if refusal is not None:
-                request = ticket.request
-                self._queue.remove(request.turn_id)
-                self._refused.remember(request.content, ticket.first_event_by_s, now)
-                refused.append(
-                    TurnDecided(turn_id=request.turn_id, owner=ticket.owner, outcome=refusal)
-                )
+        for ticket, _ in self._ordered(PrefillForecast(engines=self._engines, now_s=now), now):
+            request = ticket.request
+            if not self._engines.has_room_ever(request.prompt_tokens, request.expected_tokens):
+                refusal = no_engine_refusal(self._service)
+            elif judge.is_hopeless(ticket):
+                refusal = full_refusal(self._service, retry_after_s=self._come_back_s())
+            else:
+                continue
+            self._queue.remove(request.turn_id)
+            self._refused.remember(request.content, ticket.first_event_by_s, now)
+            refused.append(
+                TurnDecided(turn_id=request.turn_id, owner=ticket.owner, outcome=refusal)
+            )
         return refused
 
-    def _hopeless(
-        self, ticket: Ticket, memory: MemoryForecast, prefill: PrefillForecast, now: float
-    ) -> Refusal | None:
-        """Return why a request can't be served any more; otherwise count it in the forecast."""
-        request = ticket.request
-        if not self._engines.has_room_ever(request.prompt_tokens, request.expected_tokens):
-            return no_engine_refusal(self._service)
-        need = need_at_start(request.prompt_tokens, request.expected_tokens)
-        wait_s = memory.wait_s(need)
-        first_event_s = prefill.done_s(request.prompt_tokens) + _FIRST_EVENT_S
-        run_s = prefill.run_s(request.prompt_tokens, request.expected_tokens)
-        if (
-            now + wait_s + first_event_s > ticket.leaves_s
-            or now + wait_s + run_s > ticket.deadline_s
-        ):
-            logger.bind(
-                request_id=request_of(request.turn_id),
-                step="place",
-                peer=ticket.owner,
-                waiting=len(self._queue),
-                turns=len(self._holdings),
-                memory_wait_s=round(wait_s, 3),
-                first_event_s=round(first_event_s, 3),
-                run_s=round(run_s, 3),
-                leaves_in_s=round(ticket.leaves_s - now, 3),
-                deadline_in_s=round(ticket.deadline_s - now, 3),
-            ).info("can't be served in its caller's time")
-            return full_refusal(self._service, retry_after_s=self._come_back_s())
-        memory.take(need)
-        return None
-
     def _come_back_s(self) -> float:
         return self._random.uniform(_COME_BACK_MIN_S, _COME_BACK_MAX_S)
 
@@ -343,7 +317,7 @@
         """Return the waiting requests, each with whether it is on time if it gets a turn now."""
 
         def is_on_time(ticket: Ticket) -> bool:
-            first_event_s = prefill.done_s(ticket.request.prompt_tokens) + _FIRST_EVENT_S
+            first_event_s = prefill.done_s(ticket.request.prompt_tokens) + FIRST_EVENT_S
             return now + first_event_s <= ticket.first_event_by_s
 
         return self._queue.ordered(is_on_time=is_on_time)
