--- a/flamingoshelf/gateway/_stream_forwarder.py
+++ b/flamingoshelf/gateway/_stream_forwarder.py
@@ -14,7 +14,14 @@
 from flamingoshelf.gateway._target_choice import TargetChoice
 from flamingoshelf.gateway._wire import BackendCall, KvHandle
 from flamingoshelf.http1 import Exchange
-from flamingoshelf.placement import FailureKind, PlacementRequest, Placer, Turn, new_turn_id
+from flamingoshelf.placement import (
+    FailureKind,
+    PlacementRequest,
+    Placer,
+    RunOutcome,
+    Turn,
+    new_turn_id,
+)
 from flamingoshelf.refusals import Refusal, RefusalReason, RetryReason
 from flamingoshelf.retries import RetryBudget
 from flamingoshelf.routing import BackendInstance, InstanceDirectory
@@ -107,7 +114,7 @@
         logger.bind(
             request_id=run.request.request_id, step="place", peer=min(unlisted), turn=run.turns
         ).info("given back, the engine is not listed here")
-        self._placer.release(turn, tokens=0, seconds=0.0, is_complete=False)
+        self._placer.release(turn, tokens=0, seconds=0.0, outcome=RunOutcome.ENDED)
         return True
 
     def _placement_request(self, run: "_Run") -> PlacementRequest:
@@ -142,6 +149,7 @@
     async def _serve_turn(self, run: "_Run", turn: Turn) -> bool:
         """Use a turn; return whether the request is answered."""
         run.turns += 1
+        run.is_answer_lost = False
         started_s: float | None = None
         tokens_before = run.relay.tokens
         handle: KvHandle | None = None
@@ -170,7 +178,7 @@
                 turn,
                 tokens=tokens,
                 seconds=seconds,
-                is_complete=result is RelayResult.COMPLETE,
+                outcome=_outcome(run, result),
             )
 
     async def _prefill(self, run: "_Run", turn: Turn, engine_id: str) -> KvHandle | None:
@@ -261,6 +269,7 @@
         except OutcomeUnknownError as error:
             run.sent += 1
             bound.warning("broke off after event {}: {}", run.relay.last_event_id, error.message)
+            run.is_answer_lost = run.relay.first_event_s is None
             self._crashes.note_lost_run(run.request, engine)
             self._note_failure(run, engine.key, FailureKind.BROKE_OFF, error.message)
             return RelayResult.BROKEN
@@ -359,6 +368,8 @@
         Decode engines that may have run it.
     avoid : set of str
         Engines that failed it.
+    is_answer_lost : bool
+        Whether the present turn's engine may run it although its answer broke off before it began.
     """
 
     request: AdmittedRequest
@@ -369,3 +380,10 @@
     avoid: set[str] = attrs.field(factory=set)
     is_charged: bool = False
     prefill_engine: BackendInstance | None = None
+    is_answer_lost: bool = False
+
+
+def _outcome(run: _Run, result: RelayResult | None) -> RunOutcome:
+    if result is RelayResult.COMPLETE:
+        return RunOutcome.COMPLETE
+    return RunOutcome.LOST if run.is_answer_lost else RunOutcome.ENDED
--- a/flamingoshelf/gateway/tests/test_stream_forwarder.py
+++ b/flamingoshelf/gateway/tests/test_stream_forwarder.py
@@ -8,7 +8,7 @@
 from flamingoshelf.gateway import CallerRequest, StreamForwarder
 from flamingoshelf.gateway._backend_client import NotRunError
 from flamingoshelf.gateway.tests.conftest import Answer, lost, not_run, other_instance, refused
-from flamingoshelf.placement import FailureKind, Turn
+from flamingoshelf.placement import FailureKind, RunOutcome, Turn
 from flamingoshelf.refusals import Refusal, RefusalReason
 from flamingoshelf.retries import RetryBudget
 from flamingoshelf.routing import CallKind
@@ -34,6 +34,7 @@
         self.requests = []
         self.released = []
         self.completed = []
+        self.outcomes = []
         self.failed = []
         self.rejected = []
         self.started = []
@@ -63,9 +64,10 @@
     def note_start(self, turn):
         self.started.append(turn.decode_id)
 
-    def release(self, turn, *, tokens, seconds, is_complete):
+    def release(self, turn, *, tokens, seconds, outcome):
         self.released.append((turn.decode_id, tokens))
-        self.completed.append(is_complete)
+        self.completed.append(outcome is RunOutcome.COMPLETE)
+        self.outcomes.append(outcome)
 
     def note_failure(self, service, engine_id, kind, *, detail):
         self.failed.append((engine_id, kind))
@@ -194,6 +196,23 @@
     assert refusal.reason is RefusalReason.BACKEND_FAILED
 
 
+@pytest.mark.parametrize(
+    ("answer", "outcome"),
+    [
+        pytest.param(lost(), RunOutcome.LOST, id="no answer"),
+        pytest.param(not_run(), RunOutcome.ENDED, id="not run"),
+        pytest.param(refused(), RunOutcome.ENDED, id="not sent"),
+        pytest.param(Answer(body=events(1, 9), breaks_after=4), RunOutcome.ENDED, id="broke off"),
+    ],
+)
+async def test_memory_of_a_run_whose_answer_was_lost_is_not_given_back(
+    forward, client, placer, answer, outcome
+):
+    client.will("d1", answer)
+    await forward(may_resume=False)
+    assert placer.outcomes[0] is outcome
+
+
 async def test_stream_goes_on_at_another_engine_without_gap_or_repeat(forward, client, placer):
     client.will("d1", Answer(body=events(1, 9), breaks_after=4))
     client.will("d2", Answer(body=events(5, 9)))
--- a/flamingoshelf/placement/__init__.py
+++ b/flamingoshelf/placement/__init__.py
@@ -10,6 +10,7 @@
     DecodeRun,
     PlacementRequest,
     Placer,
+    RunOutcome,
     Turn,
     new_turn_id,
 )
@@ -26,6 +27,7 @@
     "Placer",
     "RoleChange",
     "RolePlanner",
+    "RunOutcome",
     "Turn",
     "WorkspaceLimit",
     "WorkspaceLimits",
--- a/flamingoshelf/placement/_desk.py
+++ b/flamingoshelf/placement/_desk.py
@@ -4,7 +4,7 @@
 
 from flamingoshelf.placement._decisions import DecodeChosen, TurnDecided
 from flamingoshelf.placement._dispatcher import Dispatcher
-from flamingoshelf.placement._types import PlacementRequest, Turn
+from flamingoshelf.placement._types import PlacementRequest, RunOutcome, Turn
 from flamingoshelf.refusals import Refusal
 from flamingoshelf.utils import TaskGroup, now_s
 
@@ -78,13 +78,18 @@
             self.decide()
 
     def release(
-        self, turn_id: str, *, tokens: int = 0, seconds: float = 0.0, is_complete: bool = False
+        self,
+        turn_id: str,
+        *,
+        tokens: int = 0,
+        seconds: float = 0.0,
+        outcome: RunOutcome = RunOutcome.ENDED,
     ) -> None:
         """Take back a turn, or withdraw a waiting request."""
         turn = self._turns.pop(turn_id, None)
         if turn is not None:
             turn.cancel()
-        self._dispatcher.release(turn_id, tokens=tokens, seconds=seconds, is_complete=is_complete)
+        self._dispatcher.release(turn_id, tokens=tokens, seconds=seconds, outcome=outcome)
 
     def decide(self) -> None:
         """Hand every decision to the call that waits for it."""
--- a/flamingoshelf/placement/_dispatcher.py
+++ b/flamingoshelf/placement/_dispatcher.py
@@ -15,7 +15,13 @@
 from flamingoshelf.placement._refused_requests import RefusedRequests
 from flamingoshelf.placement._request_cost import CostMeter
 from flamingoshelf.placement._role_plan import RequestCost
-from flamingoshelf.placement._types import DecodeRun, PlacementRequest, Turn, request_of
+from flamingoshelf.placement._types import (
+    DecodeRun,
+    PlacementRequest,
+    RunOutcome,
+    Turn,
+    request_of,
+)
 from flamingoshelf.routing import BackendInstance, EngineProfile
 from flamingoshelf.utils import now_s
 
@@ -151,11 +157,17 @@
             self._engines.decode(holding.decode_id).start(turn_id, self._clock())
 
     def release(
-        self, turn_id: str, *, tokens: int = 0, seconds: float = 0.0, is_complete: bool = False
+        self,
+        turn_id: str,
+        *,
+        tokens: int = 0,
+        seconds: float = 0.0,
+        outcome: RunOutcome = RunOutcome.ENDED,
     ) -> None:
         """Take back a turn, or withdraw a waiting request; may be repeated.
 
-        Only a run that is complete speaks for its engine: one that broke off has tokens, too.
+        Only a run that is complete speaks for its engine: one that broke off has tokens, too. One
+        that is lost may go on, and its memory is counted for as long as it is expected to take.
         """
         self._queue.remove(turn_id)
         holding = self._holdings.pop(turn_id, None)
@@ -165,9 +177,12 @@
             ledger = self._engines.prefill(holding.turn.prefill_id)
             ledger.end(turn_id, now_s=self._clock())
         decode = self._engines.decode(holding.decode_id)
-        decode.remove(turn_id)
+        if outcome is RunOutcome.LOST:
+            decode.abandon(turn_id, self._clock())
+        else:
+            decode.remove(turn_id)
         decode.learn(tokens=tokens, seconds=seconds)
-        if is_complete:
+        if outcome is RunOutcome.COMPLETE:
             self._engines.note_success(holding.decode_id)
         if tokens:
             self._costs.record(prompt_tokens=holding.request.prompt_tokens, answer_tokens=tokens)
--- a/flamingoshelf/placement/_engines.py
+++ b/flamingoshelf/placement/_engines.py
@@ -73,7 +73,9 @@
         if now_s >= self._remembered_s + _REMEMBER_INTERVAL_S:
             self._remembered_s = now_s
             for engine in self.usable_decodes():
-                self.decode(engine.key).remember(now_s)
+                ledger = self.decode(engine.key)
+                ledger.drop_abandoned(now_s)
+                ledger.remember(now_s)
 
     @property
     def has_prefill(self) -> bool:
--- a/flamingoshelf/placement/_fleet.py
+++ b/flamingoshelf/placement/_fleet.py
@@ -28,7 +28,7 @@
 )
 from flamingoshelf.placement._plain_calls import PlainCallMeter
 from flamingoshelf.placement._service import DispatcherService
-from flamingoshelf.placement._types import DecodeRun, PlacementRequest, Turn, request_of
+from flamingoshelf.placement._types import DecodeRun, PlacementRequest, RunOutcome, Turn, request_of
 from flamingoshelf.refusals import Refusal
 from flamingoshelf.utils import TaskGroup, now_s
 
@@ -169,13 +169,13 @@
             held.started_s = now_s()
         self._update(turn.service, "started", turn.turn_id)
 
-    def release(self, turn: Turn, *, tokens: int, seconds: float, is_complete: bool) -> None:
+    def release(self, turn: Turn, *, tokens: int, seconds: float, outcome: RunOutcome) -> None:
         """Give the turn back."""
         run = EndedRun(
             turn_id=turn.turn_id,
             tokens=tokens,
             seconds=round(seconds, 4),
-            is_complete=is_complete,
+            outcome=outcome,
         )
         self._update(turn.service, "ended", run)
 
--- a/flamingoshelf/placement/_ledgers.py
+++ b/flamingoshelf/placement/_ledgers.py
@@ -29,6 +29,7 @@
     prompt_tokens: int
     expected_tokens: int
     started_s: float | None = None  # None until its first event
+    abandoned_until_s: float | None = None  # set for a run that goes on though its answer is lost
 
 
 class DecodeLedger:
@@ -104,6 +105,20 @@
         """Count a run no longer."""
         self._runs.pop(turn_id, None)
 
+    def abandon(self, turn_id: str, now_s: float) -> None:
+        """Count a run, whose answer was lost, for the time that it is expected to take."""
+        run = self._runs.get(turn_id)
+        if run is not None:
+            self.start(turn_id, now_s)
+            longest = (1 + _OVERRUN_SHARE) * run.expected_tokens
+            run.abandoned_until_s = now_s + longest * self._s_per_token
+
+    def drop_abandoned(self, now_s: float) -> None:
+        """Count runs no longer that were abandoned and must have ended."""
+        for turn_id, run in list(self._runs.items()):
+            if run.abandoned_until_s is not None and run.abandoned_until_s <= now_s:
+                del self._runs[turn_id]
+
     def clear(self) -> None:
         """Forget all runs, as after a restart of the engine."""
         self._runs.clear()
--- a/flamingoshelf/placement/_messages.py
+++ b/flamingoshelf/placement/_messages.py
@@ -4,7 +4,7 @@
 
 from flamingoshelf.nodes import message
 from flamingoshelf.placement._health import FailureKind
-from flamingoshelf.placement._types import DecodeRun, PlacementRequest, Turn
+from flamingoshelf.placement._types import DecodeRun, PlacementRequest, RunOutcome, Turn
 from flamingoshelf.refusals import Refusal
 
 __all__ = [
@@ -95,14 +95,14 @@
         Tokens that were generated.
     seconds : float
         Time that they took.
-    is_complete : bool
-        Whether the engine ran the request to its end.
+    outcome : RunOutcome
+        What became of the request at its decode engine.
     """
 
     turn_id: str
     tokens: int = 0
     seconds: float = 0.0
-    is_complete: bool = False
+    outcome: RunOutcome = RunOutcome.ENDED
 
 
 @attrs.frozen(kw_only=True)
--- a/flamingoshelf/placement/_service.py
+++ b/flamingoshelf/placement/_service.py
@@ -120,7 +120,7 @@
                 run.turn_id,
                 tokens=run.tokens,
                 seconds=run.seconds,
-                is_complete=run.is_complete,
+                outcome=run.outcome,
             )
         desk.decide()
 
--- a/flamingoshelf/placement/_types.py
+++ b/flamingoshelf/placement/_types.py
@@ -1,5 +1,6 @@
 """What is asked of a dispatcher, and what it grants."""
 
+from enum import StrEnum
 from typing import Protocol
 
 import attrs
@@ -11,6 +12,7 @@
     "DecodeRun",
     "PlacementRequest",
     "Placer",
+    "RunOutcome",
     "Turn",
     "new_turn_id",
     "request_of",
@@ -128,6 +130,14 @@
     age_s: float = -1.0
 
 
+class RunOutcome(StrEnum):
+    """What became of a turn at its decode engine."""
+
+    COMPLETE = "complete"  # the engine ran the request to its end
+    ENDED = "ended"  # it did not run it, or not to its end, and holds nothing for it
+    LOST = "lost"  # it may run it to its end, though nobody gets the answer
+
+
 class Placer(Protocol):
     """Places requests on engines."""
 
@@ -143,7 +153,7 @@
     def note_start(self, turn: Turn) -> None:
         """Report the first event."""
 
-    def release(self, turn: Turn, *, tokens: int, seconds: float, is_complete: bool) -> None:
+    def release(self, turn: Turn, *, tokens: int, seconds: float, outcome: RunOutcome) -> None:
         """Give the turn back; `tokens` were generated in `seconds` after the first event."""
 
     def note_failure(self, service: str, engine_id: str, kind: FailureKind, *, detail: str) -> None:
--- a/flamingoshelf/placement/tests/simulation.py
+++ b/flamingoshelf/placement/tests/simulation.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from flamingoshelf.placement import Dispatcher, FailureKind, PlacementRequest, Turn
+from flamingoshelf.placement import Dispatcher, FailureKind, PlacementRequest, RunOutcome, Turn
 from flamingoshelf.placement._decisions import DecodeChosen, TurnDecided
 from flamingoshelf.refusals import Refusal
 from flamingoshelf.routing import BackendInstance, EngineProfile, EngineRole
@@ -104,15 +104,18 @@
         Requests in the order of their arrival.
     prefills, decodes : list of float
         Engines by how many times slower than usual they are.
+    loses_answer : callable
+        ``loses_answer(call)`` returns whether the answer to a call is lost when it begins.
     """
 
-    def __init__(self, calls, *, prefills, decodes, seed=1):
+    def __init__(self, calls, *, prefills, decodes, seed=1, loses_answer=lambda call: False):
         self.now = 0.0
         self.calls = sorted(calls, key=lambda call: call.at_s)
         self.by_name = {call.name: call for call in self.calls}
         self.prefills = {f"p{n}": PrefillEngine(speed) for n, speed in enumerate(prefills)}
         self.decodes = {f"d{n}": DecodeEngine(speed) for n, speed in enumerate(decodes)}
         self.down = set()
+        self.loses_answer = loses_answer
         self.dispatcher = Dispatcher(
             service="s",
             instances=self.instances,
@@ -126,6 +129,7 @@
         self.rejections = 0
         self.preemptions = 0
         self.wasted_prompts = 0
+        self.lost_answers = 0
 
     def instances(self):
         engines = [
@@ -177,6 +181,12 @@
             self.release(run)
         self.dispatcher.engines.note_failure(name, FailureKind.UNREACHABLE, detail="crashed")
 
+    def lose_answer(self, call):
+        """Break a call off at its caller's side, while its engine runs it to the end."""
+        self.lost_answers += 1
+        self.held.discard(call.name)
+        self.dispatcher.release(call.name, outcome=RunOutcome.LOST)
+
     def _enqueue(self, call):
         waited = self.now - call.at_s
         self.dispatcher.enqueue(
@@ -228,6 +238,9 @@
         self._enqueue(call)
 
     def _start(self, call):
+        if self.loses_answer(call):
+            self.lose_answer(call)
+            return
         call.first_event_s = self.now
         self.dispatcher.note_start(call.name)
 
@@ -240,14 +253,16 @@
         for engine in self.decodes.values():
             engine.step()
             for name, (call, made) in list(engine.runs.items()):
-                if made >= call.actual and call.first_event_s is not None:
+                if made >= call.actual and call.first_event_s is None:
+                    engine.runs.pop(name)  # nobody hears of it
+                elif made >= call.actual:
                     del engine.runs[name]
                     call.ended_s = self.now
                     seconds = self.now - call.first_event_s
                     self.soon(
                         MESSAGE_S,
                         lambda c=call, s=seconds: self.release(
-                            c.name, tokens=c.actual, seconds=s, is_complete=True
+                            c.name, tokens=c.actual, seconds=s, outcome=RunOutcome.COMPLETE
                         ),
                     )
             while (lost := engine.overflow()) is not None:
--- a/flamingoshelf/placement/tests/test_fleet.py
+++ b/flamingoshelf/placement/tests/test_fleet.py
@@ -14,6 +14,7 @@
     FleetPlacer,
     PlacementRequest,
     PlainCallMeter,
+    RunOutcome,
     Turn,
     WorkspaceLimits,
     new_turn_id,
@@ -160,7 +161,7 @@
         await asyncio.sleep(2)
         assert len(link.reports) >= 8
         assert link.reports[-1][1].held[0].turn_ids == (turn.turn_id,)
-        placer.release(turn, tokens=10, seconds=0.1, is_complete=True)
+        placer.release(turn, tokens=10, seconds=0.1, outcome=RunOutcome.COMPLETE)
         await asyncio.sleep(2)
         assert link.reports[-1][1].held[0].turn_ids == ()
         sent = len(link.reports)
@@ -183,7 +184,7 @@
     """A prefill failed: the request asks again before the end of its turn is reported."""
     turn = await placer.acquire(ask(1))
     placer.note_failure("s", turn.prefill_id, FailureKind.BROKE_OFF, detail="reset")
-    placer.release(turn, tokens=0, seconds=0.0, is_complete=False)
+    placer.release(turn, tokens=0, seconds=0.0, outcome=RunOutcome.ENDED)
     again = await asyncio.wait_for(placer.acquire(ask(2, avoid=(turn.prefill_id,))), 1.0)
     assert isinstance(again, Turn) and again.prefill_id != turn.prefill_id
     await asyncio.sleep(1)
@@ -192,7 +193,7 @@
 
 async def test_turn_that_is_given_back_frees_its_engines(placer, service):
     turn = await placer.acquire(ask(1))
-    placer.release(turn, tokens=100, seconds=0.5, is_complete=True)
+    placer.release(turn, tokens=100, seconds=0.5, outcome=RunOutcome.COMPLETE)
     await asyncio.sleep(0.1)
     assert service.desk("s").dispatcher.holdings == 0
 
--- a/flamingoshelf/placement/tests/test_health.py
+++ b/flamingoshelf/placement/tests/test_health.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from flamingoshelf.placement import FailureKind
+from flamingoshelf.placement import FailureKind, RunOutcome
 from flamingoshelf.placement._health import HealthBook
 from flamingoshelf.placement.tests.simulation import Simulation, notes
 
@@ -104,5 +104,5 @@
     played.dispatcher.release(lost, tokens=40, seconds=1.0)
     assert not engines.is_usable("d0")
     other = next(iter(played.decodes["d0"].runs.keys() - {lost}))
-    played.dispatcher.release(other, tokens=40, seconds=1.0, is_complete=True)
+    played.dispatcher.release(other, tokens=40, seconds=1.0, outcome=RunOutcome.COMPLETE)
     assert engines.is_usable("d0")
--- a/flamingoshelf/placement/tests/test_ledgers.py
+++ b/flamingoshelf/placement/tests/test_ledgers.py
@@ -20,6 +20,18 @@
     assert decode.fits(10_000, 100, 0.0)
 
 
+def test_run_whose_answer_was_lost_keeps_its_room_for_as_long_as_it_takes(decode):
+    decode.add("a", 20_000, 1_000)
+    decode.abandon("a", 0.0)
+    expected_s = 1_000 * decode.s_per_token
+    decode.drop_abandoned(0.9 * expected_s)
+    assert not decode.fits(10_000, 100, 0.9 * expected_s)
+    decode.drop_abandoned(1.3 * expected_s)
+    assert decode.fits(10_000, 100, 1.3 * expected_s)
+    decode.abandon("a", 10.0)  # known no more, as after a restart of the engine
+    assert decode.runs == 0
+
+
 def test_slots_bound_the_runs(decode):
     decode.resize(capacity_tokens=30_000, slots=1)
     decode.add("a", 10, 10)
--- a/flamingoshelf/placement/tests/test_load_patterns.py
+++ b/flamingoshelf/placement/tests/test_load_patterns.py
@@ -45,6 +45,22 @@
     assert played.preemptions <= 0.02 * len(calls)
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_lost_answers_in_a_burst_do_not_overfill_engines_that_run_on(seed):
+    """Engines lose every third answer in a burst, and run those requests to their ends."""
+    calls = notes(16, seconds=10, seed=seed)
+    lost = {call.name for call in calls[::3]}
+    played = Simulation(
+        calls,
+        prefills=[1, 1, 1],
+        decodes=[1] * 6,
+        loses_answer=lambda call: call.name in lost,
+    ).run(40)
+    assert played.lost_answers > 30
+    # Prompts read for nothing are to cost a tenth of what they did.
+    assert played.rejections <= 0.1 * played.lost_answers
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_slow_engines_do_not_make_the_others_late(seed):
     """Three of nine engines are 1.3 times slower at both stages."""
