Pause engines that refuse work for lack of room

A refusal was logged and nothing else; the next prompt went to the same engine, as it was the emptiest. Change: an engine that refuses gets no work for 0.4 s, doubled with each refusal in a row up to 3.2 s, until it takes some; the same for prefill engines.

--- a/flamingoshelf/placement/_engine_choice.py
+++ b/flamingoshelf/placement/_engine_choice.py
@@ -16,7 +16,7 @@
     for engine in engines.usable_prefills(avoid=request.avoid):
         ledger = engines.prefill(engine.key)
         wait_s = ledger.wait_s(now_s)
-        if wait_s <= _MAX_PREFILL_BACKLOG_S:
+        if ledger.takes_work(now_s) and wait_s <= _MAX_PREFILL_BACKLOG_S:
             work_s = ledger.work_s(request.prompt_tokens)
             choices.append((engines.tier(engine.key), wait_s + work_s, engine.key))
     return min(choices)[2] if choices else None
--- a/flamingoshelf/placement/_engines.py
+++ b/flamingoshelf/placement/_engines.py
@@ -192,13 +192,19 @@
         return self._listed.get(key)
 
     def note_rejection(self, key: str, now_s: float) -> None:
-        """Keep the memory that a decode engine turned out to lack, for a time."""
+        """Give an engine no work for a time that refused some for lack of room."""
+        engine = self._listed.get(key)
+        if engine is not None and engine.role is EngineRole.PREFILL:
+            self.prefill(key).note_rejection(now_s)
+        else:
+            self.decode(key).note_rejection(now_s)
         logger.bind(
             step="engine",
             peer=key,
-            free_tokens=round(self.decode(key).free_tokens(now_s)),
+            role=None if engine is None else engine.role,
+            used_tokens=round(self.decode(key).used_tokens(now_s)),
             runs=self.decode(key).runs,
-        ).info("had no room")
+        ).info("had no room, gets no work for a time")
 
     def _usable_engines(self, role: EngineRole, avoid: Iterable[str]) -> list[BackendInstance]:
         usable = self._usable.get(role)
--- a/flamingoshelf/placement/_ledgers.py
+++ b/flamingoshelf/placement/_ledgers.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from flamingoshelf.placement._rejections import RejectionPause
+
 __all__ = ["PREFILL_FIXED_S", "DecodeLedger", "PrefillLedger", "need_at_start"]
 
 # KV cache is handed out in blocks, so each run wastes half a block on average.
@@ -43,6 +45,7 @@
         self._history: deque[tuple[float, float]] = deque()
         self._foreign_tokens = 0.0
         self._foreign_until_s = 0.0
+        self._pause = RejectionPause()
 
     @property
     def runs(self) -> int:
@@ -68,7 +71,9 @@
         return foreign + sum(self._need(run, now_s) for run in self._runs.values())
 
     def free_tokens(self, now_s: float) -> float:
-        """Return the tokens that are left."""
+        """Return the tokens that are left; none after the engine refused a run, for a time."""
+        if not self._pause.is_over(now_s):
+            return 0.0
         return self._capacity - self.used_tokens(now_s)
 
     def free_share(self, now_s: float) -> float:
@@ -85,7 +90,11 @@
     def fits(self, prompt_tokens: int, expected_tokens: int, now_s: float) -> bool:
         """Return whether there is room for another run."""
         need = need_at_start(prompt_tokens, expected_tokens)
-        return len(self._runs) < self._slots and need <= self.free_tokens(now_s)
+        return (
+            self._pause.is_over(now_s)
+            and len(self._runs) < self._slots
+            and need <= self.free_tokens(now_s)
+        )
 
     def can_ever_fit(self, prompt_tokens: int, expected_tokens: int) -> bool:
         """Return whether an empty engine has room for a run."""
@@ -100,6 +109,11 @@
         run = self._runs.get(turn_id)
         if run is not None and run.started_s is None:
             run.started_s = now_s
+            self._pause.end()
+
+    def note_rejection(self, now_s: float) -> None:
+        """Take a refusal: the engine holds more than is counted here."""
+        self._pause.note_rejection(now_s)
 
     def remove(self, turn_id: str) -> None:
         """Count a run no longer."""
@@ -124,6 +138,7 @@
         self._runs.clear()
         self._history.clear()
         self._foreign_tokens = 0.0
+        self._pause.end()
 
     def learn(self, *, tokens: int, seconds: float) -> None:
         """Learn the engine's speed from a run that ended."""
@@ -178,6 +193,7 @@
     def __init__(self) -> None:
         self._prompts: dict[str, _Prompt] = {}
         self._tokens_s = _PREFILL_TOKENS_S
+        self._pause = RejectionPause()
 
     @property
     def jobs(self) -> int:
@@ -201,6 +217,14 @@
         elapsed_s = now_s - min(prompt.began_s for prompt in self._prompts.values())
         return max(work_s - elapsed_s, 0.2 * work_s)
 
+    def takes_work(self, now_s: float) -> bool:
+        """Return whether the engine has not refused a prompt lately."""
+        return self._pause.is_over(now_s)
+
+    def note_rejection(self, now_s: float) -> None:
+        """Take a refusal: others have given the engine work, too."""
+        self._pause.note_rejection(now_s)
+
     def begin(self, turn_id: str, prompt_tokens: int, now_s: float) -> None:
         """Count a prompt."""
         self._prompts[turn_id] = _Prompt(
@@ -214,6 +238,8 @@
             return
         for other in self._prompts.values():
             other.began_s = max(other.began_s, now_s)  # the engine turns to the next one
+        if seconds is not None:
+            self._pause.end()
         if seconds is not None and ended.is_alone and seconds > PREFILL_FIXED_S:
             measured = ended.tokens / (seconds - PREFILL_FIXED_S)
             self._tokens_s += _LEARNING_WEIGHT * (measured - self._tokens_s)
@@ -221,6 +247,7 @@
     def clear(self) -> None:
         """Forget all prompts, as after a restart of the engine."""
         self._prompts.clear()
+        self._pause.end()
 
 
 def need_at_start(prompt_tokens: int, expected_tokens: int) -> float:
--- a/flamingoshelf/placement/tests/simulation.py
+++ b/flamingoshelf/placement/tests/simulation.py
@@ -76,9 +76,10 @@
     def __init__(self, speed=1.0):
         self.speed = speed
         self.runs = {}
+        self.foreign = 0  # tokens held for others
 
     def used(self):
-        return sum(call.prompt + made for call, made in self.runs.values())
+        return self.foreign + sum(call.prompt + made for call, made in self.runs.values())
 
     def has_room(self, call):
         return self.used() + call.prompt + 16 <= PROFILE.kv_tokens
@@ -226,6 +227,7 @@
         if engine is None or not engine.has_room(call):
             self.rejections += 1
             call.rejections += 1
+            self.dispatcher.note_rejection(decode_id)
             self._waste(call)
             return
         engine.runs[call.name] = (call, 0.0)
--- a/flamingoshelf/placement/tests/test_ledgers.py
+++ b/flamingoshelf/placement/tests/test_ledgers.py
@@ -107,3 +107,36 @@
     assert ledger.tokens_s == before
     ledger.end("a", now_s=0.3, seconds=0.224)
     assert ledger.tokens_s < before
+
+
+def test_engine_that_refuses_gets_no_work_for_longer_each_time(decode):
+    now_s = 10.0
+    pauses = []
+    for _ in range(6):
+        decode.note_rejection(now_s)
+        assert not decode.fits(10, 10, now_s)
+        began_s = now_s
+        while not decode.fits(10, 10, now_s):
+            now_s += 0.01
+        pauses.append(round(now_s - began_s, 1))
+    assert pauses == [0.4, 0.8, 1.6, 3.2, 3.2, 3.2]
+
+
+def test_refusals_of_one_moment_count_once(decode):
+    for _ in range(20):
+        decode.note_rejection(10.0)
+    assert decode.fits(10, 10, 10.5)
+
+
+def test_run_that_begins_ends_the_pause(decode):
+    decode.add("a", 10, 10)
+    decode.note_rejection(10.0)
+    decode.start("a", 10.1)
+    assert decode.fits(10, 10, 10.1)
+
+
+def test_prefill_engine_that_refuses_gets_no_work_for_a_time():
+    ledger = PrefillLedger()
+    ledger.note_rejection(10.0)
+    assert not ledger.takes_work(10.3)
+    assert ledger.takes_work(10.5)
--- a/flamingoshelf/placement/tests/test_load_patterns.py
+++ b/flamingoshelf/placement/tests/test_load_patterns.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from flamingoshelf.placement.tests.simulation import Simulation, notes
+from flamingoshelf.placement.tests.simulation import PROFILE, Simulation, notes
 
 
 def share(calls, attribute):
@@ -61,6 +61,18 @@
     assert played.rejections <= 0.1 * played.lost_answers
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_engine_that_is_full_of_unknown_runs_costs_few_prompts(seed):
+    """One of six decode engines is full for ten seconds of runs that nobody counts."""
+    calls = notes(9, seconds=10, seed=seed)
+    played = Simulation(calls, prefills=[1, 1, 1], decodes=[1] * 6)
+    played.decodes["d3"].foreign = PROFILE.kv_tokens
+    played.run(40)
+    # Pauses of 0.4, 0.8, 1.6, 3.2 and 3.2 s: a try after each, and what is on its way then.
+    assert 1 <= played.rejections <= 10
+    assert share(calls, "is_on_time") > 0.9
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_slow_engines_do_not_make_the_others_late(seed):
     """Three of nine engines are 1.3 times slower at both stages."""
