Give the tokens of refused requests back to their workspaces

Cause, by reading: a request was charged against its workspace's limit when it asked for a turn, and not given back when it was refused or its caller left while it waited. An overload used up the limit of those that it refused. Change: what got no turn is given back, never above the burst. Tests: test_fleet.py (refused requests, callers that leave, requests that run), test_workspace_limits.py.

--- a/flamingoshelf/placement/_service.py
+++ b/flamingoshelf/placement/_service.py
@@ -87,7 +87,13 @@
         refusal = self._limits.charge(request.workspace, request.charge_tokens)
         if refusal is not None:
             return refusal
-        return await self.desk(request.service).acquire(request, owner)
+        outcome: Turn | Refusal | None = None
+        try:
+            outcome = await self.desk(request.service).acquire(request, owner)
+            return outcome
+        finally:
+            if not isinstance(outcome, Turn):  # it was refused, or its caller left
+                self._limits.give_back(request.workspace, request.charge_tokens)
 
     async def confirm(self, order: ConfirmDecode) -> DecodeConfirmed:
         """Wait for the decode engine of a processed prompt."""
--- a/flamingoshelf/placement/_workspace_limits.py
+++ b/flamingoshelf/placement/_workspace_limits.py
@@ -73,6 +73,13 @@
         missing = min(tokens, limit.burst_tokens) - balance.tokens
         return rate_refusal(workspace, wait_s=missing / limit.rate_tokens_s)
 
+    def give_back(self, workspace: str, tokens: float) -> None:
+        """Give back the tokens of a request that was charged and did not run."""
+        limit = self._limit(workspace)
+        if limit is not None and limit.rate_tokens_s > 0:
+            balance = self._refill(workspace, limit)
+            balance.tokens = min(balance.tokens + tokens, limit.burst_tokens)
+
     def spend(self, workspace: str, tokens: float) -> None:
         """Take tokens that other nodes let through; the balance may fall below zero."""
         limit = self._limit(workspace)
--- a/flamingoshelf/placement/tests/test_fleet.py
+++ b/flamingoshelf/placement/tests/test_fleet.py
@@ -16,6 +16,7 @@
     PlainCallMeter,
     RunOutcome,
     Turn,
+    WorkspaceLimit,
     WorkspaceLimits,
     new_turn_id,
 )
@@ -50,7 +51,13 @@
 
 
 @pytest.fixture
-def service():
+def limits():
+    limit = WorkspaceLimit(rate_tokens_s=1.0, burst_tokens=1000.0, initial_tokens=1000.0)
+    return WorkspaceLimits(limit=lambda name: limit if name == "limited" else None)
+
+
+@pytest.fixture
+def service(limits):
     return DispatcherService(
         new_dispatcher=lambda name: Dispatcher(
             service=name,
@@ -58,7 +65,7 @@
             profile=lambda: PROFILE,
             random_source=random.Random(1),
         ),
-        limits=WorkspaceLimits(limit=lambda name: None),
+        limits=limits,
         owners=lambda: {"m"},
     )
 
@@ -225,3 +232,28 @@
     turn = await placer.acquire(ask(1))
     service.desk("s").dispatcher.release(turn.turn_id)
     assert await placer.confirm(turn) == turn.decode_id
+
+
+async def test_refused_request_costs_its_workspace_nothing(service, limits):
+    """Refusals in an overload used up the limit of the workspace that was refused."""
+    service.desk("s").note_report("m")
+    hopeless = ask(1, workspace="limited", charge_tokens=800.0, wait_left_s=0.001)
+    refusal = await service.acquire(hopeless, "n")
+    assert refusal.status == 503
+    assert limits.charge("limited", 1000) is None
+
+
+async def test_caller_that_leaves_while_it_waits_costs_its_workspace_nothing(service, limits):
+    request = ask(1, workspace="limited", charge_tokens=800.0)
+    waiting = asyncio.ensure_future(service.acquire(request, "n"))
+    await asyncio.sleep(0.01)
+    waiting.cancel()
+    await asyncio.sleep(0.01)
+    assert limits.charge("limited", 1000) is None
+
+
+async def test_request_that_runs_is_charged(service, limits):
+    assert isinstance(
+        await service.acquire(ask(1, workspace="limited", charge_tokens=800.0), "n"), Turn
+    )
+    assert limits.charge("limited", 1000) is not None
--- a/flamingoshelf/placement/tests/test_workspace_limits.py
+++ b/flamingoshelf/placement/tests/test_workspace_limits.py
@@ -83,6 +83,15 @@
     assert limits.exhausted() == {}
 
 
+def test_tokens_of_a_request_that_did_not_run_are_given_back(limits):
+    limits.charge("w", 2000)
+    limits.give_back("w", 2000)
+    assert limits.charge("w", 2000) is None
+    limits.give_back("w", 9000)  # never above the burst
+    assert limits.charge("w", 2000) is None
+    assert limits.charge("w", 100) is not None
+
+
 def test_workspace_without_a_rate_is_not_limited(limits, known):
     known["w"] = limit(0, 0)
     assert limits.charge("w", 10**9) is None
