Take repeats of streams from one budget where they are placed

Each of 81 nodes had its part of the fleet's reserve, which is one repeat, while the others' parts lay unused. A repeat of prompt and run also counted as one call where the users' bound counts two. Change: every repeat asks for a turn at the coordinator anyway; it takes the calls that are made again (one or two) from one budget. A new coordinator's budget starts empty, as its predecessor may have spent a whole reserve in the same window; a node that is cut off has its part only. Bounds of repeats became a type. Tests: test_fleet.py (one budget for all nodes, cost of both calls), test_stream_forwarder.py, test_retries.py.

--- a/flamingoshelf/gateway/_bounds.py
+++ b/flamingoshelf/gateway/_bounds.py
@@ -5,9 +5,10 @@
 from flamingoshelf.gateway._active_configuration import ActiveConfiguration
 from flamingoshelf.gateway._settings import GatewaySettings
 from flamingoshelf.placement import WorkspaceLimit
+from flamingoshelf.retries import RetryBounds
 from flamingoshelf.routing import BackendInstance, EngineProfile
 
-__all__ = ["LEAST_RETRY_RESERVE", "Bounds"]
+__all__ = ["Bounds"]
 
 # Parts of the fleet's bound of repeats in a window that are used: what is saved up and what is
 # earned without requests may fall into one window, and the nodes' counts of nodes may differ.
@@ -15,7 +16,7 @@
 _RETRY_RESERVE_SHARE = 0.5
 _RETRY_FLOOR_SHARE = 0.35
 # Repeats that a node may save up in a fleet so large that its part is less than one.
-LEAST_RETRY_RESERVE = 1.0
+_LEAST_RETRY_RESERVE = 1.0
 # Part of the tokens tolerated above a limit that is used; the rest is for a second coordinator.
 _LIMIT_SLACK_SHARE = 0.7
 _UNKNOWN_SERVER_CONNECTIONS = 8  # while the configuration does not say how many a server takes
@@ -47,15 +48,16 @@
         self._configuration = configuration
         self._node_count = node_count
 
-    def retries(self) -> dict[str, float]:
+    def retries(self) -> RetryBounds:
         """Return the bounds of repeats that keep within what is allowed in any window."""
         settings = self._settings()
         floor_per_s = settings.retry_reserve / settings.retry_window_s
-        return {
-            "ratio": _RETRY_RATIO_SHARE * settings.retry_ratio,
-            "fleet_reserve": _RETRY_RESERVE_SHARE * settings.retry_reserve,
-            "fleet_floor_per_s": _RETRY_FLOOR_SHARE * floor_per_s,
-        }
+        return RetryBounds(
+            ratio=_RETRY_RATIO_SHARE * settings.retry_ratio,
+            fleet_reserve=max(_LEAST_RETRY_RESERVE, _RETRY_RESERVE_SHARE * settings.retry_reserve),
+            fleet_floor_per_s=_RETRY_FLOOR_SHARE * floor_per_s,
+            least_reserve=_LEAST_RETRY_RESERVE,
+        )
 
     def workspace_limit(self, name: str) -> WorkspaceLimit | None:
         """Return a workspace's limit with what is tolerated above it."""
--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -12,7 +12,7 @@
 from flamingoshelf.gateway._admission import Admission
 from flamingoshelf.gateway._app import Gateway
 from flamingoshelf.gateway._backend_client import BackendClient
-from flamingoshelf.gateway._bounds import LEAST_RETRY_RESERVE, Bounds
+from flamingoshelf.gateway._bounds import Bounds
 from flamingoshelf.gateway._crash_watch import CrashWatch
 from flamingoshelf.gateway._engine_control import EngineControl, EngineWire
 from flamingoshelf.gateway._engine_prober import EngineProber
@@ -101,10 +101,12 @@
             max_connections=lambda key: self._bounds.connections(self._directory.get(key))
         )
         self._client = BackendClient(pool=self._pool, wire=wire)
-        self._budgets = RetryBudgets(
-            node_count=self._node_count,
-            least_reserve=LEAST_RETRY_RESERVE,
-            **self._bounds.retries(),
+        self._budgets = RetryBudgets(node_count=self._node_count, bounds=self._bounds.retries())
+        # A predecessor may have spent a whole reserve in the same window.
+        self._placement_budgets = RetryBudgets(
+            node_count=self._placing_nodes,
+            bounds=self._bounds.retries(),
+            starts_empty=True,
         )
         self._tasks = TaskGroup(owner="node")
         self._incarnation = new_incarnation()
@@ -125,6 +127,7 @@
         self._dispatchers = DispatcherService(
             new_dispatcher=self._new_dispatcher,
             limits=WorkspaceLimits(limit=self._bounds.workspace_limit),
+            budget=self._placement_budgets.budget,
             owners=self._answering_nodes,
         )
         self._plain_calls = PlainCallMeter()
@@ -210,7 +213,8 @@
         """Take over new settings, but for those that need a restart."""
         taken, fixed = changed_fields(self._settings, settings)
         self._settings = attrs.evolve(self._settings, **taken)
-        self._budgets.resize(**self._bounds.retries())
+        for budgets in (self._budgets, self._placement_budgets):
+            budgets.resize(self._bounds.retries())
         logger.bind(step="reload", taken=taken, needs_restart=fixed).info("settings taken over")
 
     async def stop(self) -> None:
@@ -353,7 +357,6 @@
                 targets=targets,
                 directory=self._directory,
                 placer=self._placer,
-                budget=budget,
                 crashes=self._crashes,
                 metrics=self._metrics,
             ),
@@ -363,6 +366,11 @@
     def _node_count(self) -> int:
         return max(1, len(self._members))
 
+    def _placing_nodes(self) -> int:
+        """Return how many nodes like this one may place requests: 1 while all others answer."""
+        reachable = 1 if self._coordination is None else self._coordination.reachable
+        return max(1, -(-len(self._members) // reachable))
+
     def _new_dispatcher(self, service: str) -> Dispatcher:
         return Dispatcher(
             service=service,
--- a/flamingoshelf/gateway/_stream_forwarder.py
+++ b/flamingoshelf/gateway/_stream_forwarder.py
@@ -1,7 +1,6 @@
 """Forwards streams from separate prefill and decode engines."""
 
 import asyncio
-from collections.abc import Callable
 
 import attrs
 from loguru import logger
@@ -23,7 +22,6 @@
     new_turn_id,
 )
 from flamingoshelf.refusals import Refusal, RefusalReason, RetryReason
-from flamingoshelf.retries import RetryBudget
 from flamingoshelf.routing import BackendInstance, InstanceDirectory
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import now_s
@@ -50,8 +48,6 @@
         Engines by identity.
     placer : Placer
         Grants turns.
-    budget : callable
-        ``budget(service)`` returns the budget of repeats.
     crashes : CrashWatch
         Refuses requests that crash engines.
     metrics : Metrics
@@ -65,7 +61,6 @@
         targets: TargetChoice,
         directory: InstanceDirectory,
         placer: Placer,
-        budget: Callable[[str], RetryBudget],
         crashes: CrashWatch,
         metrics: Metrics,
     ) -> None:
@@ -74,7 +69,6 @@
         self._targets = targets
         self._directory = directory
         self._placer = placer
-        self._budget = budget
         self._metrics = metrics
 
     async def forward(self, exchange: Exchange, request: AdmittedRequest) -> Refusal | None:
@@ -83,7 +77,6 @@
         if refusal is not None:
             return refusal
         service = self._targets.choose_service(request.route)
-        self._budget(service).record_request()
         relay = StreamRelay(exchange=exchange, request=request, metrics=self._metrics)
         run = _Run(request=request, service=service, relay=relay)
         for _ in range(_MAX_PLACEMENTS):
@@ -135,6 +128,7 @@
             wait_left_s=(request.deadline_s if run.relay.is_started else request.leaves_s) - now,
             deadline_left_s=request.deadline_s - now,
             avoid=tuple(run.avoid),
+            repeat_cost=run.repeat_cost,
             is_resumed=run.relay.is_started,
             content=request.content,
         )
@@ -191,6 +185,7 @@
             bound.info("the engine is not listed here")
             return None
         began_s = now_s()
+        run.has_called_prefill = True
         try:
             async with asyncio.timeout(min(_PREFILL_TIMEOUT_S, self._remaining_s(run))):
                 handle = await self._client.prefill(
@@ -244,6 +239,7 @@
         )
         call = self._call(run, engine, kv_handle=handle)
         run.relay.source = engine.key
+        run.has_called_decode = True
         run.relay.begin_run(
             on_first_event=lambda: self._placer.note_start(turn),
             on_silence=lambda: self._placer.note_failure(
@@ -302,9 +298,6 @@
             return False
         if run.sent >= run.request.route.max_attempts or self._remaining_s(run) <= 0:
             return False
-        if not self._budget(run.service).try_spend():
-            logger.bind(request_id=run.request.request_id, step="retry").info("no budget left")
-            return False
         self._metrics.count_retry(
             RetryReason.STREAM_BROKEN if run.sent else RetryReason.ENGINE_REFUSED
         )
@@ -368,6 +361,8 @@
         Decode engines that may have run it.
     avoid : set of str
         Engines that failed it.
+    has_called_prefill, has_called_decode : bool
+        Whether an engine of that role was called for it.
     is_answer_lost : bool
         Whether the present turn's engine may run it although its answer broke off before it began.
     """
@@ -381,6 +376,13 @@
     is_charged: bool = False
     prefill_engine: BackendInstance | None = None
     is_answer_lost: bool = False
+    has_called_prefill: bool = False
+    has_called_decode: bool = False
+
+    @property
+    def repeat_cost(self) -> int:
+        """Calls of the next turn that are not the first of their kind."""
+        return int(self.has_called_prefill) + int(self.has_called_decode)
 
 
 def _outcome(run: _Run, result: RelayResult | None) -> RunOutcome:
--- a/flamingoshelf/gateway/tests/test_bounds.py
+++ b/flamingoshelf/gateway/tests/test_bounds.py
@@ -4,7 +4,7 @@
 import pytest
 
 from flamingoshelf.gateway import ActiveConfiguration, GatewaySettings
-from flamingoshelf.gateway._bounds import LEAST_RETRY_RESERVE, Bounds
+from flamingoshelf.gateway._bounds import Bounds
 from flamingoshelf.gateway.tests.conftest import server
 from flamingoshelf.routing import GatewayConfiguration, ServiceProfile, Workspace
 
@@ -57,10 +57,10 @@
 def test_repeats_of_a_window_stay_within_what_the_fleet_may_send(nodes):
     """What all nodes have saved up, earn in a window without requests, and earn by requests."""
     retries = new_bounds(ActiveConfiguration()).retries()
-    saved = nodes * max(LEAST_RETRY_RESERVE, retries["fleet_reserve"] / nodes)
-    earned = retries["fleet_floor_per_s"] * SETTINGS.retry_window_s
+    saved = nodes * max(retries.least_reserve, retries.fleet_reserve / nodes)
+    earned = retries.fleet_floor_per_s * SETTINGS.retry_window_s
     requests = 1000
-    most = saved + earned + retries["ratio"] * requests
+    most = saved + earned + retries.ratio * requests
     assert most <= SETTINGS.retry_ratio * requests + SETTINGS.retry_reserve
 
 
--- a/flamingoshelf/gateway/tests/test_plain_forwarder.py
+++ b/flamingoshelf/gateway/tests/test_plain_forwarder.py
@@ -16,7 +16,7 @@
 )
 from flamingoshelf.placement import PlainCallMeter
 from flamingoshelf.refusals import Refusal, RefusalReason
-from flamingoshelf.retries import RetryBudget
+from flamingoshelf.retries import RetryBounds, RetryBudget
 from flamingoshelf.routing import CallKind, EjectionRule, ServerBoard
 
 pytestmark = pytest.mark.looptime
@@ -26,7 +26,7 @@
 
 @pytest.fixture
 def budget():
-    return RetryBudget(node_count=lambda: 1, fleet_reserve=10.0)
+    return RetryBudget(node_count=lambda: 1, bounds=RetryBounds(fleet_reserve=10.0))
 
 
 @pytest.fixture
--- a/flamingoshelf/gateway/tests/test_stream_forwarder.py
+++ b/flamingoshelf/gateway/tests/test_stream_forwarder.py
@@ -10,7 +10,6 @@
 from flamingoshelf.gateway.tests.conftest import Answer, lost, not_run, other_instance, refused
 from flamingoshelf.placement import FailureKind, RunOutcome, Turn
 from flamingoshelf.refusals import Refusal, RefusalReason
-from flamingoshelf.retries import RetryBudget
 from flamingoshelf.routing import CallKind
 
 pytestmark = pytest.mark.looptime
@@ -83,13 +82,11 @@
 
 @pytest.fixture
 def forwarder(client, targets, directory, placer, crashes, metrics):
-    budget = RetryBudget(node_count=lambda: 1, fleet_reserve=10.0)
     return StreamForwarder(
         client=client,
         targets=targets,
         directory=directory,
         placer=placer,
-        budget=lambda service: budget,
         crashes=crashes,
         metrics=metrics,
     )
@@ -188,6 +185,16 @@
     assert output.body == b"".join(events(1, 2))
 
 
+async def test_repeats_say_which_calls_they_make_again(forward, client, placer):
+    """A prompt that is processed again and a run that begins again count one each."""
+    client.prefills["p1"] = [OutcomeUnknownError("reset", step="prefill")]
+    client.will("d1", not_run())
+    client.will("d2", Answer(body=events(1, 9)))
+    _, output = await forward()
+    assert output.is_complete
+    assert [request.repeat_cost for request in placer.requests] == [0, 1, 2]
+
+
 async def test_run_that_may_have_begun_is_not_repeated(forward, client):
     client.will("d1", lost())
     refusal, _ = await forward(may_resume=False, max_attempts=5)
--- a/flamingoshelf/placement/_refusals.py
+++ b/flamingoshelf/placement/_refusals.py
@@ -2,7 +2,7 @@
 
 from flamingoshelf.refusals import Refusal, RefusalReason
 
-__all__ = ["full_refusal", "no_engine_refusal"]
+__all__ = ["full_refusal", "no_budget_refusal", "no_engine_refusal"]
 
 _NO_ENGINE_RETRY_S = 1.0  # a replaced engine is listed within about a second
 
@@ -19,6 +19,18 @@
     )
 
 
+def no_budget_refusal(service: str) -> Refusal:
+    """Return the refusal for a request whose turn may not be repeated now."""
+    return Refusal(
+        reason=RefusalReason.RETRIES_EXHAUSTED,
+        status=503,
+        detail=f"Too many requests to {service} were repeated lately.",
+        not_run=True,
+        retry_after_s=_NO_ENGINE_RETRY_S,
+        step="retry",
+    )
+
+
 def full_refusal(service: str, *, retry_after_s: float) -> Refusal:
     """Return the refusal for a request that can't be answered in its caller's time."""
     return Refusal(
--- a/flamingoshelf/placement/_service.py
+++ b/flamingoshelf/placement/_service.py
@@ -19,9 +19,11 @@
     TurnRefused,
     TurnUpdates,
 )
-from flamingoshelf.placement._types import PlacementRequest, Turn
+from flamingoshelf.placement._refusals import no_budget_refusal
+from flamingoshelf.placement._types import PlacementRequest, Turn, request_of
 from flamingoshelf.placement._workspace_limits import WorkspaceLimits
 from flamingoshelf.refusals import Refusal
+from flamingoshelf.retries import RetryBudget
 
 __all__ = ["DispatcherService"]
 
@@ -38,6 +40,8 @@
         ``new_dispatcher(service)`` returns a dispatcher for a service.
     limits : WorkspaceLimits
         Rates of the workspaces.
+    budget : callable
+        ``budget(service)`` returns the budget of repeats for the requests that are placed here.
     owners : callable
         Returns the other nodes, which may hold turns.
     """
@@ -47,9 +51,11 @@
         *,
         new_dispatcher: Callable[[str], Dispatcher],
         limits: WorkspaceLimits,
+        budget: Callable[[str], RetryBudget],
         owners: Callable[[], set[str]],
     ) -> None:
         self._limits = limits
+        self._budget = budget
         self._owners = owners
         self._new_dispatcher = new_dispatcher
         self._desks: dict[str, DispatcherDesk] = {}
@@ -84,6 +90,8 @@
 
     async def acquire(self, request: PlacementRequest, owner: str) -> Turn | Refusal:
         """Wait for a turn."""
+        if not self._may_place(request, owner):
+            return no_budget_refusal(request.service)
         refusal = self._limits.charge(request.workspace, request.charge_tokens)
         if refusal is not None:
             return refusal
@@ -95,6 +103,22 @@
             if not isinstance(outcome, Turn):  # it was refused, or its caller left
                 self._limits.give_back(request.workspace, request.charge_tokens)
 
+    def _may_place(self, request: PlacementRequest, owner: str) -> bool:
+        """Count a request, or take a repeat of it from the fleet's budget."""
+        budget = self._budget(request.service)
+        if not request.repeat_cost:
+            budget.record_request()
+            return True
+        if budget.try_spend(request.repeat_cost):
+            return True
+        logger.bind(
+            request_id=request_of(request.turn_id),
+            step="retry",
+            peer=owner,
+            cost=request.repeat_cost,
+        ).info("no budget left")
+        return False
+
     async def confirm(self, order: ConfirmDecode) -> DecodeConfirmed:
         """Wait for the decode engine of a processed prompt."""
         desk = self.desk(order.service)
--- a/flamingoshelf/placement/_types.py
+++ b/flamingoshelf/placement/_types.py
@@ -63,6 +63,8 @@
         Seconds until the whole answer has to be there.
     avoid : tuple of str
         Engines that failed it before.
+    repeat_cost : int
+        Calls to engines that this turn takes beyond the first ones of the request.
     is_resumed : bool
         Whether its caller has a part of the answer.
     content : str
@@ -80,6 +82,7 @@
     wait_left_s: float
     deadline_left_s: float
     avoid: tuple[str, ...] = ()
+    repeat_cost: int = 0
     is_resumed: bool = False
     content: str = ""
 
--- a/flamingoshelf/placement/tests/test_fleet.py
+++ b/flamingoshelf/placement/tests/test_fleet.py
@@ -22,6 +22,8 @@
 )
 from flamingoshelf.placement._messages import OwnerReport
 from flamingoshelf.placement.tests.simulation import PROFILE
+from flamingoshelf.refusals import RefusalReason
+from flamingoshelf.retries import RetryBounds, RetryBudget
 from flamingoshelf.routing import BackendInstance, EngineRole
 
 pytestmark = pytest.mark.looptime
@@ -57,7 +59,12 @@
 
 
 @pytest.fixture
-def service(limits):
+def budget():
+    return RetryBudget(node_count=lambda: 1, bounds=RetryBounds(ratio=0.0, fleet_reserve=3.0))
+
+
+@pytest.fixture
+def service(limits, budget):
     return DispatcherService(
         new_dispatcher=lambda name: Dispatcher(
             service=name,
@@ -66,6 +73,7 @@
             random_source=random.Random(1),
         ),
         limits=limits,
+        budget=lambda name: budget,
         owners=lambda: {"m"},
     )
 
@@ -257,3 +265,21 @@
         await service.acquire(ask(1, workspace="limited", charge_tokens=800.0), "n"), Turn
     )
     assert limits.charge("limited", 1000) is not None
+
+
+async def test_repeats_of_all_nodes_share_one_budget(service):
+    """With 81 nodes each had one repeat, and a hundred others were refused while 100 were left."""
+    service.desk("s").note_report("m")
+    outcomes = []
+    for number, owner in enumerate(("n", "m", "o", "p", "q")):
+        request = ask(number, repeat_cost=1, prompt_tokens=10)
+        outcomes.append(await service.acquire(request, owner))
+    assert [isinstance(outcome, Turn) for outcome in outcomes] == [True] * 3 + [False] * 2
+    assert outcomes[-1].reason is RefusalReason.RETRIES_EXHAUSTED and outcomes[-1].not_run
+
+
+async def test_repeat_of_both_calls_costs_two(service, budget):
+    service.desk("s").note_report("m")
+    assert isinstance(await service.acquire(ask(1, repeat_cost=2), "n"), Turn)
+    assert budget.try_spend()
+    assert not budget.try_spend()
--- a/flamingoshelf/retries/__init__.py
+++ b/flamingoshelf/retries/__init__.py
@@ -1,6 +1,6 @@
 """When a failed step may be tried again: budget, backoff and deadline."""
 
 from flamingoshelf.retries._backoff import Backoff
-from flamingoshelf.retries._budget import RetryBudget, RetryBudgets
+from flamingoshelf.retries._budget import RetryBounds, RetryBudget, RetryBudgets
 
-__all__ = ["Backoff", "RetryBudget", "RetryBudgets"]
+__all__ = ["Backoff", "RetryBounds", "RetryBudget", "RetryBudgets"]
--- a/flamingoshelf/retries/_budget.py
+++ b/flamingoshelf/retries/_budget.py
@@ -8,23 +8,19 @@
 
 from collections.abc import Callable
 
-from flamingoshelf.utils import check_positive, check_range, now_s
+import attrs
 
-__all__ = ["RetryBudget", "RetryBudgets"]
+from flamingoshelf.utils import check_positive, check_range, now_s
 
-_RATIO = 0.1
-_FLEET_RESERVE = 60.0
-_FLEET_FLOOR_PER_S = 1.0
-_LEAST_RESERVE = 2.0
+__all__ = ["RetryBounds", "RetryBudget", "RetryBudgets"]
 
 
-class RetryBudget:
-    """Token bucket of retries that requests fill.
+@attrs.frozen(kw_only=True)
+class RetryBounds:
+    """What all nodes together may retry.
 
     Parameters
     ----------
-    node_count : callable
-        Returns the number of nodes in the fleet.
     ratio : float
         Retries that one request earns.
     fleet_reserve : float
@@ -33,12 +29,39 @@
         Retries a second that all nodes together earn without requests.
     least_reserve : float
         What a node saves at least, however many there are; below 1 it could never retry.
+    """
+
+    ratio: float = 0.1
+    fleet_reserve: float = 60.0
+    fleet_floor_per_s: float = 1.0
+    least_reserve: float = 2.0
+
+    def __attrs_post_init__(self) -> None:
+        check_range("ratio", self.ratio, low=0, high=1)
+        check_positive("fleet_reserve", self.fleet_reserve)
+        check_range("least_reserve", self.least_reserve, low=1, high=float("inf"))
+
+
+_DEFAULT_BOUNDS = RetryBounds()
+
+
+class RetryBudget:
+    """Token bucket of retries that requests fill.
+
+    Parameters
+    ----------
+    node_count : callable
+        Returns the number of nodes in the fleet.
+    bounds : RetryBounds
+        What all nodes together may retry.
+    starts_empty : bool
+        Whether nothing is saved up at first, as after a budget that another node kept.
 
     Examples
     --------
     >>> import asyncio
     >>> async def spend():
-    ...     budget = RetryBudget(node_count=lambda: 1, fleet_reserve=2.0)
+    ...     budget = RetryBudget(node_count=lambda: 1, bounds=RetryBounds(fleet_reserve=2.0))
     ...     return [budget.try_spend() for _ in range(3)]
     >>> asyncio.run(spend())
     [True, True, False]
@@ -48,52 +71,45 @@
         self,
         *,
         node_count: Callable[[], int],
-        ratio: float = _RATIO,
-        fleet_reserve: float = _FLEET_RESERVE,
-        fleet_floor_per_s: float = _FLEET_FLOOR_PER_S,
-        least_reserve: float = _LEAST_RESERVE,
+        bounds: RetryBounds = _DEFAULT_BOUNDS,
+        starts_empty: bool = False,
     ) -> None:
-        check_range("ratio", ratio, low=0, high=1)
-        check_range("least_reserve", least_reserve, low=1, high=float("inf"))
-        check_positive("fleet_reserve", fleet_reserve)
         self._node_count = node_count
-        self._ratio = ratio
-        self._fleet_reserve = fleet_reserve
-        self._fleet_floor_per_s = fleet_floor_per_s
-        self._least_reserve = least_reserve
-        self._balance = self._reserve
+        self._bounds = bounds
+        self._balance = 0.0 if starts_empty else self._reserve
         self._updated_s: float | None = None
 
-    def resize(self, *, ratio: float, fleet_reserve: float, fleet_floor_per_s: float) -> None:
+    def resize(self, bounds: RetryBounds) -> None:
         """Set other bounds; what was saved up beyond the new reserve is lost."""
-        check_range("ratio", ratio, low=0, high=1)
-        check_positive("fleet_reserve", fleet_reserve)
-        self._ratio = ratio
-        self._fleet_reserve = fleet_reserve
-        self._fleet_floor_per_s = fleet_floor_per_s
+        self._bounds = bounds
         self._balance = min(self._balance, self._reserve)
 
     def record_request(self) -> None:
         """Earn the part of a retry that one first attempt is worth."""
-        self._earn(self._ratio)
+        self._earn(self._bounds.ratio)
+
+    def try_spend(self, amount: float = 1.0) -> bool:
+        """Take a retry; False if the budget is spent and the request must not be retried.
 
-    def try_spend(self) -> bool:
-        """Take one retry; False if the budget is spent and the request must not be retried."""
+        One that costs more than 1 leaves a debt rather than being refused for good by a node whose
+        reserve is smaller.
+        """
         self._earn(0.0)
         if self._balance < 1.0:
             return False
-        self._balance -= 1.0
+        self._balance -= amount
         return True
 
     @property
     def _reserve(self) -> float:
-        return max(self._least_reserve, self._fleet_reserve / max(1, self._node_count()))
+        part = self._bounds.fleet_reserve / max(1, self._node_count())
+        return max(self._bounds.least_reserve, part)
 
     def _earn(self, retries: float) -> None:
         now = now_s()
         if self._updated_s is not None:
             nodes = max(1, self._node_count())
-            retries += (now - self._updated_s) * self._fleet_floor_per_s / nodes
+            retries += (now - self._updated_s) * self._bounds.fleet_floor_per_s / nodes
         self._updated_s = now
         self._balance = min(self._reserve, self._balance + retries)
 
@@ -103,9 +119,7 @@
 
     Parameters
     ----------
-    node_count : callable
-        Returns the number of nodes in the fleet.
-    ratio, fleet_reserve, fleet_floor_per_s, least_reserve : float
+    node_count, bounds, starts_empty
         As in `RetryBudget`.
     """
 
@@ -113,27 +127,19 @@
         self,
         *,
         node_count: Callable[[], int],
-        ratio: float = _RATIO,
-        fleet_reserve: float = _FLEET_RESERVE,
-        fleet_floor_per_s: float = _FLEET_FLOOR_PER_S,
-        least_reserve: float = _LEAST_RESERVE,
+        bounds: RetryBounds = _DEFAULT_BOUNDS,
+        starts_empty: bool = False,
     ) -> None:
         self._node_count = node_count
-        self._ratio = ratio
-        self._fleet_reserve = fleet_reserve
-        self._fleet_floor_per_s = fleet_floor_per_s
-        self._least_reserve = least_reserve
+        self._bounds = bounds
+        self._starts_empty = starts_empty
         self._budgets: dict[str, RetryBudget] = {}
 
-    def resize(self, *, ratio: float, fleet_reserve: float, fleet_floor_per_s: float) -> None:
+    def resize(self, bounds: RetryBounds) -> None:
         """Set other bounds for all pools."""
-        self._ratio = ratio
-        self._fleet_reserve = fleet_reserve
-        self._fleet_floor_per_s = fleet_floor_per_s
+        self._bounds = bounds
         for budget in self._budgets.values():
-            budget.resize(
-                ratio=ratio, fleet_reserve=fleet_reserve, fleet_floor_per_s=fleet_floor_per_s
-            )
+            budget.resize(bounds)
 
     def budget(self, pool: str) -> RetryBudget:
         """Return the budget of `pool`."""
@@ -141,10 +147,8 @@
         if budget is None:
             budget = RetryBudget(
                 node_count=self._node_count,
-                ratio=self._ratio,
-                fleet_reserve=self._fleet_reserve,
-                fleet_floor_per_s=self._fleet_floor_per_s,
-                least_reserve=self._least_reserve,
+                bounds=self._bounds,
+                starts_empty=self._starts_empty,
             )
             self._budgets[pool] = budget
         return budget
--- a/flamingoshelf/retries/tests/test_retries.py
+++ b/flamingoshelf/retries/tests/test_retries.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from flamingoshelf.retries import Backoff, RetryBudget, RetryBudgets
+from flamingoshelf.retries import Backoff, RetryBounds, RetryBudget, RetryBudgets
 
 
 def spend_all(budget):
@@ -42,7 +42,9 @@
 async def test_nodes_of_a_large_fleet_keep_within_its_reserve(nodes):
     """Two repeats that each of 300 nodes may save up were three times the fleet's reserve."""
     budgets = [
-        RetryBudget(node_count=lambda: nodes, fleet_reserve=300, least_reserve=1.0)
+        RetryBudget(
+            node_count=lambda: nodes, bounds=RetryBounds(fleet_reserve=300, least_reserve=1.0)
+        )
         for _ in range(nodes)
     ]
     assert sum(map(spend_all, budgets)) <= 300
@@ -50,7 +52,28 @@
 
 def test_reserve_of_which_nothing_could_be_spent_is_refused():
     with pytest.raises(ValueError, match="least_reserve"):
-        RetryBudget(node_count=lambda: 1, least_reserve=0.5)
+        RetryBounds(least_reserve=0.5)
+
+
+@pytest.mark.looptime
+async def test_budget_after_another_nodes_has_nothing_saved_up():
+    budget = RetryBudget(
+        node_count=lambda: 1, bounds=RetryBounds(fleet_floor_per_s=0.5), starts_empty=True
+    )
+    assert not budget.try_spend()
+    await asyncio.sleep(4.0)
+    assert spend_all(budget) == 2
+
+
+@pytest.mark.looptime
+async def test_retry_that_costs_more_leaves_a_debt():
+    bounds = RetryBounds(fleet_reserve=1.0, least_reserve=1.0, fleet_floor_per_s=1.0)
+    budget = RetryBudget(node_count=lambda: 1, bounds=bounds)
+    assert budget.try_spend(2.0)
+    await asyncio.sleep(1.9)
+    assert not budget.try_spend()
+    await asyncio.sleep(0.2)
+    assert budget.try_spend()
 
 
 @pytest.mark.looptime
@@ -65,7 +88,7 @@
 async def test_bounds_that_change_apply_to_the_pools_that_exist():
     budgets = RetryBudgets(node_count=lambda: 1)
     budgets.budget("decode")
-    budgets.resize(ratio=0.5, fleet_reserve=8.0, fleet_floor_per_s=2.0)
+    budgets.resize(RetryBounds(ratio=0.5, fleet_reserve=8.0, fleet_floor_per_s=2.0))
     assert spend_all(budgets.budget("decode")) == 8
     for _ in range(4):
         budgets.budget("decode").record_request()
