Try: a new coordinator hears what workspaces spent lately

Cause supposed: a new coordinator's buckets start at the plain burst, so that a hot workspace loses what is tolerated above it, 133 thousand tokens, with each change of the coordinator. Change: the first report of each node to a coordinator has the tokens of its last 8 s.

--- a/flamingoshelf/placement/tests/test_workspace_limits.py
+++ b/flamingoshelf/placement/tests/test_workspace_limits.py
@@ -107,3 +107,60 @@
         clock.now += 6.0 if coordinator == 0 else 0.0
         admitted += sum(500 for _ in range(100) if limits.charge("w", 500) is None)
     assert admitted <= 8000 + 2000
+
+
+def successor(clock, *, nodes, burst=8000):
+    known = {"w": WorkspaceLimit(rate_tokens_s=1000, burst_tokens=burst, initial_tokens=2000)}
+    return WorkspaceLimits(limit=known.get, node_count=lambda: nodes, clock=clock)
+
+
+def left(limits):
+    """Return the tokens that a workspace may spend at once."""
+    return 100 * sum(limits.charge("w", 100) is None for _ in range(1000))
+
+
+def test_successor_that_hears_of_all_goes_on_where_its_predecessor_was(clock):
+    """A hot workspace lost a whole burst with each change of the coordinator."""
+    limits = successor(clock, nodes=4)
+    for peer in "abcd":
+        limits.note_recent(peer, {"w": 500}, is_whole=True)
+    assert left(limits) == 8000 - 4 * 500
+
+
+def test_reports_that_come_after_the_first_request_count_too(clock):
+    limits = successor(clock, nodes=4)
+    limits.charge("w", 0.1)
+    for peer in "abcd":
+        limits.note_recent(peer, {"w": 500}, is_whole=True)
+    assert left(limits) == pytest.approx(6000, abs=100)
+
+
+def test_nodes_that_do_not_tell_are_taken_for_busy_ones(clock):
+    """The predecessor's own requests are known to nobody."""
+    limits = successor(clock, nodes=4)
+    for peer in "abc":
+        limits.note_recent(peer, {"w": 500}, is_whole=True)
+    told = 3 * 500
+    assert left(limits) <= 2000 + 6000 * 3 / 4 - told - 2 * told / 3
+
+
+def test_fleet_that_started_anew_begins_with_the_plain_burst(clock):
+    limits = successor(clock, nodes=4)
+    for peer in "abcd":
+        limits.note_recent(peer, {}, is_whole=False)
+    assert left(limits) == 2000
+
+
+def test_repeated_report_counts_once(clock):
+    limits = successor(clock, nodes=1)
+    for _ in range(3):
+        limits.note_recent("a", {"w": 500}, is_whole=True)
+    assert left(limits) == 7500
+
+
+def test_coordinator_that_lost_its_duty_knows_nothing_when_it_has_it_again(clock):
+    limits = successor(clock, nodes=1)
+    limits.note_recent("a", {}, is_whole=True)
+    assert left(limits) == 8000
+    limits.forget()
+    assert left(limits) == 2000
--- a/flamingoshelf/retries/_budget.py
+++ b/flamingoshelf/retries/_budget.py
@@ -77,7 +77,7 @@
         self._node_count = node_count
         self._bounds = bounds
         self._balance = 0.0 if starts_empty else self._reserve
-        self._updated_s: float | None = None
+        self._updated_s = now_s() if starts_empty else None
 
     def resize(self, bounds: RetryBounds) -> None:
         """Set other bounds; what was saved up beyond the new reserve is lost."""
