Revert: a new coordinator hears what workspaces spent lately

Tried: nodes told a new coordinator the tokens that their requests spent in the last 8 s, so that its buckets began where its predecessor's were, and not at the plain burst.

--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -34,7 +34,6 @@
     DispatcherService,
     FleetPlacer,
     PlainCallMeter,
-    RecentTokens,
     WorkspaceLimits,
 )
 from flamingoshelf.quarantine import ContentGuard, Quarantine, QuarantineService
@@ -127,14 +126,11 @@
         )
         self._dispatchers = DispatcherService(
             new_dispatcher=self._new_dispatcher,
-            limits=WorkspaceLimits(limit=self._bounds.workspace_limit, node_count=self._node_count),
+            limits=WorkspaceLimits(limit=self._bounds.workspace_limit),
             budget=self._placement_budgets.budget,
             owners=self._answering_nodes,
         )
-        recent = RecentTokens(
-            window_s=settings.limit_window_s, has_past=not settings.is_first_start
-        )
-        self._plain_calls = PlainCallMeter(recent=recent)
+        self._plain_calls = PlainCallMeter()
         self._quarantine = Quarantine()
         self._guard: ContentGuard = self._quarantine
         self._crashes = CrashWatch(guard=lambda: self._guard)
@@ -142,7 +138,6 @@
             node_name=settings.node_name,
             service=self._dispatchers,
             plain_calls=self._plain_calls,
-            recent=recent,
             services=self._engine_services,
         )
         control = EngineControl(client=self._client, wire=engine_wire)
--- a/flamingoshelf/gateway/_settings.py
+++ b/flamingoshelf/gateway/_settings.py
@@ -53,7 +53,7 @@
         Part of a processor that the VM can use, and its speed against a usual core.
     link_mbit_s : float
         Rate of the VM's network link.
-    limit_excess, limit_slack_tokens, limit_window_s : float
+    limit_excess, limit_slack_tokens : float
         What is tolerated above workspaces' limits: a part of them, and tokens in each window.
     """
 
@@ -75,7 +75,6 @@
     link_mbit_s: float = 1000.0
     limit_excess: float = 0.0
     limit_slack_tokens: float = 0.0
-    limit_window_s: float = 8.0
 
     @property
     def capacity(self) -> float:
--- a/flamingoshelf/gateway/tests/test_plain_forwarder.py
+++ b/flamingoshelf/gateway/tests/test_plain_forwarder.py
@@ -14,7 +14,7 @@
     refused,
     server,
 )
-from flamingoshelf.placement import PlainCallMeter, RecentTokens
+from flamingoshelf.placement import PlainCallMeter
 from flamingoshelf.refusals import Refusal, RefusalReason
 from flamingoshelf.retries import RetryBounds, RetryBudget
 from flamingoshelf.routing import CallKind, EjectionRule, ServerBoard
@@ -31,7 +31,7 @@
 
 @pytest.fixture
 def plain_calls():
-    return PlainCallMeter(recent=RecentTokens(window_s=8.0, has_past=False))
+    return PlainCallMeter()
 
 
 @pytest.fixture
--- a/flamingoshelf/placement/__init__.py
+++ b/flamingoshelf/placement/__init__.py
@@ -4,7 +4,6 @@
 from flamingoshelf.placement._fleet import FleetPlacer
 from flamingoshelf.placement._health import FailureKind
 from flamingoshelf.placement._plain_calls import PlainCallMeter
-from flamingoshelf.placement._recent_tokens import RecentTokens
 from flamingoshelf.placement._role_plan import RoleChange, RolePlanner
 from flamingoshelf.placement._service import DispatcherService
 from flamingoshelf.placement._types import (
@@ -26,7 +25,6 @@
     "PlacementRequest",
     "PlainCallMeter",
     "Placer",
-    "RecentTokens",
     "RoleChange",
     "RolePlanner",
     "RunOutcome",
--- a/flamingoshelf/placement/_fleet.py
+++ b/flamingoshelf/placement/_fleet.py
@@ -27,7 +27,6 @@
     TurnUpdates,
 )
 from flamingoshelf.placement._plain_calls import PlainCallMeter
-from flamingoshelf.placement._recent_tokens import RecentTokens
 from flamingoshelf.placement._service import DispatcherService
 from flamingoshelf.placement._types import DecodeRun, PlacementRequest, RunOutcome, Turn, request_of
 from flamingoshelf.refusals import Refusal
@@ -67,8 +66,6 @@
         This node's own dispatchers.
     plain_calls : PlainCallMeter
         Plain calls of this node.
-    recent : RecentTokens
-        Tokens that this node spent lately.
     services : callable
         Returns the services whose requests are placed.
     """
@@ -79,11 +76,9 @@
         node_name: str,
         service: DispatcherService,
         plain_calls: PlainCallMeter,
-        recent: RecentTokens,
         services: Callable[[], list[str]],
     ) -> None:
         self._plain_calls = plain_calls
-        self._recent = recent
         self._services = services
         self._node_name = node_name
         self._service = service
@@ -97,7 +92,6 @@
 
     async def start(self) -> None:
         """Start to report the turns that this node holds."""
-        self._recent.start()
         self._tasks.start(self._report(), name="report")
 
     async def stop(self) -> None:
@@ -129,8 +123,6 @@
             raise
         if isinstance(outcome, Turn):
             self._log_turn(outcome, request, waited_s=now_s() - asked_s)
-            if request.charge_tokens:
-                self._recent.record(request.workspace, request.charge_tokens)
             self._held[request.turn_id] = _Held(
                 turn=outcome, request=request, decode_id=outcome.decode_id
             )
@@ -274,8 +266,6 @@
         while True:
             await self._wait_for_report()
             coordinator = None if self._coordination is None else self._coordination.coordinator
-            if self._reported_to == self._node_name and coordinator != self._node_name:
-                self._service.forget_limits()
             if self._link is not None and coordinator is not None:
                 await self._report_to(coordinator)
                 continue
@@ -302,10 +292,7 @@
         held: dict[str, list[str]] = {service: [] for service in self._services()}
         for turn_id, item in self._held.items():
             held.setdefault(item.turn.service, []).append(turn_id)
-        is_first = coordinator != self._reported_to
         report = OwnerReport(
-            recent=self._recent.totals() if is_first else None,
-            is_recent_whole=self._recent.is_whole,
             held=tuple(
                 HeldTurns(service=service, turn_ids=tuple(turn_ids))
                 for service, turn_ids in held.items()
--- a/flamingoshelf/placement/_messages.py
+++ b/flamingoshelf/placement/_messages.py
@@ -146,16 +146,10 @@
         The turns that it holds, by service.
     spent : dict
         Tokens of plain calls that it let through since its last report, by workspace.
-    recent : dict or None
-        In the first report to a coordinator, the tokens of all its requests in the last seconds.
-    is_recent_whole : bool
-        Whether it has recorded them for as long as counts.
     """
 
     held: tuple[HeldTurns, ...] = ()
     spent: dict[str, int] = attrs.field(factory=dict)
-    recent: dict[str, int] | None = None
-    is_recent_whole: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/flamingoshelf/placement/_plain_calls.py
+++ b/flamingoshelf/placement/_plain_calls.py
@@ -2,7 +2,6 @@
 
 from collections import Counter
 
-from flamingoshelf.placement._recent_tokens import RecentTokens
 from flamingoshelf.placement._workspace_limits import rate_refusal
 from flamingoshelf.refusals import Refusal
 from flamingoshelf.utils import now_s
@@ -11,16 +10,9 @@
 
 
 class PlainCallMeter:
-    """Counts this node's plain calls between two reports to the node that counts for the fleet.
+    """Counts this node's plain calls between two reports to the node that counts for the fleet."""
 
-    Parameters
-    ----------
-    recent : RecentTokens
-        Takes the tokens that calls spend.
-    """
-
-    def __init__(self, *, recent: RecentTokens) -> None:
-        self._recent = recent
+    def __init__(self) -> None:
         self._spent: Counter[str] = Counter()
         self._exhausted_until_s: dict[str, float] = {}
 
@@ -30,7 +22,6 @@
         if left_s > 0:
             return rate_refusal(workspace, wait_s=left_s)
         self._spent[workspace] += int(tokens)
-        self._recent.record(workspace, tokens)
         return None
 
     @property
--- a/flamingoshelf/placement/_service.py
+++ b/flamingoshelf/placement/_service.py
@@ -133,10 +133,6 @@
             self._limits.spend(workspace, tokens)
         return self._limits.exhausted()
 
-    def forget_limits(self) -> None:
-        """Forget what workspaces have left, as another node counts from now on."""
-        self._limits.forget()
-
     def apply(self, peer: str, updates: TurnUpdates) -> None:
         """Take over what became of a node's turns."""
         desk = self.desk(updates.service)
@@ -179,8 +175,6 @@
             if not turn_ids:
                 desk.note_report(peer)
             unknown.append(HeldTurnsReply(service=held.service, unknown=turn_ids))
-        if report.recent is not None:
-            self._limits.note_recent(peer, report.recent, is_whole=report.is_recent_whole)
         return OwnerReportReply(held=tuple(unknown), exhausted=self.spend(report.spent))
 
     async def _on_register(self, peer: str, order: RegisterRuns) -> None:
--- a/flamingoshelf/placement/tests/test_fleet.py
+++ b/flamingoshelf/placement/tests/test_fleet.py
@@ -14,7 +14,6 @@
     FleetPlacer,
     PlacementRequest,
     PlainCallMeter,
-    RecentTokens,
     RunOutcome,
     Turn,
     WorkspaceLimit,
@@ -80,17 +79,11 @@
 
 
 @pytest.fixture
-def recent():
-    return RecentTokens(window_s=8.0, has_past=True)
-
-
-@pytest.fixture
-def placer(service, recent):
+def placer(service):
     return FleetPlacer(
         node_name="n",
         service=service,
-        plain_calls=PlainCallMeter(recent=recent),
-        recent=recent,
+        plain_calls=PlainCallMeter(),
         services=lambda: ["s"],
     )
 
@@ -290,17 +283,3 @@
     assert isinstance(await service.acquire(ask(1, repeat_cost=2), "n"), Turn)
     assert budget.try_spend()
     assert not budget.try_spend()
-
-
-async def test_new_coordinator_hears_what_was_spent_lately(placer, service):
-    async with reporting(placer, service) as (link, coordination):
-        await placer.acquire(ask(1, workspace="w", charge_tokens=700.0))
-        await asyncio.sleep(10)
-        await placer.acquire(ask(2, workspace="w", charge_tokens=500.0))
-        coordination.change("d")
-        await asyncio.sleep(0.1)
-        first, last = link.reports[0][1], link.reports[-1][1]
-        assert (first.recent, first.is_recent_whole) == ({}, False)
-        assert (last.recent, last.is_recent_whole) == ({"w": 500}, True)
-        await asyncio.sleep(1)
-        assert link.reports[-1][1].recent is None  # told once to each coordinator
--- a/flamingoshelf/platform/_settings_file.py
+++ b/flamingoshelf/platform/_settings_file.py
@@ -52,7 +52,6 @@
         "processor_speed": fields.optional("limits.cores", _positive, 1.0),
         "link_mbit_s": fields.optional("limits.linkMbps", _positive, 1000.0),
         "limit_excess": fields.optional("bounds.quotaExcess", _ratio, 0.0),
-        "limit_window_s": fields.optional("bounds.quotaWindowS", _positive, 8.0),
         "limit_slack_tokens": fields.optional("bounds.quotaSlack", _not_negative, 0.0),
     }
     if fields.errors:
