End connections to silent peers at once when a node stops

Each connection to another node was closed in turn with up to 2 s for the peer's part; one peer was paused then, and the accepted connections waited as long again. No caller is touched, as all requests had ended; the process was killed instead of ending by itself. Ruled out: requests (all had ended), the store (its watches had stopped). Change: all connections are closed together, for 0.15 s at the most. Tests: test_silent_peers_do_not_delay_a_stop, which failed with 2.0 s before.

--- a/flamingoshelf/nodes/_dialler.py
+++ b/flamingoshelf/nodes/_dialler.py
@@ -98,8 +98,7 @@
     async def stop(self) -> None:
         """Close all connections."""
         await self._tasks.stop()
-        for connection in list(self._connections.values()):
-            await connection.close()
+        await asyncio.gather(*(c.close() for c in list(self._connections.values())))
 
     async def _dial(self, peer: str) -> Result[NodeConnection, PeerUnreachableError]:
         try:
--- a/flamingoshelf/nodes/_link.py
+++ b/flamingoshelf/nodes/_link.py
@@ -37,6 +37,9 @@
 
 _NOTIFY_TIMEOUT_S = 2.0
 _CLOSE_TIMEOUT_S = 2.0
+# All connections together; a peer that lives answers within milliseconds, and what is left of a
+# grace period when the last request has ended is 0.25 s.
+_STOP_TIMEOUT_S = 0.15
 _REPORT_INTERVAL_S = 5.0
 
 
@@ -138,10 +141,13 @@
         self._tasks.start(self._report(), name="report")
 
     async def stop(self) -> None:
-        """Close all connections."""
+        """Close all connections; peers that don't take part in that are not waited for."""
         await self._tasks.stop()
-        await self._dialler.stop()
-        await self._acceptor.stop()
+        try:
+            async with asyncio.timeout(_STOP_TIMEOUT_S):
+                await asyncio.gather(self._dialler.stop(), self._acceptor.stop())
+        except TimeoutError:
+            logger.bind(step="stop").info("some peers did not close their connections in time")
         self._report_once()
 
     async def request(self, peer: str, message: Any, *, timeout_s: float) -> Any:
--- a/flamingoshelf/nodes/tests/test_link.py
+++ b/flamingoshelf/nodes/tests/test_link.py
@@ -22,6 +22,7 @@
 )
 from flamingoshelf.nodes import WebsocketNodeLink, load_node_tls, message
 from flamingoshelf.nodes._handshake import GREETING_HEADER, Identity, new_greeting
+from lab.proxy import FaultProxy, ProxyMode
 
 SECRET = b"a-secret-of-32-characters-for-it"
 _hosts = itertools.count(1)
@@ -269,3 +270,26 @@
             key_file=tmp_path / "key",
             authority_file=tmp_path / "authority",
         )
+
+
+async def test_silent_peers_do_not_delay_a_stop(links):
+    """Each of two paused peers held a node up for two seconds, beyond its grace period."""
+    proxies = []
+    for name in ("b", "c"):
+        await links.start(name)
+        proxy = FaultProxy(listen_address=new_address(), target_address=links.addresses[name])
+        await proxy.start()
+        proxies.append(proxy)
+        links.addresses[name] = proxy.address
+    link = await links.start("a")
+    for name in ("b", "c"):
+        await link.request(name, Echo(text="x"), timeout_s=2.0)
+    for proxy in proxies:
+        proxy.mode = ProxyMode.STALL
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    await link.stop()
+    took_s = loop.time() - began_s
+    for proxy in proxies:
+        await proxy.stop()
+    assert took_s < 1.0  # 0.15 s on an idle machine; each silent peer took 2 s
