--- a/lab/tests/test_soak.py
+++ b/lab/tests/test_soak.py
@@ -17,8 +17,17 @@
     assert report.faults
 
 
-async def test_gateway_nodes_keep_their_promises_under_faults(tmp_path):
-    options = SoakOptions(seed=5, duration_s=8.0, load=0.0, mean_gap_s=0.8)
+@pytest.mark.parametrize(
+    "options",
+    [
+        pytest.param(SoakOptions(seed=5, duration_s=8.0, load=0.0, mean_gap_s=0.8), id="5"),
+        # A stopping node waited two seconds for each peer that was paused.
+        pytest.param(SoakOptions(seed=309, duration_s=10.0, load=0.0, mean_gap_s=0.7), id="309"),
+        # A node is paused while it stops; the check did not allow for that.
+        pytest.param(SoakOptions(seed=324, duration_s=10.0, load=0.0, mean_gap_s=0.7), id="324"),
+    ],
+)
+async def test_gateway_nodes_keep_their_promises_under_faults(tmp_path, options):
     report = await run_gateway_soak(folder=tmp_path, options=options)
     assert report.breaches == [], report.faults
     assert report.measures["served"] > 50
