--- a/flamingoshelf/placement/tests/test_fleet.py
+++ b/flamingoshelf/placement/tests/test_fleet.py
@@ -132,7 +132,9 @@
             self.reports.append((peer, message))
         if self.is_cut:
             raise OutcomeUnknownError("no reply", step="request", peer=peer)
-        return await self._handlers[type(message)]("n", message)
+        # The other node goes on with a request whose sender has left.
+        answer = asyncio.ensure_future(self._handlers[type(message)]("n", message))
+        return await asyncio.shield(answer)
 
     def notify(self, peer, message):
         self._sent = asyncio.ensure_future(self._handlers[type(message)]("n", message))
@@ -184,6 +186,17 @@
         assert len(link.reports) == sent
 
 
+async def test_caller_that_leaves_is_withdrawn_at_another_nodes_dispatcher(placer, service):
+    async with reporting(placer, service):
+        desk = service.desk("s")  # new, so it grants nothing yet
+        waiting = asyncio.ensure_future(placer.acquire(ask(1)))
+        await asyncio.sleep(0.01)
+        assert desk.dispatcher.waiting == 1
+        waiting.cancel()
+        await asyncio.sleep(0.01)
+        assert desk.dispatcher.waiting == 0
+
+
 async def test_turn_whose_grant_was_not_heard_of_is_taken_back(placer, service):
     """The reply to a request was lost: the next report does not list the turn."""
     async with reporting(placer, service) as (_, _):
