Nodes don't pass reports of crashes and successes round without end

Cause: a node passed a report on when it changed its quarantine. A crash and a later success of the same content changed it in turn: each node that had taken the success over took the crash for news when it came again by another way, and the other way round. Two reports kept three nodes busy with up to 2,000 messages a second each, for as long as the nodes lived. A crash that came round after two seconds also counted as a second crash and put the content into quarantine for ten minutes.

Ruled out: silent peers at the end of a stop (each step of the stop took 0.1 to 0.8 s, also those that have nothing to wait for); load of the machine (the processor time of the two nodes alone grew).

Change: a report has an identifier and counts once, in whichever order the ways bring it. A success names the crashes that it clears, so a crash that is still on its way doesn't bring the suspicion back.

--- a/flamingoshelf/quarantine/_service.py
+++ b/flamingoshelf/quarantine/_service.py
@@ -3,11 +3,9 @@
 import random
 from collections.abc import Callable, Sequence
 
-import attrs
-
 from flamingoshelf.base import NodeLink
-from flamingoshelf.nodes import message
 from flamingoshelf.quarantine._quarantine import Quarantine
+from flamingoshelf.quarantine._reports import ContentReport
 from flamingoshelf.refusals import Refusal
 from flamingoshelf.telemetry import Metrics
 
@@ -16,15 +14,6 @@
 _FANOUT = 5
 
 
-@message
-@attrs.frozen(kw_only=True)
-class ContentReport:
-    """An engine crashed while it held a content; without an engine, the content ran well."""
-
-    digest: str
-    engine: str = ""
-
-
 class QuarantineService:
     """Quarantine of this node, kept the same on all nodes by notifications.
 
@@ -72,26 +61,25 @@
 
     def report_crash(self, digest: str, engine: str) -> None:
         """Record that an engine crashed while it held the content, and tell other nodes."""
-        self._accept(ContentReport(digest=digest, engine=engine))
+        report = self._quarantine.report_crash(digest, engine)
+        if report is not None:
+            self._pass_on(report)
 
     def report_success(self, digest: str) -> None:
         """Record that the content ran to its end, and tell other nodes if it was suspected."""
-        self._accept(ContentReport(digest=digest))
+        report = self._quarantine.report_success(digest)
+        if report is not None:
+            self._pass_on(report)
 
     def quarantined(self) -> dict[str, float]:
         """Return the digests that are refused, each with the seconds until it ends."""
         return self._quarantine.quarantined()
 
     async def _receive(self, peer: str, report: ContentReport) -> None:
-        self._accept(report)
-
-    def _accept(self, report: ContentReport) -> None:
-        if report.engine:
-            is_news = self._quarantine.report_crash(report.digest, report.engine)
-        else:
-            is_news = self._quarantine.report_success(report.digest)
-        if not is_news:
-            return
+        if self._quarantine.merge(report):
+            self._pass_on(report)
+
+    def _pass_on(self, report: ContentReport) -> None:
         self._metrics.count_event("content_crashed_engine" if report.engine else "content_cleared")
         others = [name for name in self._peers() if name != self._link.node_name]
         for peer in self._random.sample(others, min(_FANOUT, len(others))):
--- a/flamingoshelf/quarantine/tests/test_quarantine.py
+++ b/flamingoshelf/quarantine/tests/test_quarantine.py
@@ -66,19 +66,20 @@
         self.messages = 0
         self.handlers = {}
         self.pending = []
+        self.quarantines = {name: Quarantine() for name in names}
         self.services = {name: self.new_service(name, names) for name in names}
 
     def new_service(self, name, names):
         return QuarantineService(
-            quarantine=Quarantine(),
+            quarantine=self.quarantines[name],
             link=Link(self, name),
             peers=lambda: names,
             metrics=Metrics(node_name=name),
             random_source=random.Random(name),
         )
 
-    async def settle(self):
-        while self.pending:
+    async def settle(self, limit=10_000):
+        while self.pending and self.messages < limit:
             name, report = self.pending.pop(0)
             self.messages += 1
             await self.handlers[name]("peer", report)
@@ -112,3 +113,53 @@
     refusing = [name for name, service in network.services.items() if service.check("d")]
     assert len(refusing) >= 0.98 * count
     assert network.messages <= most_messages
+
+
+@pytest.mark.parametrize(("count", "most_messages"), [(3, 30), (6, 120), (60, 1200)])
+async def test_crash_and_success_do_not_chase_each_other(count, most_messages):
+    network = Network([f"n{number}" for number in range(count)])
+    for service in network.services.values():
+        await service.start()
+    network.services["n0"].report_crash("d", "e1")
+    network.services["n0"].report_success("d")
+    await network.settle()
+    assert network.messages <= most_messages
+    assert not any(network.quarantines[name].crashed_engines("d") for name in network.services)
+
+
+async def test_a_crash_that_comes_late_again_is_no_second_crash():
+    network = Network(["n0", "n1", "n2"])
+    for service in network.services.values():
+        await service.start()
+    network.services["n0"].report_crash("d", "e1")
+    late = network.pending[0]
+    await network.settle()
+    await asyncio.sleep(3.0)  # longer than two reports count as one crash
+    network.pending.append(late)
+    await network.settle()
+    assert not any(service.check("d") for service in network.services.values())
+
+
+async def test_success_that_overtakes_its_crash_clears_it():
+    network = Network(["n0", "n1"])
+    for service in network.services.values():
+        await service.start()
+    network.services["n0"].report_crash("d", "e1")
+    network.services["n0"].report_success("d")
+    network.pending.reverse()
+    await network.settle()
+    assert network.quarantines["n1"].crashed_engines("d") == ()
+
+
+async def test_success_does_not_clear_a_crash_that_it_did_not_follow():
+    network = Network(["n0", "n1"])
+    for service in network.services.values():
+        await service.start()
+    network.services["n0"].report_crash("d", "e1")
+    network.services["n0"].report_success("d")
+    network.services["n1"].report_crash("d", "e2")
+    await network.settle()
+    assert network.quarantines["n0"].crashed_engines("d") == ("e2",)
+    network.services["n0"].report_crash("d", "e3")
+    await network.settle()
+    assert network.services["n1"].check("d") is not None
