Test of the whole path shows the answer that has no events

The one failure of test_whole_and_streamed_answers_from_every_node named no cause, as the test looked at the events before the status.

--- a/flamingoshelf/daemon/tests/test_whole_path.py
+++ b/flamingoshelf/daemon/tests/test_whole_path.py
@@ -35,6 +35,7 @@
         assert response.status_code == 200
         assert json.loads(body)["choices"][0]["text"] == expected_answer(prompt, 40)
         response, body = await complete(client, address, prompt, stream=True)
+        assert response.status_code == 200, body
         events = [line[6:] for line in body.splitlines() if line.startswith("data: ")]
         assert events[-1] == "[DONE]"
         texts = [json.loads(event)["choices"][0]["text"] for event in events[:-1]]
