Wait for a prefill as long as a repeat can still be on time

The answer was waited for 1.5 s whatever the prompt, beyond the goal of 0.9 s, so each such note was late. Ruled out: a short limit for all, as slow engines take four times as long and their work would be done twice.

Change: a turn says how long its prefill should take, by what the engine has to do before it and its measured speed. The answer is waited for until a repeat would miss the goal; where none can be within it, for the time that a slow engine takes.

--- a/flamingoshelf/gateway/_stream_forwarder.py
+++ b/flamingoshelf/gateway/_stream_forwarder.py
@@ -9,6 +9,7 @@
 from flamingoshelf.gateway._admission import AdmittedRequest
 from flamingoshelf.gateway._backend_client import BackendClient, NotRunError, WrongInstanceError
 from flamingoshelf.gateway._crash_watch import CrashWatch
+from flamingoshelf.gateway._prefill_limit import prefill_limit_s
 from flamingoshelf.gateway._stream_relay import RelayResult, StreamRelay
 from flamingoshelf.gateway._target_choice import TargetChoice
 from flamingoshelf.gateway._wire import BackendCall, KvHandle
@@ -29,7 +30,6 @@
 __all__ = ["StreamForwarder"]
 
 _MAX_PLACEMENTS = 4  # turns that one request may use up
-_PREFILL_TIMEOUT_S = 1.5  # the longest prompts take 0.2 s; the rest is a full queue
 _FULL_RETRY_S = 0.4  # a decode engine ends a run about this often
 _DEFAULT_PROMPT_TOKENS = 1000  # where a caller states nothing; a third of the usual
 _DEFAULT_OUTPUT_TOKENS = 500  # about the mean answer (590)
@@ -187,7 +187,8 @@
         began_s = now_s()
         run.has_called_prefill = True
         try:
-            async with asyncio.timeout(min(_PREFILL_TIMEOUT_S, self._remaining_s(run))):
+            limit_s = prefill_limit_s(turn.prefill_s, run.request.goal_s - began_s)
+            async with asyncio.timeout(min(limit_s, self._remaining_s(run))):
                 handle = await self._client.prefill(
                     run.request, self._call(run, engine, is_prefill=True)
                 )
@@ -205,7 +206,9 @@
             self._crashes.note_lost_run(run.request, engine)
             self._note_failure(run, engine_id, FailureKind.BROKE_OFF, error.message)
         except TimeoutError:
-            bound.warning("no answer after {:.3f} s", now_s() - began_s)
+            bound.bind(expected_s=round(turn.prefill_s, 3)).warning(
+                "no answer after {:.3f} s", now_s() - began_s
+            )
             self._note_failure(run, engine_id, FailureKind.BROKE_OFF, "no answer to a prefill")
         else:
             seconds = now_s() - began_s
--- a/flamingoshelf/gateway/tests/conftest.py
+++ b/flamingoshelf/gateway/tests/conftest.py
@@ -69,6 +69,9 @@
     pause_s: float = 0.0
 
 
+SILENT = "silent"  # a prefill that gets no answer
+
+
 def refused(**fields):
     return Answer(error=PeerUnreachableError("refused", step="connect"), **fields)
 
@@ -143,6 +146,8 @@
         self.calls.append(call)
         queue = self.prefills.get(call.instance.key)
         outcome = queue.pop(0) if queue else f"h{len(self.calls)}"
+        if outcome is SILENT:
+            await asyncio.Event().wait()
         await asyncio.sleep(0.1)
         if isinstance(outcome, Exception):
             raise outcome
--- a/flamingoshelf/gateway/tests/test_stream_forwarder.py
+++ b/flamingoshelf/gateway/tests/test_stream_forwarder.py
@@ -7,10 +7,18 @@
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
 from flamingoshelf.gateway import CallerRequest, StreamForwarder
 from flamingoshelf.gateway._backend_client import NotRunError
-from flamingoshelf.gateway.tests.conftest import Answer, lost, not_run, other_instance, refused
+from flamingoshelf.gateway.tests.conftest import (
+    SILENT,
+    Answer,
+    lost,
+    not_run,
+    other_instance,
+    refused,
+)
 from flamingoshelf.placement import FailureKind, RunOutcome, Turn
 from flamingoshelf.refusals import Refusal, RefusalReason
 from flamingoshelf.routing import CallKind
+from flamingoshelf.utils import now_s
 
 pytestmark = pytest.mark.looptime
 
@@ -55,6 +63,7 @@
             service=request.service,
             prefill_id=prefills[0] if self.has_prefill else None,
             decode_id=free[0],
+            prefill_s=0.1,
         )
 
     async def confirm(self, turn):
@@ -119,6 +128,17 @@
     assert client.freed == []
 
 
+async def test_silent_prefill_is_done_elsewhere_within_the_goal(forward, client, placer):
+    """Pattern: engines process prompts whose answers are lost without a reset."""
+    client.prefills["p1"] = [SILENT]
+    client.will("d1", Answer(body=events(1, 2)))
+    began_s = now_s()
+    refusal, output = await forward()
+    assert refusal is None and output.is_complete
+    assert now_s() - began_s < 0.9
+    assert placer.failed == [("p1", FailureKind.BROKE_OFF)]
+
+
 async def test_refusal_of_the_placer_reaches_the_caller(forward, placer, client):
     placer.refusals.append(FULL)
     refusal, _ = await forward()
--- a/flamingoshelf/placement/_dispatcher.py
+++ b/flamingoshelf/placement/_dispatcher.py
@@ -371,16 +371,19 @@
         now = self._clock()
         request = ticket.request
         self._queue.remove(request.turn_id)
+        prefill_s = 0.0
+        if prefill_id is not None:
+            ledger = self._engines.prefill(prefill_id)
+            prefill_s = ledger.wait_s(now) + ledger.work_s(request.prompt_tokens)
+            ledger.begin(request.turn_id, request.prompt_tokens, now)
         turn = Turn(
             turn_id=request.turn_id,
             service=self._service,
             prefill_id=prefill_id,
             decode_id=decode_id,
             is_late=is_late,
+            prefill_s=prefill_s,
         )
-        if prefill_id is not None:
-            ledger = self._engines.prefill(prefill_id)
-            ledger.begin(request.turn_id, request.prompt_tokens, now)
         self._engines.decode(decode_id).add(
             request.turn_id, request.prompt_tokens, request.expected_tokens
         )
--- a/flamingoshelf/placement/_types.py
+++ b/flamingoshelf/placement/_types.py
@@ -101,6 +101,8 @@
         Decode engine that is expected to have room; the choice is made after the prefill.
     is_late : bool
         Whether the goal can't be met any more.
+    prefill_s : float
+        Seconds that the prefill is expected to take, with what the engine has to do before it.
     """
 
     turn_id: str
@@ -108,6 +110,7 @@
     prefill_id: str | None
     decode_id: str
     is_late: bool = False
+    prefill_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/flamingoshelf/placement/tests/simulation.py
+++ b/flamingoshelf/placement/tests/simulation.py
@@ -131,6 +131,8 @@
         self.preemptions = 0
         self.wasted_prompts = 0
         self.lost_answers = 0
+        self.granted_s = {}
+        self.prefill_times = []  # expected and real seconds from the grant to the end of a prefill
 
     def instances(self):
         engines = [
@@ -213,6 +215,7 @@
                 call.retry_after_s = refusal.retry_after_s
             case TurnDecided(outcome=Turn() as turn):
                 self.turns[call.name] = turn
+                self.granted_s[call.name] = self.now
                 self.held.add(call.name)
                 assert turn.prefill_id is not None
                 engine = self.prefills[turn.prefill_id]
@@ -272,6 +275,8 @@
                 self.release(lost.name)
 
     def _prefilled(self, call, seconds):
+        expected_s = self.turns[call.name].prefill_s
+        self.prefill_times.append((expected_s, self.now - self.granted_s[call.name]))
         self.dispatcher.note_prefill(call.name, seconds=seconds)
         if not self.dispatcher.confirm(call.name):
             self._waste(call)
--- a/flamingoshelf/placement/tests/test_load_patterns.py
+++ b/flamingoshelf/placement/tests/test_load_patterns.py
@@ -82,6 +82,16 @@
     assert played.rejections == 0
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_prefills_of_a_burst_take_as_long_as_their_turns_say(seed):
+    """Twice the usual load; one of three prefill engines is 1.3 times slower."""
+    calls = notes(18, seconds=10, seed=seed)
+    played = Simulation(calls, prefills=[1, 1.3, 1], decodes=[1] * 6).run(40)
+    assert len(played.prefill_times) > 100
+    usual = sum(seconds <= 1.5 * expected_s for expected_s, seconds in played.prefill_times)
+    assert usual > 0.98 * len(played.prefill_times)
+
+
 def test_no_request_is_refused_while_engines_are_idle():
     calls = notes(3, seconds=30)
     Simulation(calls, prefills=[1], decodes=[1, 1]).run(50)
