A node's process ends at once though peers are silent

Cause: a stop gives up waiting for the closing handshakes of its peers after 0.15 s, but the tasks that close accepted websockets go on when they are cancelled: at the end of the process they wait for the rest of the library's two seconds. A node whose peer is paused while it works on that peer's request ended 1.85 s after its stop, beyond its grace period.

Shown by a script that stops a link with a paused peer: tasks left are the server's close and the handler's, and the loop ends 1.851 s later with an accepted connection, at once with a dialled or half-open one.

Change: what is still open after 0.15 s is broken off.

--- a/flamingoshelf/nodes/_acceptor.py
+++ b/flamingoshelf/nodes/_acceptor.py
@@ -68,6 +68,7 @@
         self._checker = GreetingChecker(node_name=identity.name, secret=secret)
         self._greetings: dict[_Socket, Greeting] = {}
         self._incarnations: dict[str, str] = {}
+        self._sockets: set[_Socket] = set()
         self._server: Server | None = None
 
     def incarnation_of(self, peer: str) -> str | None:
@@ -89,7 +90,9 @@
             compression=None,
             ping_interval=PING_INTERVAL_S,
             ping_timeout=PING_TIMEOUT_S,
-            create_connection=cast(Any, partial(_Socket, on_stranger=self._refuse)),
+            create_connection=cast(
+                Any, partial(_Socket, on_stranger=self._refuse, sockets=self._sockets)
+            ),
         )
 
     async def stop(self) -> None:
@@ -98,6 +101,11 @@
             self._server.close()
             await self._server.wait_closed()
 
+    def abort(self) -> None:
+        """Break all accepted connections off; what waits for their ends goes on at once."""
+        for socket in list(self._sockets):
+            socket.transport.abort()
+
     async def _check_request(self, socket: ServerConnection, request: Request) -> Response | None:
         assert isinstance(socket, _Socket)
         try:
@@ -145,20 +153,27 @@
     """A websocket that reports a connection which ends before its greeting was checked."""
 
     def __init__(
-        self, *arguments: Any, on_stranger: Callable[["_Socket", Exception], None], **options: Any
+        self,
+        *arguments: Any,
+        on_stranger: Callable[["_Socket", Exception], None],
+        sockets: set["_Socket"],
+        **options: Any,
     ) -> None:
         super().__init__(*arguments, **options)
         self._on_stranger = on_stranger
+        self._sockets = sockets  # all that are open
         self.is_judged = False
         self.where = ""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Note the other side's address while it is known."""
         super().connection_made(transport)
+        self._sockets.add(self)
         self.where = str(transport.get_extra_info("peername"))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end if nothing was judged before."""
         super().connection_lost(exc)
+        self._sockets.discard(self)
         if not self.is_judged:
             self._on_stranger(self, exc or ProtocolError("no greeting", step="handshake"))
--- a/flamingoshelf/nodes/_connection.py
+++ b/flamingoshelf/nodes/_connection.py
@@ -89,6 +89,10 @@
         await self._tasks.stop()
         await self._socket.close()
 
+    def abort(self) -> None:
+        """Break the websocket off, without what its peer has to do for a regular end."""
+        self._socket.transport.abort()
+
     async def request(self, message: Any) -> Any:
         """Send `message` and return the reply; errors as in `flamingoshelf.base.NodeLink`."""
         number = next(self._numbers)
--- a/flamingoshelf/nodes/_dialler.py
+++ b/flamingoshelf/nodes/_dialler.py
@@ -100,6 +100,11 @@
         await self._tasks.stop()
         await asyncio.gather(*(c.close() for c in list(self._connections.values())))
 
+    def abort(self) -> None:
+        """Break all connections off."""
+        for connection in list(self._connections.values()):
+            connection.abort()
+
     async def _dial(self, peer: str) -> Result[NodeConnection, PeerUnreachableError]:
         try:
             return Ok(await self._open_to(peer))
--- a/flamingoshelf/nodes/_link.py
+++ b/flamingoshelf/nodes/_link.py
@@ -148,6 +148,11 @@
                 await asyncio.gather(self._dialler.stop(), self._acceptor.stop())
         except TimeoutError:
             logger.bind(step="stop").info("some peers did not close their connections in time")
+            # The library would wait for the peers' part until its own limit, also in tasks that are
+            # cancelled at the end of the process.
+            self._dialler.abort()
+            self._acceptor.abort()
+            await self._acceptor.stop()
         self._report_once()
 
     async def request(self, peer: str, message: Any, *, timeout_s: float) -> Any:
--- a/flamingoshelf/nodes/tests/test_link.py
+++ b/flamingoshelf/nodes/tests/test_link.py
@@ -4,6 +4,7 @@
 import ipaddress
 import itertools
 import os
+import threading
 
 import attrs
 import pytest
@@ -293,3 +294,41 @@
     for proxy in proxies:
         await proxy.stop()
     assert took_s < 1.0  # 0.15 s on an idle machine; each silent peer took 2 s
+
+
+async def test_process_with_silent_peers_ends_at_once():
+    """A peer is paused while this node works on its request; then the node stops."""
+    links = Links()
+    links.addresses["a"] = new_address()
+    proxy = FaultProxy(listen_address=new_address(), target_address=links.addresses["a"])
+    await proxy.start()
+    is_listening, has_request, may_stop = (threading.Event() for _ in range(3))
+
+    async def run_node():
+        nodes = Links()
+        link = await nodes.start("a", address=links.addresses["a"])
+
+        async def never(peer, request):
+            has_request.set()
+            await asyncio.Event().wait()
+
+        link.register(Echo, never)
+        is_listening.set()
+        await asyncio.to_thread(may_stop.wait)
+        await link.stop()
+
+    node = asyncio.create_task(asyncio.to_thread(asyncio.run, run_node()))
+    await asyncio.to_thread(is_listening.wait, 5)
+    peer = await links.start("b")
+    links.addresses["a"] = proxy.address
+    asking = asyncio.create_task(peer.request("a", Echo(text="x"), timeout_s=10))
+    await asyncio.to_thread(has_request.wait, 5)
+    proxy.mode = ProxyMode.STALL
+    may_stop.set()
+    # 0.15 s on an idle machine; a task that closes a websocket took 1.85 s more.
+    async with asyncio.timeout(1.0):
+        await asyncio.shield(node)
+    await proxy.stop()
+    with pytest.raises(OutcomeUnknownError):
+        await asking
+    await peer.stop()
