--- a/flamingoshelf/diagnosis/_cause.py
+++ b/flamingoshelf/diagnosis/_cause.py
@@ -90,6 +90,13 @@
 
 
 def _answered(trail: RequestTrail, last: LogRecord, outcome: str) -> Explanation:
+    silence = _silence_of(last.node, trail.records)
+    if silence is not None:
+        outcome += "; its caller may have left before"
+        cause = (
+            f"{last.node} stood still or was cut off: {silence.message} (seen by {silence.node})"
+        )
+        return Explanation(outcome=outcome, cause=cause, decisive=silence)
     goal_s = last.fields.get("goal_s")
     first = next((r for r in trail.records if r.message == "first event"), last)
     reached_s = first.fields.get("after_s")
@@ -137,6 +144,11 @@
     return tries[-1] if tries else None
 
 
+def _silence_of(node: str, records: Sequence[LogRecord]) -> LogRecord | None:
+    """Return the line by which another node gave up on the one that served the request."""
+    return next((r for r in records if r.step == "orphan" and r.peer == node), None)
+
+
 def _because(outcome: str, record: LogRecord, *, prefix: str = "") -> Explanation:
     peer = f" at {record.peer}" if record.peer else ""
     cause = f"{prefix}{record.step}{peer}: {record.message}"
--- a/flamingoshelf/diagnosis/tests/test_explain.py
+++ b/flamingoshelf/diagnosis/tests/test_explain.py
@@ -77,6 +77,18 @@
     assert "late" in explanation.outcome and cause in explanation.cause
 
 
+def test_answer_of_a_node_that_stood_still_names_the_node():
+    explanation = explained(
+        line(0, "placed", step="place", peer="vm-7", decode="d-2", waited_s=0.1),
+        line(0.2, "first event", step="decode", peer="d-2", after_s=0.2, goal_s=1.0),
+        line(7, "turn taken back, its owner is silent for 5.2 s", node="vm-7", step="orphan",
+             peer="vm-1"),
+        line(8, "answered", step="answer", peer="d-2", status=200, after_s=8.0, goal_s=1.0),
+    )  # fmt: skip
+    assert "vm-1 stood still" in explanation.cause and "5.2 s" in explanation.cause
+    assert explanation.decisive.node == "vm-7"
+
+
 def test_caller_that_left_says_what_it_waited_for():
     explanation = explained(
         line(3, "the caller left, or its connection broke", step="answer", after_s=3.0)
--- a/lab/tests/test_soak.py
+++ b/lab/tests/test_soak.py
@@ -21,8 +21,8 @@
     "options",
     [
         pytest.param(SoakOptions(seed=5, duration_s=8.0, load=0.0, mean_gap_s=0.8), id="5"),
-        # A stopping node waited two seconds for each peer that was paused, at its stop and at the end
-        # of its process; and reports of a crash and of a success went round without end.
+        # A stopping node waited two seconds for each peer that was paused, at its stop and again at
+        # the end of its process; and reports of a crash and of a success went round without end.
         pytest.param(SoakOptions(seed=309, duration_s=10.0, load=0.0, mean_gap_s=0.7), id="309"),
         # A node is paused while it stops; the check did not allow for that.
         pytest.param(SoakOptions(seed=324, duration_s=10.0, load=0.0, mean_gap_s=0.7), id="324"),
