--- a/lab/tests/test_gateway_site.py
+++ b/lab/tests/test_gateway_site.py
@@ -8,6 +8,7 @@
 from flamingoshelf.http1 import BackendConnection
 from lab.gateway import GatewaySite
 from lab.gateway._site import BOOKINGS, KEY, NOTES, RESUMABLE, STOCK, WORKSPACE
+from lab.processes import wait_until_listening
 
 pytestmark = pytest.mark.processes
 
@@ -225,6 +226,7 @@
         assert (await site.caller.call(address, f"{BOOKINGS}1")).status == 200
     site.nodes[0].kill()
     site.nodes[0].start()
+    await wait_until_listening(site.node_addresses[0])
     await asyncio.sleep(1.5)
     answer = await site.caller.call(site.node_addresses[0], f"{BOOKINGS}2")
     assert answer.status == 503 and answer.headers.get("Retry-After")
