--- a/flamingoshelf/cluster/_coordination.py
+++ b/flamingoshelf/cluster/_coordination.py
@@ -9,7 +9,7 @@
 
 from flamingoshelf.base import NodeLink
 from flamingoshelf.cluster._members import Member, MemberList
-from flamingoshelf.cluster._messages import MemberHeartbeat, MemberHeartbeatReply
+from flamingoshelf.cluster._messages import MemberHeartbeat, MemberHeartbeatReply, NodeNews
 from flamingoshelf.exceptions import FlamingoshelfError
 from flamingoshelf.utils import TaskGroup, now_s
 
@@ -62,6 +62,10 @@
         knows.
     on_revisions : callable
         ``on_revisions(revisions)`` is called with the revisions that another node knows.
+    news : callable
+        Returns what this node tells other parts of the other nodes.
+    on_news : callable
+        ``on_news(peer, news)`` is called with what another node tells.
     """
 
     def __init__(
@@ -72,7 +76,11 @@
         own: Member,
         revisions: Callable[[], dict[str, int]],
         on_revisions: Callable[[dict[str, int]], None],
+        news: Callable[[], NodeNews] = NodeNews,
+        on_news: Callable[[str, NodeNews], None] = lambda peer, news: None,
     ) -> None:
+        self._news = news
+        self._on_news = on_news
         self._link = link
         self._members = members
         self._own = own
@@ -292,6 +300,7 @@
             member=self._own,
             digest=self._members.digest,
             revisions=self._revisions(),
+            news=self._news(),
             is_leaving=self._is_leaving,
         )
         try:
@@ -306,6 +315,7 @@
         self._last_heard_s[member.name] = now_s()
         self._members.merge([reply.member, *reply.members])
         self._on_revisions(reply.revisions)
+        self._on_news(member.name, reply.news)
         if reply.is_leaving:
             self._record_leaving(reply.member)
             return None
@@ -316,6 +326,7 @@
         self._backoffs.pop(peer, None)
         self._members.merge([heartbeat.member])
         self._on_revisions(heartbeat.revisions)
+        self._on_news(peer, heartbeat.news)
         if heartbeat.is_leaving:
             self._record_leaving(heartbeat.member)
         is_same = heartbeat.digest == self._members.digest
@@ -324,6 +335,7 @@
             coordinator=self._coordinator or "",
             members=() if is_same else tuple(self._members.by_precedence()),
             revisions=self._revisions(),
+            news=self._news(),
             is_leaving=self._is_leaving,
         )
 
--- a/flamingoshelf/cluster/_members.py
+++ b/flamingoshelf/cluster/_members.py
@@ -25,7 +25,8 @@
     data_centre : str
         Data centre of the VM.
     rank : int
-        Store revision at which this run of the node registered; earlier runs have a lower rank.
+        Store revision at which this run of the node registered; earlier runs have a lower rank. It
+        stays the same when the node registers again after a restore of the store.
     capacity : float
         Number of cores that the VM can use, lower if its network link is slow.
     """
--- a/flamingoshelf/cluster/_messages.py
+++ b/flamingoshelf/cluster/_messages.py
@@ -5,7 +5,31 @@
 from flamingoshelf.cluster._members import Member
 from flamingoshelf.nodes import message
 
-__all__ = ["MemberHeartbeat", "MemberHeartbeatReply"]
+__all__ = ["LeavingRun", "MemberHeartbeat", "MemberHeartbeatReply", "NodeNews"]
+
+
+@attrs.frozen(kw_only=True)
+class LeavingRun:
+    """A run of a backend server that has stated that it leaves."""
+
+    server: str
+    started_ms: int
+
+
+@attrs.frozen(kw_only=True)
+class NodeNews:
+    """What nodes tell one another with heartbeats, for other parts of the node.
+
+    Parameters
+    ----------
+    configuration_version : int
+        Version of the configuration in force, 0 if there is none.
+    leaving : tuple of LeavingRun
+        Backend servers that leave and are listed as ready.
+    """
+
+    configuration_version: int = 0
+    leaving: tuple[LeavingRun, ...] = ()
 
 
 @message
@@ -21,6 +45,8 @@
         Digest of the sender's member list.
     revisions : dict
         For each kind of object, the store revision of the last change that the sender knows.
+    news : NodeNews
+        What the sender tells besides.
     is_leaving : bool
         Whether the sender is about to stop.
     """
@@ -28,6 +54,7 @@
     member: Member
     digest: int
     revisions: dict[str, int] = attrs.field(factory=dict)
+    news: NodeNews = NodeNews()
     is_leaving: bool = False
 
 
@@ -46,6 +73,8 @@
         Member list of the replying node, empty if its digest equals that of the heartbeat.
     revisions : dict
         For each kind of object, the store revision of the last change that the replying node knows.
+    news : NodeNews
+        What the replying node tells besides.
     is_leaving : bool
         Whether the replying node is about to stop, so that another node has to coordinate.
     """
@@ -54,4 +83,5 @@
     coordinator: str
     members: tuple[Member, ...] = ()
     revisions: dict[str, int] = attrs.field(factory=dict)
+    news: NodeNews = NodeNews()
     is_leaving: bool = False
--- a/flamingoshelf/cluster/_registration.py
+++ b/flamingoshelf/cluster/_registration.py
@@ -10,7 +10,7 @@
 
 from flamingoshelf.cluster._members import Member, MemberList
 from flamingoshelf.exceptions import ConflictError, FlamingoshelfError
-from flamingoshelf.store import KindSnapshot, KindStore
+from flamingoshelf.store import KindSnapshot, KindStore, StoreEras
 from flamingoshelf.utils import TaskGroup
 
 __all__ = ["Registration"]
@@ -19,6 +19,8 @@
 _SECRET_NAME = "link-secret"
 _SECRET_BYTES = 32  # length of the SHA-256 digest of the HMAC that uses the secret as its key
 _RETRY_BASE_S = 0.1  # the store replies within a few milliseconds
+_RENEWAL_JITTER_S = 0.5  # spreads the writes of all nodes after a restore of the store
+_SECRET_WAIT_S = 2.0  # the jitter and some retries of the nodes that write the secret again
 _MAX_RETRY_S = 1.0  # a node has to join within a second after the store has recovered
 
 
@@ -44,6 +46,8 @@
         secret that the nodes share.
     random_source : random.Random
         Source of the jitter of the retries.
+    eras : StoreEras
+        Eras of the store; after a restore from a copy, this node writes again what may be gone.
     """
 
     def __init__(
@@ -59,7 +63,10 @@
         members: MemberList,
         on_registered: Callable[[Member, bytes], Any],
         random_source: random.Random,
+        eras: StoreEras,
     ) -> None:
+        self._eras = eras
+        self._registered: tuple[Member, bytes] | None = None
         self._store = store
         self._name = name
         self._address = address
@@ -71,6 +78,7 @@
         self._on_registered = on_registered
         self._random = random_source
         self._tasks = TaskGroup(owner="registration")
+        eras.subscribe(self._on_restored)
 
     async def start(self) -> None:
         """Start the registration in the background."""
@@ -102,11 +110,53 @@
             logger.bind(step="register", rank=member.rank, members=len(self._members)).info(
                 "node registered"
             )
+            self._registered = member, secret
             await self._on_registered(member, secret)
             return
 
-    async def _register(self) -> tuple[Member, bytes]:
-        content = {
+    def _on_restored(self) -> None:
+        self._tasks.start(self._renew(), name="renew")
+
+    async def _renew(self) -> None:
+        """Write entry and secret again after a restore of the store, which may have lost them.
+
+        The rank stays the same, so that the order of the nodes does.
+        """
+        if self._registered is None:
+            return  # the registration under way is made in the new era
+        member, secret = self._registered
+        era = self._eras.current
+        failures = 0
+        await asyncio.sleep(self._random.uniform(0.0, _RENEWAL_JITTER_S))
+        while era == self._eras.current:
+            try:
+                await self._store.put(
+                    _NODE_KIND,
+                    self._name,
+                    {**self._content, "rank": member.rank},
+                    is_likely_new=False,
+                )
+                await self._restore_secret(secret)
+            except FlamingoshelfError as error:
+                failures += 1
+                logger.bind(step="register", peer=error.peer, era=era).info(
+                    "renewal of the registration failed; retrying: {}", error.message
+                )
+                backoff_s = min(_MAX_RETRY_S, _RETRY_BASE_S * 2**failures)
+                await asyncio.sleep(backoff_s * self._random.uniform(0.5, 1.0))
+                continue
+            logger.bind(step="register", era=era, rank=member.rank).info("registration renewed")
+            return
+
+    async def _restore_secret(self, secret: bytes) -> None:
+        try:
+            await self._store.create(_NODE_KIND, _SECRET_NAME, {"secret": secret.decode()})
+        except ConflictError:
+            logger.bind(step="register").debug("the shared secret is still in the store")
+
+    @property
+    def _content(self) -> dict[str, Any]:
+        return {
             "address": self._address,
             "data_centre": self._data_centre,
             "capacity": self._capacity,
@@ -114,8 +164,10 @@
             # revision, and so no new rank.
             "incarnation": self._incarnation,
         }
+
+    async def _register(self) -> tuple[Member, bytes]:
         written = await self._store.put(
-            _NODE_KIND, self._name, content, is_likely_new=self._is_first_start
+            _NODE_KIND, self._name, self._content, is_likely_new=self._is_first_start
         )
         member = Member(
             name=self._name,
@@ -126,6 +178,9 @@
         )
         snapshot = await self._store.list(_NODE_KIND)
         secret = _parse_secret(snapshot)
+        if secret is None and self._eras.was_restored and not self._is_first_start:
+            # Nodes that know the secret write it again; a second one would split the fleet.
+            await asyncio.sleep(_SECRET_WAIT_S)
         if secret is None:
             snapshot, secret = await self._create_secret()
         self._members.merge([*_parse_members(snapshot), member])
@@ -164,14 +219,14 @@
     for item in snapshot.objects.values():
         content = item.content if isinstance(item.content, dict) else {}
         address, data_centre = content.get("address"), content.get("data_centre")
-        capacity = content.get("capacity")
+        capacity, rank = content.get("capacity"), content.get("rank")
         if isinstance(address, str) and isinstance(data_centre, str):
             members.append(
                 Member(
                     name=item.name,
                     address=address,
                     data_centre=data_centre,
-                    rank=item.revision,
+                    rank=rank if isinstance(rank, int) else item.revision,
                     capacity=float(capacity) if isinstance(capacity, int | float) else 1.0,
                 )
             )
--- a/flamingoshelf/cluster/tests/conftest.py
+++ b/flamingoshelf/cluster/tests/conftest.py
@@ -7,7 +7,7 @@
 
 from flamingoshelf.cluster import Coordination, Member, MemberList
 from flamingoshelf.exceptions import ConflictError, ObjectServiceError, OutcomeUnknownError
-from flamingoshelf.store import KindSnapshot, StoreObject
+from flamingoshelf.store import KindSnapshot, StoreEras, StoreObject, join_revision, revision_in_era
 
 
 class FakeNetwork:
@@ -66,6 +66,18 @@
         self.objects = {}
         self.is_down = False
         self.loses_answers = False
+        self.eras = StoreEras()
+
+    def restore(self, objects):
+        """Restore the store from a copy of its objects; revisions are given out again."""
+        era = self.eras.current + 1
+        self.objects = {
+            key: attrs.evolve(item, revision=join_revision(era, revision_in_era(item.revision)))
+            for key, item in objects.items()
+        }
+        last = max((revision_in_era(item.revision) for item in objects.values()), default=10)
+        self.revision = join_revision(era, last)
+        self.eras.observe(era, source="store")
 
     async def list(self, kind):
         self._check()
@@ -84,7 +96,8 @@
 
     async def replace(self, kind, name, content, *, expected_revision):
         self._check()
-        if self.objects[kind, name].revision != expected_revision:
+        found = self.objects.get((kind, name))
+        if found is None or found.revision != expected_revision:
             raise ConflictError("revision does not match", step="replace")
         return self._write(kind, name, content)
 
@@ -163,3 +176,8 @@
 @pytest.fixture
 def store():
     return FakeStore()
+
+
+@pytest.fixture
+def eras(store):
+    return store.eras
--- a/flamingoshelf/cluster/tests/test_duty.py
+++ b/flamingoshelf/cluster/tests/test_duty.py
@@ -22,10 +22,15 @@
 
 
 @pytest.fixture
-def new_duty(store, clock):
+def new_duty(store, clock, eras):
     def make(holder):
         return ExclusiveDuty(
-            store=store, name="orders", holder=holder, lease_s=lambda: LEASE_S, clock=clock
+            store=store,
+            name="orders",
+            holder=holder,
+            lease_s=lambda: LEASE_S,
+            clock=clock,
+            eras=eras,
         )
 
     return make
@@ -108,3 +113,64 @@
     store.is_down = True
     with pytest.raises(ObjectServiceError):
         await new_duty("a").acquire()
+
+
+async def test_token_ends_with_a_restore_of_the_store(new_duty, store):
+    store.restore({})
+    duty = new_duty("a")
+    token = await duty.acquire()
+    assert duty.is_valid(token)
+    store.restore({})
+    assert not duty.is_valid(token)
+
+
+async def test_tokens_grow_over_a_restore(new_duty, store, clock):
+    store.restore({})
+    duty = new_duty("a")
+    for _ in range(20):
+        last = await duty.acquire()
+    store.restore({})
+    assert await duty.acquire() is None
+    clock.now += LEASE_S + 1.0
+    assert (await duty.acquire()).number > last.number
+
+
+@pytest.mark.parametrize("named_in_copy", ["a", "b", None])
+async def test_successor_waits_for_the_lease_after_a_restore(new_duty, store, clock, named_in_copy):
+    """The copy may name this node or none, while another one used the duty just before."""
+    store.restore({})
+    if named_in_copy is not None:
+        await new_duty(named_in_copy).acquire()
+    copy = dict(store.objects)
+    clock.now += LEASE_S + 1.0
+    holder, successor = new_duty("b"), new_duty("a")
+    await holder.acquire()  # sees the duty of another node, if the copy has one
+    clock.now += LEASE_S + 1.0
+    assert await holder.acquire() is not None
+    store.restore(copy)
+    assert await successor.acquire() is None
+    clock.now += LEASE_S
+    assert await successor.acquire() is None
+    clock.now += 1.0
+    assert await successor.acquire() is not None
+
+
+async def test_write_that_meets_a_restore_gives_no_token(new_duty, store, clock):
+    """It may have replaced an object of the new era that got the same revision again."""
+    store.restore({})
+    duty = new_duty("a")
+    await duty.acquire()
+    replace = store.replace
+
+    async def restoring_replace(kind, name, content, *, expected_revision):
+        store.restore(dict(store.objects))
+        return await replace(
+            kind, name, content, expected_revision=store.objects[kind, name].revision
+        )
+
+    store.replace = restoring_replace
+    with pytest.raises(OutcomeUnknownError):
+        await duty.acquire()
+    store.replace = replace
+    clock.now += LEASE_S  # the object names this node, but another one's use was overwritten
+    assert await duty.acquire() is None
--- a/flamingoshelf/cluster/tests/test_registration.py
+++ b/flamingoshelf/cluster/tests/test_registration.py
@@ -11,10 +11,10 @@
 
 
 @pytest.fixture
-def register(store):
+def register(store, eras):
     started: list[Registration] = []
 
-    async def run(name):
+    async def run(name, *, is_first_start=True):
         members = MemberList()
         joined = []
 
@@ -28,10 +28,11 @@
             data_centre="a",
             capacity=1.0,
             incarnation=f"run-{len(started)}",
-            is_first_start=True,
+            is_first_start=is_first_start,
             members=members,
             on_registered=on_registered,
             random_source=random.Random(1),
+            eras=eras,
         )
         started.append(registration)
         await registration.start()
@@ -79,3 +80,23 @@
     await store.put("gateway-nodes", "odd", {"address": 5}, is_likely_new=True)
     members, _ = await register("a")
     assert members.get("odd") is None
+
+
+async def test_lost_entry_and_secret_are_written_again_after_a_restore(register, store):
+    store.restore({})
+    _, [(member, secret)] = await register("a")
+    store.restore({})  # the copy is older than the fleet
+    await asyncio.sleep(1.0)
+    members, [(_, other_secret)] = await register("b")
+    assert other_secret == secret
+    assert members.get("a") == member  # with its former rank: the order of the nodes stays
+
+
+async def test_node_that_starts_after_a_restore_leaves_the_secret_to_the_others(register, store):
+    store.restore({})
+    _, [(_, secret)] = await register("a")
+    store.restore({})
+    _, joined = await register("b", is_first_start=False)
+    await asyncio.sleep(5.0)
+    [(_, other_secret)] = joined
+    assert other_secret == secret
--- a/flamingoshelf/gateway/_backend_client.py
+++ b/flamingoshelf/gateway/_backend_client.py
@@ -12,14 +12,21 @@
 from flamingoshelf.gateway._admission import AdmittedRequest
 from flamingoshelf.gateway._wire import BackendCall, BackendResponseHead, KvHandle, WireFormat
 from flamingoshelf.http1 import BackendConnection, ConnectionPool, RequestHead, ResponseHead
-from flamingoshelf.routing import BackendInstance
+from flamingoshelf.routing import BackendInstance, LeavingServer, ServerNotices
 from flamingoshelf.utils import TaskGroup
 
-__all__ = ["BackendClient", "BackendResponse", "NotRunError", "WrongInstanceError"]
+__all__ = [
+    "BackendClient",
+    "BackendResponse",
+    "NotRunError",
+    "ServerPausedError",
+    "WrongInstanceError",
+]
 
 _RELEASE_HANDLE_TIMEOUT_S = 0.5  # lifetime of a handle; later it has expired anyway
 _DISCARD_TIMEOUT_S = 0.05  # the body of a refusal follows its head immediately
 _MAX_HANDLE_BYTES = 16 * 1024  # a handle has some hundred bytes
+_MAX_CALL_BYTES = 1024 * 1024  # a report lists each run in some tens of bytes
 _MAX_STALE_ANSWERS = 2  # late responses to earlier requests skipped per request
 
 
@@ -27,6 +34,27 @@
     """The server states that it did not run the request and will not run it."""
 
 
+class ServerPausedError(NotRunError):
+    """The server wants no requests from this node for a time.
+
+    Parameters
+    ----------
+    message, step, peer : str
+        As in `FlamingoshelfError`.
+    pause_s : float
+        Seconds until the pause ends.
+    was_sent : bool
+        Whether the request was sent and turned away, rather than held back by this node.
+    """
+
+    def __init__(
+        self, message: str, *, step: str, peer: str = "", pause_s: float, was_sent: bool
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.pause_s = pause_s
+        self.was_sent = was_sent
+
+
 class WrongInstanceError(NotRunError):
     """The address belongs to another server than the expected one."""
 
@@ -62,14 +90,7 @@
 
     async def read_all(self, *, limit: int) -> bytes | None:
         """Return the whole body, or None if it has more than `limit` bytes."""
-        parts = []
-        size = 0
-        while part := await self.read():
-            size += len(part)
-            if size > limit:
-                return None
-            parts.append(part)
-        return b"".join(parts)
+        return await _read_all(self.connection, limit=limit)
 
 
 class BackendClient:
@@ -81,9 +102,12 @@
         Connections reused across requests.
     wire : WireFormat
         Encodes and decodes heads.
+    notices : ServerNotices
+        Servers that leave, and pauses that they ask for; nothing is sent to a server in its pause.
     """
 
-    def __init__(self, *, pool: ConnectionPool, wire: WireFormat) -> None:
+    def __init__(self, *, pool: ConnectionPool, wire: WireFormat, notices: ServerNotices) -> None:
+        self._notices = notices
         self._pool = pool
         self._wire = wire
         self._tasks = TaskGroup(owner="backend_client")
@@ -110,6 +134,7 @@
             The server may have run the request, but gave no valid answer.
         """
         instance = call.instance
+        self._check_pause(instance)
         head = self._wire.encode_request(request.head, call, body_bytes=len(request.body))
         async with await self._pool.call(
             instance.key, instance.address, head, request.body, fresh=fresh
@@ -149,16 +174,19 @@
         OutcomeUnknownError
             The call may have taken effect, but no complete answer arrived in time.
         """
+        self._check_pause(instance)
         try:
             async with asyncio.timeout(timeout_s):
                 async with await self._pool.call(
                     instance.key, instance.address, head, body
                 ) as pooled:
                     answer = await pooled.connection.read_head()
-                    parts = []
-                    while part := await pooled.connection.read():
-                        parts.append(part)
-                    return answer.status, b"".join(parts)
+                    self._record_notices(instance, self._wire.decode_response_head(answer))
+                    content = await _read_all(pooled.connection, limit=_MAX_CALL_BYTES)
+                    if content is None:
+                        reason = f"its answer has more than {_MAX_CALL_BYTES} bytes"
+                        raise OutcomeUnknownError(reason, step=step, peer=instance.key)
+                    return answer.status, content
         except TimeoutError as error:
             reason = f"no answer within {timeout_s} s"
             raise OutcomeUnknownError(reason, step=step, peer=instance.key) from error
@@ -185,6 +213,7 @@
         for _ in range(_MAX_STALE_ANSWERS + 1):
             head = await connection.read_head()
             answer = self._wire.decode_response_head(head)
+            self._record_notices(instance, answer)
             if answer.request_id in (None, request.request_id):
                 if answer.has_not_run:
                     await _discard_body(connection)
@@ -196,12 +225,42 @@
             await connection.skip_response()
         raise OutcomeUnknownError(ResponseFault.OTHER_REQUEST, step="answer", peer=instance.key)
 
+    def _check_pause(self, instance: BackendInstance) -> None:
+        """Raise `ServerPausedError` if the server wants nothing from this node now."""
+        pause_s = self._notices.pause_s(instance)
+        if pause_s > 0:
+            raise ServerPausedError(
+                f"asked for a pause of another {pause_s:.1f} s",
+                step="pause",
+                peer=instance.key,
+                pause_s=pause_s,
+                was_sent=False,
+            )
+
+    def _record_notices(self, instance: BackendInstance, answer: BackendResponseHead) -> None:
+        """Record what the server states about itself, unless another one has its address."""
+        if answer.is_wrong_instance:
+            return
+        if answer.is_leaving:
+            server = LeavingServer(instance_id=instance.instance_id, started_ms=instance.started_ms)
+            self._notices.record_leaving(server, source="server")
+        if answer.pause_s is not None:
+            self._notices.record_pause(instance, answer.pause_s)
+
     def _check_answer(
         self, answer: BackendResponseHead, head: ResponseHead, instance: BackendInstance
     ) -> None:
         """Raise unless the head belongs to an answer of the expected server."""
         if answer.is_wrong_instance:
             raise WrongInstanceError("another server", step="answer", peer=instance.key)
+        if answer.has_not_run and answer.pause_s is not None:
+            raise ServerPausedError(
+                f"status {head.status}, asks for a pause",
+                step="answer",
+                peer=instance.key,
+                pause_s=self._notices.pause_s(instance),
+                was_sent=True,
+            )
         if answer.has_not_run:
             raise NotRunError(f"status {head.status}", step="answer", peer=instance.key)
         if answer.is_encoded:
@@ -210,6 +269,18 @@
             raise OutcomeUnknownError(ResponseFault.OTHER_REQUEST, step="answer", peer=instance.key)
 
 
+async def _read_all(connection: BackendConnection, *, limit: int) -> bytes | None:
+    """Return the whole body, or None if it has more than `limit` bytes."""
+    parts = []
+    size = 0
+    while part := await connection.read():
+        size += len(part)
+        if size > limit:
+            return None
+        parts.append(part)
+    return b"".join(parts)
+
+
 async def _discard_body(connection: BackendConnection) -> None:
     """Read and drop a short body, so that the connection can be reused."""
     try:
--- a/flamingoshelf/gateway/_engine_prober.py
+++ b/flamingoshelf/gateway/_engine_prober.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from flamingoshelf.exceptions import FlamingoshelfError
+from flamingoshelf.gateway._backend_client import ServerPausedError
 from flamingoshelf.gateway._engine_control import EngineControl
 from flamingoshelf.placement import Dispatcher
 from flamingoshelf.utils import TaskGroup, now_s
@@ -56,6 +57,9 @@
         is_answered = True
         try:
             await self._control.report(engine)
+        except ServerPausedError as error:
+            logger.bind(step="probe", peer=key).debug("probe held back: {}", error.message)
+            return
         except FlamingoshelfError as error:
             is_answered = False
             logger.bind(step="probe", peer=key).info("probe failed: {}", error.message)
--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -7,11 +7,20 @@
 import attrs
 from loguru import logger
 
-from flamingoshelf.cluster import Coordination, ExclusiveDuty, Member, MemberList, Registration
+from flamingoshelf.cluster import (
+    Coordination,
+    ExclusiveDuty,
+    LeavingRun,
+    Member,
+    MemberList,
+    NodeNews,
+    Registration,
+)
 from flamingoshelf.gateway._active_configuration import ActiveConfiguration
 from flamingoshelf.gateway._admission import Admission
 from flamingoshelf.gateway._app import Gateway
 from flamingoshelf.gateway._backend_client import BackendClient
+from flamingoshelf.gateway._configuration_exchange import ConfigurationExchange
 from flamingoshelf.gateway._crash_detector import CrashDetector
 from flamingoshelf.gateway._engine_control import EngineControl, EngineWire
 from flamingoshelf.gateway._engine_prober import EngineProber
@@ -42,8 +51,14 @@
 )
 from flamingoshelf.quarantine import ContentGuard, Quarantine, QuarantineService
 from flamingoshelf.retries import RetryBudgets
-from flamingoshelf.routing import EjectionRule, InstanceDirectory, ServerSelector
-from flamingoshelf.store import KindStore
+from flamingoshelf.routing import (
+    EjectionRule,
+    InstanceDirectory,
+    LeavingServer,
+    ServerNotices,
+    ServerSelector,
+)
+from flamingoshelf.store import KindStore, StoreEras
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import TaskGroup, boot_time_s, new_incarnation
 
@@ -51,6 +66,7 @@
 
 _METRICS_BUILD_DELAY_S = 2.0  # building them takes 0.1 s of CPU time, which would delay the start
 _REMOVE_NODES_INTERVAL_S = 3.0  # each entry of a lost node costs a connection attempt
+_MAX_TOLD_SERVERS = 32  # in one heartbeat; the store soon lists them as leaving
 _ORDER_DUTY = "engine-orders"
 
 
@@ -63,6 +79,8 @@
         Validated settings.
     store : KindStore
         The platform's store.
+    eras : StoreEras
+        Eras of the store.
     wire : WireFormat
         Encodes and decodes the heads of callers and backend servers.
     engine_wire : EngineWire
@@ -80,6 +98,7 @@
         *,
         settings: GatewaySettings,
         store: KindStore,
+        eras: StoreEras,
         wire: WireFormat,
         engine_wire: EngineWire,
         store_format: StoreFormat,
@@ -92,7 +111,11 @@
         self._random = random.Random()
         self._metrics = Metrics(node_name=settings.node_name)
         self._configuration = ActiveConfiguration()
-        self._directory = InstanceDirectory()
+        self._eras = eras
+        self._notices = ServerNotices(drain_s=lambda: self._settings.drain_s)
+        self._directory = InstanceDirectory(
+            silent_entry_s=settings.server_silence_s, notices=self._notices
+        )
         self._has_server_list = False
         self._is_leaving = False
         self._members = MemberList()
@@ -104,7 +127,7 @@
         self._pool = ConnectionPool(
             max_connections=lambda key: self._node_limits.connections(self._directory.get(key))
         )
-        self._client = BackendClient(pool=self._pool, wire=wire)
+        self._client = BackendClient(pool=self._pool, wire=wire, notices=self._notices)
         self._budgets = RetryBudgets(
             node_count=self._node_count, bounds=self._node_limits.retries()
         )
@@ -129,6 +152,7 @@
             members=self._members,
             on_registered=self._join,
             random_source=self._random,
+            eras=eras,
         )
         self._dispatchers = DispatcherService(
             new_dispatcher=self._new_dispatcher,
@@ -162,6 +186,7 @@
                 holder=settings.node_name,
                 lease_s=lambda: self._settings.order_lease_s,
                 clock=boot_time_s,
+                eras=eras,
             ),
             holder=settings.node_name,
             may_order=self._may_order,
@@ -184,6 +209,13 @@
             members=self._members,
             coordination=lambda: self._coordination,
             random_source=self._random,
+            eras=eras,
+        )
+        self._configuration_exchange = ConfigurationExchange(
+            configuration=self._configuration,
+            decode=store_format.decode_configuration,
+            eras=eras,
+            random_source=self._random,
         )
         self._caller_server = HttpServer(
             address=settings.caller_address,
@@ -200,7 +232,12 @@
     @property
     def is_ready(self) -> bool:
         """Whether the node accepts new callers."""
-        return self._configuration.is_known and self._has_server_list and not self._is_leaving
+        return (
+            self._configuration.is_known
+            and self._configuration_exchange.is_confirmed
+            and self._has_server_list
+            and not self._is_leaving
+        )
 
     async def start(self) -> None:
         """Start following the store and serving callers."""
@@ -243,6 +280,7 @@
         await self._role_controller.stop()
         await self._registration.stop()
         await self._store_follower.stop()
+        await self._configuration_exchange.stop()
         await self._placer.stop()
         await self._dispatchers.stop()
         if self._coordination is not None:
@@ -271,7 +309,10 @@
             own=own,
             revisions=lambda: self._store_follower.revisions,
             on_revisions=self._store_follower.expect_change,
+            news=self._news,
+            on_news=self._record_news,
         )
+        self._configuration_exchange.connect(link)
         self._dispatchers.register(link)
         self._store_follower.set_link(link)
         self._content_guard = await self._share_quarantine(link)
@@ -292,6 +333,23 @@
         await shared.start()
         return shared
 
+    def _news(self) -> NodeNews:
+        """Return what this node tells others with its heartbeats."""
+        leaving = self._directory.unreported_leaving()
+        return NodeNews(
+            configuration_version=self._configuration.version,
+            leaving=tuple(
+                LeavingRun(server=server.instance_id, started_ms=server.started_ms)
+                for server in leaving[:_MAX_TOLD_SERVERS]
+            ),
+        )
+
+    def _record_news(self, peer: str, news: NodeNews) -> None:
+        self._configuration_exchange.record_version(peer, news.configuration_version)
+        for run in news.leaving:
+            server = LeavingServer(instance_id=run.server, started_ms=run.started_ms)
+            self._notices.record_leaving(server, source=peer)
+
     def _render_metrics(self) -> bytes:
         """Return all metrics; count the log lines dropped since the last call."""
         dropped = self._dropped_log_lines()
@@ -347,6 +405,7 @@
             configuration=self._configuration,
             directory=self._directory,
             random_source=self._random,
+            notices=self._notices,
         )
         selector = ServerSelector(
             data_centre=self._settings.data_centre,
--- a/flamingoshelf/gateway/_plain_forwarder.py
+++ b/flamingoshelf/gateway/_plain_forwarder.py
@@ -12,6 +12,7 @@
     BackendClient,
     BackendResponse,
     NotRunError,
+    ServerPausedError,
     WrongInstanceError,
 )
 from flamingoshelf.gateway._crash_detector import CrashDetector
@@ -114,6 +115,10 @@
 
     def _choose_server(self, state: "_RequestState") -> BackendInstance | None:
         servers = self._targets.instances(state.service)
+        pauses = self._targets.pauses(state.service)
+        if servers and len(pauses) == len(servers):
+            state.pause_s = min(pauses.values())
+        servers = [server for server in servers if server.key not in pauses]
         key = self._selector.choose(servers, tried=frozenset(state.tried))
         return next((server for server in servers if server.key == key), None)
 
@@ -150,6 +155,11 @@
             self._targets.mark_replaced(instance)
             state.last_error = error
             log.info("call not run: {}", error.message)
+        except ServerPausedError as error:
+            is_failure = None  # a pause says nothing about the server's health
+            state.last_error = error
+            state.rejections += 1
+            log.info("call not run: {}", error.message)
         except NotRunError as error:
             is_failure = True
             state.last_error = error
@@ -251,7 +261,9 @@
             return False
         if state.sent >= state.request.route.max_attempts:
             return False
-        was_sent = isinstance(state.last_error, NotRunError) or state.sent > 0
+        error = state.last_error
+        was_held_back = isinstance(error, ServerPausedError) and not error.was_sent
+        was_sent = state.sent > 0 or (isinstance(error, NotRunError) and not was_held_back)
         return not was_sent or self._spend_retry(state, RetryReason.SERVICE_FAILED)
 
     def _spend_retry(self, state: "_RequestState", reason: RetryReason) -> bool:
@@ -272,6 +284,9 @@
             return _not_run_refusal(
                 RefusalReason.DEADLINE_UNREACHABLE, "There is no time left.", None
             )
+        if state.pause_s is not None:
+            detail = "All servers have asked for a pause."
+            return _not_run_refusal(RefusalReason.QUEUE_FULL, detail, state.pause_s)
         if state.rejections:
             detail = "The servers are full."
             return _not_run_refusal(RefusalReason.QUEUE_FULL, detail, _REJECTED_RETRY_AFTER_S)
@@ -299,6 +314,8 @@
         Key of the server that sent the failure response.
     last_error : Exception or None
         Last error of an attempt, timeouts excluded.
+    pause_s : float or None
+        Seconds until the first server takes requests again, if all have asked for a pause.
     """
 
     request: AdmittedRequest
@@ -310,6 +327,7 @@
     failure: _BufferedResponse | None = None
     failed_server: str = ""
     last_error: Exception | None = None
+    pause_s: float | None = None
 
 
 def _no_answer_refusal(state: _RequestState) -> Refusal:
--- a/flamingoshelf/gateway/_settings.py
+++ b/flamingoshelf/gateway/_settings.py
@@ -16,6 +16,7 @@
         "peer_address",
         "peer_listen_address",
         "store_address",
+        "server_silence_s",
         "is_first_start",
         "processor_share",
         "processor_speed",
@@ -46,6 +47,10 @@
         Seconds from SIGTERM until the platform kills the process.
     order_lease_s : float
         Lease of the right to order engines, in seconds; no other node takes over within it.
+    drain_s : float
+        Seconds after the notice of a leaving backend server until it must get no more requests.
+    server_silence_s : float
+        Seconds after which the platform removes the entry of a silent backend server.
     retry_ratio, retry_window_s, retry_reserve : float
         Bound on the retries that the fleet sends to a service within a window of that many
         seconds: the ratio times the number of requests, plus the reserve.
@@ -67,6 +72,8 @@
     is_first_start: bool = False
     shutdown_grace_s: float = 8.0
     order_lease_s: float = 3.0
+    drain_s: float = 2.0
+    server_silence_s: float = 5.0
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_reserve: float = 20.0
--- a/flamingoshelf/gateway/_store_follower.py
+++ b/flamingoshelf/gateway/_store_follower.py
@@ -11,7 +11,9 @@
     KindStore,
     KindWatcher,
     RelayedStore,
+    StoreEras,
     StoreRelay,
+    era_of,
 )
 
 __all__ = ["StoreFollower"]
@@ -39,6 +41,8 @@
         Returns the state of the other nodes, or None before this node has joined the fleet.
     random_source : random.Random
         Source of jitter for retries.
+    eras : StoreEras
+        Eras of the store.
     """
 
     def __init__(
@@ -51,14 +55,16 @@
         members: MemberList,
         coordination: Callable[[], Coordination | None],
         random_source: random.Random,
+        eras: StoreEras,
     ) -> None:
+        self._eras = eras
         self._node_name = node_name
         self._data_centre = data_centre
         self._members = members
         self._coordination = coordination
         self._relay = StoreRelay(kinds=tuple(listeners), is_current=self._is_current)
         self._store = RelayedStore(
-            store=store, relay=self._choose_relay, substitutes=self._other_nodes
+            store=store, relay=self._choose_relay, substitutes=self._other_nodes, eras=eras
         )
         self._watchers = {
             kind: KindWatcher(
@@ -67,6 +73,7 @@
                 listener=RelayingListener(listener=listener, relay=self._relay, kind=kind),
                 wait_s=_WATCH_WAIT_S,
                 random_source=random_source,
+                eras=eras,
             )
             for kind, listener in listeners.items()
         }
@@ -95,6 +102,7 @@
     def expect_change(self, revisions: Mapping[str, int]) -> None:
         """Query the store again if another node reports later revisions than are known here."""
         for kind, revision in revisions.items():
+            self._eras.observe(era_of(revision), source="another node")
             watcher = self._watchers.get(kind)
             if watcher is not None:
                 watcher.expect_change(revision)
--- a/flamingoshelf/gateway/_store_listeners.py
+++ b/flamingoshelf/gateway/_store_listeners.py
@@ -75,7 +75,8 @@
 
     def _adopt(self, item: StoreObject) -> None:
         try:
-            self._configuration.adopt(self._store_format.decode_configuration(item.content))
+            configuration = self._store_format.decode_configuration(item.content)
+            self._configuration.adopt(configuration, document=item.content)
         except ConfigurationError as error:
             logger.bind(step="configuration", revision=item.revision).error(
                 "configuration ignored; document not readable: {}", error.message
--- a/flamingoshelf/gateway/_stream_forwarder.py
+++ b/flamingoshelf/gateway/_stream_forwarder.py
@@ -1,13 +1,19 @@
 """Forwards streams that are served by separate prefill and decode engines."""
 
 import asyncio
+from contextlib import AsyncExitStack
 
 import attrs
 from loguru import logger
 
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
 from flamingoshelf.gateway._admission import AdmittedRequest
-from flamingoshelf.gateway._backend_client import BackendClient, NotRunError, WrongInstanceError
+from flamingoshelf.gateway._backend_client import (
+    BackendClient,
+    NotRunError,
+    ServerPausedError,
+    WrongInstanceError,
+)
 from flamingoshelf.gateway._crash_detector import CrashDetector
 from flamingoshelf.gateway._prefill_timeout import prefill_timeout_s
 from flamingoshelf.gateway._stream_relay import RelayResult, StreamRelay
@@ -83,6 +89,9 @@
         relay = StreamRelay(exchange=exchange, request=request, metrics=self._metrics)
         state = _RequestState(request=request, service=service, relay=relay)
         for _ in range(_MAX_TURNS):
+            pause_s = self._pause_s(state)
+            if pause_s is not None:
+                return self._refuse_or_abort(state, _pause_refusal(service, pause_s))
             turn = await self._placer.acquire(self._placement_request(state))
             if isinstance(turn, Refusal):
                 return self._refuse_or_abort(state, turn)
@@ -95,21 +104,44 @@
                 break
         return self._refuse_or_abort(state, self._final_refusal(state))
 
+    def _pause_s(self, state: "_RequestState") -> float | None:
+        """Avoid engines that want nothing from this node.
+
+        Return the seconds until a turn is possible again if no engine of a role is left, else None.
+        """
+        pauses = self._targets.pauses(state.service)
+        state.paused = set(pauses)
+        if not pauses:
+            return None
+        engines = self._targets.instances(state.service)
+        waits = []
+        for role in {engine.role for engine in engines}:
+            keys = {engine.key for engine in engines if engine.role is role}
+            if keys <= pauses.keys():
+                waits.append(min(pauses[key] for key in keys))
+        return max(waits, default=None)
+
     def _release_if_unlisted(self, state: "_RequestState", turn: Turn) -> bool:
-        """Release a turn if this node does not know its engines; return whether it was released.
+        """Release a turn if this node can't use its engines; return whether it was released.
 
         While the store does not answer all nodes, the dispatcher may know other engines than this
-        node. The check precedes the prefill, so that no prompt is processed in vain.
+        node. An engine may also have asked this node for a pause, or state that it leaves. The
+        check precedes the prefill, so that no prompt is processed in vain.
         """
         engines = {turn.prefill_id, turn.decode_id} - {None}
-        unlisted = {name for name in engines if name and self._directory.get(name) is None}
+        pauses = self._targets.pauses(state.service)
+        unlisted = {
+            name
+            for name in engines
+            if name and (name in pauses or self._directory.get(name) is None)
+        }
         if not unlisted:
             return False
         state.avoid |= unlisted
         state.turns += 1
         logger.bind(
             request_id=state.request.request_id, step="place", peer=min(unlisted), turn=state.turns
-        ).info("turn released; engine not listed at this node")
+        ).info("turn released; engine not usable from this node")
         self._placer.release(turn, events=0, seconds=0.0, outcome=RunOutcome.ENDED)
         return True
 
@@ -132,7 +164,7 @@
             wait_left_s=(request.deadline_s if state.relay.is_started else request.abandoned_s)
             - now,
             deadline_left_s=request.deadline_s - now,
-            avoid=tuple(state.avoid),
+            avoid=tuple(state.avoid | state.paused),
             repeat_cost=state.repeat_cost,
             is_resumed=state.relay.is_started,
             content=request.content,
@@ -203,7 +235,7 @@
             self._record_failure(state, engine_id, FailureKind.REPLACED, error.message)
         except NotRunError as error:
             log.info("prefill not run: {}", error.message)
-            self._record_rejection(state, engine_id)
+            self._record_rejection(state, engine_id, error)
         except PeerUnreachableError as error:
             log.warning("prefill not sent: {}", error.message)
             self._record_failure(state, engine_id, FailureKind.UNREACHABLE, error.message)
@@ -257,15 +289,16 @@
             ),
         )
         try:
-            async with self._client.send(state.request, call) as response:
-                return await state.relay.relay(response)
+            async with AsyncExitStack() as stack:
+                sending = stack.enter_async_context(self._client.send(state.request, call))
+                return await state.relay.relay(await state.relay.wait(sending))
         except WrongInstanceError as error:
             log.info("decode not run: {}", error.message)
             self._record_failure(state, engine.key, FailureKind.REPLACED, error.message)
             return RelayResult.NOT_RUN
         except NotRunError as error:
             log.info("decode not run: {}", error.message)
-            self._record_rejection(state, engine.key)
+            self._record_rejection(state, engine.key, error)
             self._count_wasted_prefill(handle)
             return RelayResult.NOT_RUN
         except PeerUnreachableError as error:
@@ -281,6 +314,7 @@
             return RelayResult.BROKEN
         except TimeoutError:
             state.sent += 1
+            state.is_answer_lost = state.relay.first_event_s is None
             log.warning("stalled after event {}", state.relay.last_event_id)
             self._record_failure(state, engine.key, FailureKind.BROKE_OFF, "stalled")
             return RelayResult.BROKEN
@@ -353,9 +387,10 @@
         state.avoid.add(engine_id)
         self._placer.record_failure(state.service, engine_id, kind, detail=detail)
 
-    def _record_rejection(self, state: "_RequestState", engine_id: str) -> None:
+    def _record_rejection(self, state: "_RequestState", engine_id: str, error: NotRunError) -> None:
         state.avoid.add(engine_id)
-        self._placer.record_rejection(state.service, engine_id)
+        if not isinstance(error, ServerPausedError):  # it has room, but not for this node
+            self._placer.record_rejection(state.service, engine_id)
 
     def _remaining_s(self, state: "_RequestState") -> float:
         return state.request.deadline_s - now_s()
@@ -373,6 +408,8 @@
         Number of decode engines that may have run the request.
     avoid : set of str
         Keys of engines to avoid: they failed, or are not listed at this node.
+    paused : set of str
+        Keys of engines that have asked this node for a pause.
     is_answer_lost : bool
         Whether the current decode engine may run on after its answer was lost before any event.
     """
@@ -383,6 +420,7 @@
     turns: int = 0
     sent: int = 0
     avoid: set[str] = attrs.field(factory=set)
+    paused: set[str] = attrs.field(factory=set)
     is_charged: bool = False
     prefill_engine: BackendInstance | None = None
     is_answer_lost: bool = False
@@ -395,6 +433,17 @@
         return int(self.has_called_prefill) + int(self.has_called_decode)
 
 
+def _pause_refusal(service: str, pause_s: float) -> Refusal:
+    return Refusal(
+        reason=RefusalReason.QUEUE_FULL,
+        status=503,
+        detail=f"The engines of {service} have asked for a pause.",
+        not_run=True,
+        retry_after_s=pause_s,
+        step="place",
+    )
+
+
 def _run_outcome(state: _RequestState, result: RelayResult | None) -> RunOutcome:
     if result is RelayResult.COMPLETE:
         return RunOutcome.COMPLETE
--- a/flamingoshelf/gateway/_stream_relay.py
+++ b/flamingoshelf/gateway/_stream_relay.py
@@ -1,8 +1,9 @@
 """Relays the events of a stream to its caller."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import StrEnum
+from typing import TypeVar
 
 from loguru import logger
 
@@ -16,6 +17,8 @@
 
 __all__ = ["RelayResult", "StreamRelay"]
 
+_ResultT = TypeVar("_ResultT")
+
 _MAX_ERROR_BYTES = 64 * 1024  # an error document has some hundred bytes
 # Part of the pause after which callers leave that a run which may be resumed can be silent. Another
 # run must have begun before they leave.
@@ -58,6 +61,7 @@
         self._event_count = 0
         self._first_event_s: float | None = None
         self._last_event_s = 0.0
+        self._progress_s = 0.0  # time of the last event of the run, or of its start
         self._longest_pause_s = 0.0
         self._on_first_event: Callable[[], None] = lambda: None
         self._on_silence: Callable[[], None] = lambda: None
@@ -111,6 +115,7 @@
         """
         self._first_event_s = None
         self._longest_pause_s = 0.0
+        self._progress_s = now_s()
         self._on_first_event = on_first_event
         self._on_silence = on_silence
 
@@ -133,25 +138,30 @@
         if not response.is_signed:
             raise OutcomeUnknownError("no signature", step="decode")
         splitter = EventSplitter()
-        while part := await self._read_part(response):
+        while part := await self.wait(response.read()):
             for event in self._split_events(splitter, part):
                 await self._forward_event(response, event)
         if splitter.partial_event:
             raise OutcomeUnknownError("the stream ends within an event", step="decode")
+        if self._last_event_id is None and not self._event_count:
+            raise OutcomeUnknownError("the stream ends without an event", step="decode")
         self._start_response(response)
         self._exchange.end()
         return RelayResult.COMPLETE
 
-    async def _read_part(self, response: BackendResponse) -> bytes:
-        """Return the next bytes of the body; raise `TimeoutError` on a stall or at the deadline."""
-        timeout_s = self._request.deadline_s - now_s()
+    async def wait(self, answer: Awaitable[_ResultT]) -> _ResultT:
+        """Wait for a part of the answer; raise `TimeoutError` on a stall or at the deadline.
+
+        Only events count as progress: a server may send bytes now and then that never make one.
+        """
+        end_s = self._request.deadline_s
         if self._request.route.may_resume:
-            timeout_s = min(timeout_s, self._stall_timeout_s)
+            end_s = min(end_s, self._progress_s + self._stall_timeout_s)
         loop = asyncio.get_running_loop()
         silence_timer = loop.call_later(self._silence_threshold_s, self._on_silence)
         try:
-            async with asyncio.timeout(timeout_s):
-                return await response.read()
+            async with asyncio.timeout(end_s - now_s()):
+                return await answer
         finally:
             silence_timer.cancel()
 
@@ -198,7 +208,7 @@
                 self._metrics.record_first_token(self._first_event_s - self._request.arrived_s)
         else:
             self._longest_pause_s = max(self._longest_pause_s, now - self._last_event_s)
-        self._last_event_s = now
+        self._last_event_s = self._progress_s = now
         if event.event_id is not None:
             self._last_event_id = event.event_id
         self._event_count += 1
--- a/flamingoshelf/gateway/_target_selector.py
+++ b/flamingoshelf/gateway/_target_selector.py
@@ -3,7 +3,13 @@
 import random
 
 from flamingoshelf.gateway._active_configuration import ActiveConfiguration
-from flamingoshelf.routing import BackendInstance, EngineRole, InstanceDirectory, Route
+from flamingoshelf.routing import (
+    BackendInstance,
+    EngineRole,
+    InstanceDirectory,
+    Route,
+    ServerNotices,
+)
 
 __all__ = ["TargetSelector"]
 
@@ -19,6 +25,8 @@
         Registered backend servers.
     random_source : random.Random
         Source of randomness for the weighted choice.
+    notices : ServerNotices
+        Pauses that servers ask this node for.
     """
 
     def __init__(
@@ -27,7 +35,9 @@
         configuration: ActiveConfiguration,
         directory: InstanceDirectory,
         random_source: random.Random,
+        notices: ServerNotices,
     ) -> None:
+        self._notices = notices
         self._configuration = configuration
         self._directory = directory
         self._random = random_source
@@ -43,6 +53,14 @@
         """Return the servers of a service that accept new work."""
         return self._directory.ready(service, role=role)
 
+    def pauses(self, service: str) -> dict[str, float]:
+        """Return the servers that want nothing from this node, each with the seconds left."""
+        return {
+            instance.key: pause_s
+            for instance in self._directory.ready(service)
+            if (pause_s := self._notices.pause_s(instance)) > 0
+        }
+
     def mark_replaced(self, instance: BackendInstance) -> None:
         """Stop using a server whose address now belongs to another server."""
         self._directory.mark_replaced(instance.key)
--- a/flamingoshelf/gateway/_wire.py
+++ b/flamingoshelf/gateway/_wire.py
@@ -114,6 +114,11 @@
         Whether the address belongs to another server than the expected one.
     is_encoded : bool
         Whether the body has a content encoding that was not requested.
+    is_leaving : bool
+        Whether the server states that it is about to stop.
+    pause_s : float or None
+        Seconds for which the server wants no request from this node; not a number if they are not
+        readable.
     """
 
     request_id: str | None
@@ -121,6 +126,8 @@
     has_not_run: bool
     is_wrong_instance: bool
     is_encoded: bool
+    is_leaving: bool = False
+    pause_s: float | None = None
 
 
 class WireFormat(Protocol):
--- a/flamingoshelf/gateway/tests/conftest.py
+++ b/flamingoshelf/gateway/tests/conftest.py
@@ -14,7 +14,7 @@
     CallerRequest,
     TargetSelector,
 )
-from flamingoshelf.gateway._backend_client import NotRunError, WrongInstanceError
+from flamingoshelf.gateway._backend_client import NotRunError, ServerPausedError, WrongInstanceError
 from flamingoshelf.http1 import Exchange, Headers, RequestHead, ResponseHead
 from flamingoshelf.routing import (
     BackendInstance,
@@ -25,6 +25,7 @@
     InstanceDirectory,
     Route,
     RouteTarget,
+    ServerNotices,
     ServiceProfile,
     Workspace,
 )
@@ -97,6 +98,11 @@
     return Answer(error=NotRunError("status 503", step="answer"), **fields)
 
 
+def paused(seconds, **fields):
+    error = ServerPausedError("status 503", step="answer", pause_s=seconds, was_sent=True)
+    return Answer(error=error, **fields)
+
+
 def other_instance(**fields):
     return Answer(error=WrongInstanceError("another server", step="answer"), **fields)
 
@@ -231,8 +237,13 @@
 
 
 @pytest.fixture
-def directory():
-    return InstanceDirectory()
+def notices():
+    return ServerNotices(drain_s=lambda: 2.0)
+
+
+@pytest.fixture
+def directory(notices):
+    return InstanceDirectory(notices=notices)
 
 
 @pytest.fixture
@@ -268,9 +279,12 @@
 
 
 @pytest.fixture
-def targets(configuration, directory):
+def targets(configuration, directory, notices):
     return TargetSelector(
-        configuration=configuration, directory=directory, random_source=random.Random(1)
+        configuration=configuration,
+        directory=directory,
+        random_source=random.Random(1),
+        notices=notices,
     )
 
 
--- a/flamingoshelf/gateway/tests/test_backend_client.py
+++ b/flamingoshelf/gateway/tests/test_backend_client.py
@@ -8,7 +8,11 @@
 
 from flamingoshelf.exceptions import OutcomeUnknownError
 from flamingoshelf.gateway import BackendCall, BackendClient, BackendResponseHead
-from flamingoshelf.gateway._backend_client import NotRunError, WrongInstanceError
+from flamingoshelf.gateway._backend_client import (
+    NotRunError,
+    ServerPausedError,
+    WrongInstanceError,
+)
 from flamingoshelf.gateway.tests.conftest import server
 from flamingoshelf.http1 import ConnectionPool, Headers, RequestHead
 
@@ -36,6 +40,8 @@
             has_not_run=head.headers.get("Refused") is not None,
             is_wrong_instance=head.headers.get("Other") is not None,
             is_encoded=head.headers.get("Content-Encoding") is not None,
+            is_leaving=head.headers.get("Leaves") is not None,
+            pause_s=None if (pause := head.headers.get("Pause")) is None else float(pause),
         )
 
 
@@ -45,19 +51,25 @@
 
 
 @pytest.fixture
-async def ask(new_request):
-    """Return a function that sends requests to a server that answers each with the given bytes."""
+async def ask(new_request, notices):
+    """Return a function that sends requests to a server that answers each with the given bytes.
+
+    With `endless`, the server goes on sending these bytes until the connection is closed.
+    """
     pool = ConnectionPool(max_connections=lambda key: 4)
-    client = BackendClient(pool=pool, wire=Wire())
+    client = BackendClient(pool=pool, wire=Wire(), notices=notices)
     connections = []
 
     @asynccontextmanager
-    async def serve(sent):
+    async def serve(sent, endless):
         async def answer(reader, writer):
             connections.append(writer)
             while await reader.readuntil(b"\r\n\r\n"):
                 await reader.readexactly(len(b"body"))
                 writer.write(sent)
+                while endless:
+                    writer.write(endless)
+                    await writer.drain()
 
         listener = await asyncio.start_server(answer, "127.0.0.1", 0)
         try:
@@ -65,14 +77,19 @@
         finally:
             listener.close()
 
-    async def run(sent, *, times=1):
-        async with serve(sent) as address:
+    async def run(sent, *, times=1, endless=b"", read_limit=100, call=False):
+        pool.close_idle("x")  # to the server of an earlier request
+        async with serve(sent, endless) as address:
             instance = attrs.evolve(server("x"), address=address)
-            call = BackendCall(instance=instance, workspace="w", remaining_s=1.0)
+            if call:
+                headers = Headers([("Host", "h"), ("Content-Length", "4")])
+                head = RequestHead(method="POST", target="/r/1", headers=headers)
+                return await client.call(instance, head, b"body", step="report", timeout_s=5.0)
+            backend_call = BackendCall(instance=instance, workspace="w", remaining_s=1.0)
             bodies = []
             for _ in range(times):
-                async with client.send(new_request(), call) as answer:
-                    bodies.append(await answer.read_all(limit=100))
+                async with client.send(new_request(), backend_call) as answer:
+                    bodies.append(await answer.read_all(limit=read_limit))
             return bodies, len(connections)
 
     yield run
@@ -121,3 +138,55 @@
     with pytest.raises(error) as caught:
         await ask(sent)
     assert type(caught.value) is error
+
+
+async def test_server_that_says_that_it_leaves_is_recorded(ask, notices):
+    await ask(response("Answers: q1", "Seal: s"))
+    assert not notices.is_leaving(server("x"))
+    await ask(response("Answers: q1", "Seal: s", "Leaves: 1"))
+    assert notices.is_leaving(server("x"))
+
+
+async def test_notice_of_another_server_at_the_address_is_not_recorded(ask, notices):
+    with pytest.raises(WrongInstanceError):
+        await ask(response("Answers: q1", "Other: 1", "Leaves: 1", "Pause: 9", status=421))
+    assert not notices.is_leaving(server("x")) and notices.pause_s(server("x")) == 0
+
+
+async def test_nothing_is_sent_to_a_server_in_its_pause(ask, notices):
+    with pytest.raises(ServerPausedError) as caught:
+        await ask(response("Answers: q1", "Refused: 1", "Pause: 0.2", status=503))
+    assert caught.value.was_sent and 0 < caught.value.pause_s <= 0.2
+    with pytest.raises(ServerPausedError) as caught:
+        await ask(response("Answers: q1", "Seal: s"))
+    assert not caught.value.was_sent
+    with pytest.raises(ServerPausedError):
+        await ask(response(), call=True)
+    await asyncio.sleep(0.25)
+    assert (await ask(response("Answers: q1", "Seal: s")))[0] == [b"ok"]
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        pytest.param(b"HTTP/1.1 200 OK\r\nX: ", id="header line"),
+        pytest.param(b"HTTP/1.1 ", id="status line"),
+        pytest.param(b"", id="no HTTP"),
+    ],
+)
+async def test_head_without_end_is_given_up(ask, sent):
+    with pytest.raises(OutcomeUnknownError):
+        await ask(sent, endless=b"x" * 4096)
+
+
+async def test_interim_answers_without_end_are_given_up(ask):
+    with pytest.raises(OutcomeUnknownError, match="interim"):
+        await ask(b"", endless=b"HTTP/1.1 102 Processing\r\n\r\n")
+
+
+async def test_body_without_end_is_not_collected(ask):
+    head = b"HTTP/1.1 200 OK\r\nAnswers: q1\r\nSeal: s\r\nContent-Length: 99999999999\r\n\r\n"
+    bodies, _ = await ask(head, endless=b"x" * 65_536, read_limit=200_000)
+    assert bodies == [None]
+    with pytest.raises(OutcomeUnknownError, match="bytes"):
+        await ask(head, endless=b"x" * 65_536, call=True)
--- a/flamingoshelf/gateway/tests/test_plain_forwarder.py
+++ b/flamingoshelf/gateway/tests/test_plain_forwarder.py
@@ -11,6 +11,7 @@
     lost,
     not_run,
     other_instance,
+    paused,
     refused,
     server,
 )
@@ -214,3 +215,34 @@
     )
     refusal, _ = await forward(SAFE)
     assert refusal is crash_detector.refusal and client.calls == []
+
+
+@pytest.mark.parametrize("kind", [SAFE, UNSAFE])
+async def test_server_that_asks_for_a_pause_is_left_alone(forward, client, notices, kind):
+    notices.record_pause(server("a"), 30.0)
+    refusal, output = await forward(kind)
+    assert refusal is None and output.is_complete
+    assert client.called_servers() == ["b"]
+
+
+async def test_call_turned_away_with_a_pause_goes_to_another_server(forward, client):
+    client.queue_answers("a", paused(5.0))
+    _, output = await forward(UNSAFE)
+    assert output.is_complete and client.called_servers() == ["a", "b"]
+
+
+async def test_pause_of_all_servers_is_told_at_once(forward, client, notices):
+    for name, seconds in (("a", 4.0), ("b", 2.5)):
+        notices.record_pause(server(name), seconds)
+    refusal, _ = await forward(UNSAFE)
+    assert (refusal.status, refusal.not_run, refusal.retry_after_s) == (503, True, 2.5)
+    assert client.calls == []
+
+
+async def test_pause_does_not_eject_a_server(forwarder, forward, client):
+    client.queue_answers("a", *[paused(0.0) for _ in range(20)])
+    for _ in range(20):
+        await forward(UNSAFE)
+    client.calls.clear()
+    await forward(UNSAFE)
+    assert client.called_servers() == ["a"]
--- a/flamingoshelf/gateway/tests/test_stream_forwarder.py
+++ b/flamingoshelf/gateway/tests/test_stream_forwarder.py
@@ -13,11 +13,12 @@
     lost,
     not_run,
     other_instance,
+    paused,
     refused,
 )
 from flamingoshelf.placement import FailureKind, RunOutcome, Turn
 from flamingoshelf.refusals import Refusal, RefusalReason
-from flamingoshelf.routing import CallKind
+from flamingoshelf.routing import CallKind, LeavingServer
 from flamingoshelf.utils import now_s
 
 pytestmark = pytest.mark.looptime
@@ -382,3 +383,82 @@
     await forward()
     first, second = (request.turn_id for request in placer.requests)
     assert first != second
+
+
+async def test_engine_that_never_answers_is_left_in_time_to_resume_elsewhere(
+    forward, client, placer
+):
+    """Not even the head of the answer comes."""
+    client.queue_answers("d1", Answer(after_s=60.0))
+    client.queue_answers("d2", Answer(body=events(1, 3)))
+    started_s = asyncio.get_running_loop().time()
+    _, output = await forward(may_resume=True)
+    assert output.is_complete
+    assert asyncio.get_running_loop().time() - started_s < 3.6  # then the caller leaves
+    assert placer.outcomes[0] is RunOutcome.LOST
+    assert ("d1", FailureKind.SILENT) in placer.failed
+
+
+async def test_bytes_now_and_then_that_make_no_event_are_no_progress(forward, client):
+    first, rest = events(1, 1), [b"data: %d\n" % number for number in range(100)]
+    client.queue_answers("d1", Answer(body=[*first, *rest], pause_s=0.5))
+    client.queue_answers("d2", Answer(body=events(2, 3)))
+    started_s = asyncio.get_running_loop().time()
+    _, output = await forward(may_resume=True)
+    assert output.body == b"".join(events(1, 3)) and output.is_complete
+    assert asyncio.get_running_loop().time() - started_s < 3.6
+
+
+async def test_slow_but_sound_stream_is_not_cut(forward, client):
+    """Its events come at longer intervals than streams of other engines may pause."""
+    client.queue_answers("d1", Answer(body=events(1, 20), pause_s=0.9))
+    _, output = await forward(may_resume=True, timeout_s=30.0, event_gap_goal_s=0.3)
+    assert output.is_complete and len(client.called_servers()) == 2
+
+
+async def test_event_without_end_is_not_collected(forward, client):
+    client.queue_answers("d1", Answer(body=[b"x" * 65_536] * 10_000))
+    client.queue_answers("d2", Answer(body=events(1, 3)))
+    _, output = await forward(may_resume=True)
+    assert output.body == b"".join(events(1, 3)) and output.is_complete
+
+
+async def test_clean_end_without_an_event_is_no_success(forward, client):
+    client.queue_answers("d1", Answer(body=[]))
+    refusal, output = await forward(may_resume=False)
+    assert (refusal.status, refusal.not_run) == (502, False) and output.head is None
+
+
+async def test_engine_that_asks_for_a_pause_is_avoided_and_not_blamed(
+    forward, client, placer, notices, directory, list_engines
+):
+    list_engines(["p1", "p2"], ["d1", "d2", "d3"])
+    notices.record_pause(directory.get("d1"), 30.0)
+    client.queue_answers("d2", paused(5.0))
+    client.queue_answers("d3", Answer(body=events(1, 3)))
+    _, output = await forward()
+    assert output.is_complete
+    assert "d1" in placer.requests[0].avoid and "d2" in placer.requests[1].avoid
+    assert placer.failed == [] and placer.rejected == []
+
+
+async def test_pause_of_all_engines_of_a_role_is_told_at_once(
+    forward, client, placer, notices, directory, list_engines
+):
+    list_engines(["p1", "p2"], ["d1", "d2", "d3"])
+    for name, seconds in (("p1", 4.0), ("p2", 2.5)):
+        notices.record_pause(directory.get(name), seconds)
+    refusal, _ = await forward()
+    assert (refusal.status, refusal.not_run, refusal.retry_after_s) == (503, True, 2.5)
+    assert client.calls == [] and placer.requests == []
+
+
+async def test_granted_engine_that_leaves_is_not_used(
+    forward, client, placer, notices, directory, list_engines
+):
+    """This node knows that the engine leaves; the coordinator has not heard of it yet."""
+    list_engines(["p1", "p2"], ["d1", "d2", "d3"])
+    notices.record_leaving(LeavingServer(instance_id="d1", started_ms=0), source="server")
+    client.queue_answers("d2", Answer(body=events(1, 3)))
+    _, output = await forward()
+    assert output.is_complete and "d1" not in client.called_servers()
--- a/flamingoshelf/http1/_client.py
+++ b/flamingoshelf/http1/_client.py
@@ -14,6 +14,7 @@
 __all__ = ["BackendConnection"]
 
 _MAX_HEAD_BYTES = 64 * 1024  # twice the largest limit that is common among servers
+_MAX_INFORMATIONAL = 16  # servers send one or two
 _MAX_BUFFERED_BYTES = 256 * 1024  # reading pauses above it if the server outpaces the caller
 # Keepalive probes detect a peer that vanished without a reset within about two seconds.
 _KEEPALIVE_IDLE_S = 1
@@ -43,6 +44,7 @@
         self._buffered_bytes = 0
         self._head: ResponseHead | None = None
         self._is_complete = False
+        self._informational = 0  # interim responses before the head
         self._failure: str | None = None
         self._is_busy = False
         self._has_surplus = False
@@ -254,6 +256,10 @@
             event = self._parser.next_event()
             match event:
                 case h11.InformationalResponse():
+                    self._informational += 1
+                    if self._informational > _MAX_INFORMATIONAL:
+                        self._fail("too many interim responses")
+                        return
                     continue
                 case h11.Response():
                     self._on_response_head(event)
@@ -273,6 +279,7 @@
         self._keep_alive_s = _keep_alive_s(self._head.headers)
 
     def _reset_response(self) -> None:
+        self._informational = 0
         self._head = None
         self._body.clear()
         self._buffered_bytes = 0
--- a/flamingoshelf/placement/_dispatcher.py
+++ b/flamingoshelf/placement/_dispatcher.py
@@ -394,6 +394,8 @@
             request = queued.request
             prefill_id = self._selector.prefill(request, now)
             if prefill_id is None and self._engines.has_prefill:
+                if request.avoid and self._selector.has_idle_prefill(now):
+                    continue  # this request alone can't use the engines that are left
                 break  # all prefill engines are busy
             decode_id = self._selector.decode(request, now, near=prefill_id, blocked=blocked)
             if decode_id is not None:
--- a/flamingoshelf/placement/_engine_selector.py
+++ b/flamingoshelf/placement/_engine_selector.py
@@ -44,6 +44,15 @@
                 choices.append((tier, done_s, self._random.random(), engine.key))
         return min(choices)[-1] if choices else None
 
+    def has_idle_prefill(self, now_s: float) -> bool:
+        """Return whether any prefill engine accepts a prompt."""
+        return any(
+            self._engines.prefill_tracker(engine.key).accepts_work(
+                now_s, max_wait_s=_MAX_PREFILL_BACKLOG_S
+            )
+            for engine in self._engines.usable_prefills()
+        )
+
     def decode(
         self,
         request: PlacementRequest,
--- a/flamingoshelf/platform/_main.py
+++ b/flamingoshelf/platform/_main.py
@@ -22,6 +22,7 @@
 from flamingoshelf.platform._settings_file import load_settings
 from flamingoshelf.platform._store import PlatformStore
 from flamingoshelf.platform._wire import PlatformWire
+from flamingoshelf.store import StoreEras
 from flamingoshelf.telemetry import BoundedOutput, configure_bounded_logging
 
 __all__ = ["main"]
@@ -73,9 +74,11 @@
 ) -> None:
     ip = settings.caller_address.rpartition(":")[0]
     pool = ConnectionPool(max_connections=lambda key: _MAX_STORE_CONNECTIONS)
+    eras = StoreEras()
     node = GatewayNode(
         settings=settings,
-        store=PlatformStore(address=settings.store_address, pool=pool),
+        store=PlatformStore(address=settings.store_address, pool=pool, eras=eras),
+        eras=eras,
         wire=PlatformWire(),
         engine_wire=PlatformEngineWire(),
         store_format=StoreFormat(
--- a/flamingoshelf/platform/_settings_file.py
+++ b/flamingoshelf/platform/_settings_file.py
@@ -13,6 +13,10 @@
 
 __all__ = ["check_settings", "load_settings"]
 
+# Intervals between the heartbeats of a server after which its entry is removed, and one for the
+# moment of the last one.
+_SILENT_HEARTBEATS = 4
+
 
 def load_settings(path: Path) -> GatewaySettings:
     """Read, validate and return the settings in the file at `path`.
@@ -48,6 +52,9 @@
         # Time from the announcement of a stop until the process is killed.
         "shutdown_grace_s": fields.optional("bounds.graceS", _positive, 8.0),
         "order_lease_s": fields.optional("bounds.leaseMs", _milliseconds, 3.0),
+        "drain_s": fields.optional("bounds.drainMs", _milliseconds, 2.0),
+        "server_silence_s": _SILENT_HEARTBEATS
+        * (fields.optional("heartbeatMs", _milliseconds, 1.5) or 0.0),
         "retry_ratio": fields.optional("bounds.retryRatio", _ratio, 0.2),
         "retry_window_s": fields.optional("bounds.retryWindowS", _positive, 10.0),
         "retry_reserve": fields.optional("bounds.retrySlack", _not_negative, 20.0),
--- a/flamingoshelf/platform/_wire.py
+++ b/flamingoshelf/platform/_wire.py
@@ -9,6 +9,7 @@
 __all__ = ["PlatformWire"]
 
 _KEY_SCHEME = "bearer"
+_UNAVAILABLE_STATUS = 503
 # Only the gateway sets these headers; values sent by callers are dropped.
 _GATEWAY_HEADERS = frozenset(
     {
@@ -84,6 +85,8 @@
             has_not_run=head.headers.get("Not-Run") is not None or head.status == 421,
             is_wrong_instance=head.status == 421 and head.headers.get("Instance-Id") is not None,
             is_encoded=head.headers.get("Content-Encoding") is not None,
+            is_leaving=(head.headers.get("Server-Leaving") or "").strip() == "1",
+            pause_s=_pause_s(head),
         )
 
     def decode_handle(self, body: bytes, instance: BackendInstance) -> KvHandle:
@@ -107,6 +110,17 @@
         )
 
 
+def _pause_s(head: ResponseHead) -> float | None:
+    """Return the pause that a refusal asks for, not a number if it can't be read."""
+    value = head.headers.get("Retry-After")
+    if head.status != _UNAVAILABLE_STATUS or value is None:
+        return None
+    try:
+        return float(value)
+    except ValueError:
+        return float("nan")
+
+
 def _number(value: str | None) -> int | None:
     """Return a header's value as a non-negative integer, or None if it is not one."""
     text = (value or "").strip()
--- a/flamingoshelf/platform/tests/test_store.py
+++ b/flamingoshelf/platform/tests/test_store.py
@@ -12,6 +12,7 @@
 )
 from flamingoshelf.http1 import ConnectionPool
 from flamingoshelf.platform import PlatformStore
+from flamingoshelf.store import StoreEras, era_of
 from lab.gateway import StoreStandIn
 from lab.processes import AddressPool
 
@@ -26,10 +27,15 @@
 
 
 @pytest.fixture
-async def store(platform):
+def eras():
+    return StoreEras()
+
+
+@pytest.fixture
+async def store(platform, eras):
     address = platform._server._address
     pool = ConnectionPool(max_connections=lambda key: 8)
-    yield PlatformStore(address=address, pool=pool)
+    yield PlatformStore(address=address, pool=pool, eras=eras)
     await pool.stop()
 
 
@@ -81,7 +87,8 @@
 
 async def test_watch_without_changes_ends_with_its_wait(store, platform):
     platform.put("k", "a", 1)
-    changes = await store.watch("k", after_revision=platform.revision, timeout_s=0.05)
+    snapshot = await store.list("k")
+    changes = await store.watch("k", after_revision=snapshot.revision, timeout_s=0.05)
     assert changes.changed == () and changes.last_change == 0
 
 
@@ -114,3 +121,53 @@
     with pytest.raises(OutcomeUnknownError):
         await store.create("k", "a", 1)
     assert platform.objects("k") == {"a": 1}
+
+
+async def test_watch_from_before_a_restore_loses_its_history(store, platform):
+    copy = platform.take_copy()
+    for number in range(3):
+        platform.put("k", f"n{number}", 1)
+    snapshot = await store.list("k")
+    waiting = asyncio.ensure_future(store.watch("k", after_revision=snapshot.revision, timeout_s=5))
+    await asyncio.sleep(0.05)
+    platform.restore(copy)
+    with pytest.raises(HistoryLostError):
+        await waiting
+    for number in range(5):
+        platform.put("k", f"m{number}", 1)  # the store's own revisions pass the former one
+    with pytest.raises(HistoryLostError):
+        await store.watch("k", after_revision=snapshot.revision, timeout_s=5)
+    again = await store.list("k")
+    assert again.revision > snapshot.revision and era_of(again.revision) == 2
+
+
+async def test_conditional_write_does_not_hit_an_object_of_another_era(store, platform, eras):
+    """The object of the new era has the same revision number by chance."""
+    copy = platform.take_copy()
+    mine = await store.create("k", "a", "mine")
+    platform.restore(copy)
+    other = platform.put("k", "a", "another's")
+    assert platform.objects("k") == {"a": "another's"} and other == mine.revision % 2**40
+    with pytest.raises(OutcomeUnknownError):  # the node learns of the era by this answer
+        await store.replace("k", "a", "mine again", expected_revision=mine.revision)
+    platform.put("k", "a", "another's")
+    with pytest.raises(ConflictError):  # now nothing is sent
+        await store.replace("k", "a", "mine again", expected_revision=mine.revision)
+    assert platform.objects("k") == {"a": "another's"}
+
+
+async def test_answer_of_an_earlier_era_that_arrives_late_is_not_used(store, platform, eras):
+    await store.list("k")
+    eras.observe(2, source="another node")
+    with pytest.raises(ObjectServiceError):
+        await store.list("k")
+    with pytest.raises(OutcomeUnknownError):
+        await store.create("k", "a", 1)
+
+
+@pytest.mark.parametrize("value", ["", "-1", "two", "1e3", "9" * 400])
+async def test_era_that_is_not_readable_changes_nothing(store, platform, eras, value):
+    await store.list("k")
+    platform.era = value
+    await store.list("k")
+    assert eras.current == 1
--- a/flamingoshelf/platform/tests/test_wire.py
+++ b/flamingoshelf/platform/tests/test_wire.py
@@ -1,6 +1,7 @@
 """Encoding and decoding of the platform's request and response heads."""
 
 import json
+import math
 
 import pytest
 
@@ -156,3 +157,26 @@
     }
     assert wire.decode_outcome(412) is OrderOutcome.FENCED_OFF
     assert wire.decode_outcome(500) is OrderOutcome.REFUSED
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "pause_s"),
+    [(503, "2", 2.0), (503, "0.25", 0.25), (503, None, None), (429, "2", None), (200, "2", None)],
+)
+def test_pause_that_a_refusal_asks_for_is_decoded(status, value, pause_s):
+    headers = [] if value is None else [("Retry-After", value)]
+    head = ResponseHead(status=status, headers=Headers(headers))
+    assert PlatformWire().decode_response_head(head).pause_s == pause_s
+
+
+@pytest.mark.parametrize("value", ["soon", "", "1,5", "Wed, 21 Oct 2026 07:28:00 GMT"])
+def test_pause_that_is_not_readable_is_not_a_number(value):
+    head = ResponseHead(status=503, headers=Headers([("Retry-After", value)]))
+    assert math.isnan(PlatformWire().decode_response_head(head).pause_s or 0.0)
+
+
+@pytest.mark.parametrize(("value", "is_leaving"), [("1", True), ("0", False), (None, False)])
+def test_notice_of_a_server_that_leaves_is_decoded(value, is_leaving):
+    headers = [] if value is None else [("Server-Leaving", value)]
+    head = ResponseHead(status=200, headers=Headers(headers))
+    assert PlatformWire().decode_response_head(head).is_leaving is is_leaving
--- a/flamingoshelf/routing/__init__.py
+++ b/flamingoshelf/routing/__init__.py
@@ -11,6 +11,7 @@
 )
 from flamingoshelf.routing._directory import InstanceDirectory
 from flamingoshelf.routing._instances import BackendInstance, EngineRole, InstanceState
+from flamingoshelf.routing._notices import LeavingServer, ServerNotices
 from flamingoshelf.routing._route_table import RouteTable
 from flamingoshelf.routing._server_selector import EjectionRule, ServerSelector
 
@@ -23,9 +24,11 @@
     "GatewayConfiguration",
     "InstanceDirectory",
     "InstanceState",
+    "LeavingServer",
     "Route",
     "RouteTable",
     "RouteTarget",
+    "ServerNotices",
     "ServerSelector",
     "ServiceProfile",
     "Workspace",
--- a/flamingoshelf/routing/_directory.py
+++ b/flamingoshelf/routing/_directory.py
@@ -1,11 +1,14 @@
 """Directory of the registered instances of backend servers."""
 
+from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 
 import attrs
 from loguru import logger
 
 from flamingoshelf.routing._instances import BackendInstance, EngineRole
+from flamingoshelf.routing._notices import LeavingServer, ServerNotices
+from flamingoshelf.store import era_of
 from flamingoshelf.utils import now_s
 
 __all__ = ["InstanceDirectory"]
@@ -14,12 +17,14 @@
 # two seconds of its recovery. A server that has left must get no new work two seconds after its
 # departure is known, so the grace period is shorter than that.
 _EXPIRY_GRACE_S = 1.8
+_MAX_DEPARTED = 4096  # servers that left; far more than leave within the age of a copy of the store
 
 
 @attrs.define(kw_only=True)
 class _Entry:
     instance: BackendInstance
     usable_until_s: float | None = None  # set during the grace period of an expired entry
+    usable_from_s: float = float("-inf")  # later for a server that a restored store lists again
     is_replaced: bool = False  # another server has taken over the address
 
 
@@ -29,9 +34,25 @@
     Entries that disappear while the object service recovers from an outage are used for a grace
     period, as their servers may be running but not registered again yet. In all other cases a
     server whose entry is missing gets no new work.
+
+    A store that was restored from a copy may list servers that have left since. They get no work
+    until their entries are older than the store keeps those of silent servers. A server that has
+    reported that it leaves gets none until it starts anew.
+
+    Parameters
+    ----------
+    silent_entry_s : float
+        Seconds after which the object service removes the entry of a silent server.
+    notices : ServerNotices or None
+        Servers that state that they leave; they are used only if there is no other one.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, silent_entry_s: float = 5.0, notices: ServerNotices | None = None
+    ) -> None:
+        self._notices = notices or ServerNotices()
+        self._silent_entry_s = silent_entry_s
+        self._departed: OrderedDict[str, BackendInstance] = OrderedDict()
         self._entries: dict[str, _Entry] = {}
         self._revision = 0
         self._outage_ended_s: float | None = None
@@ -44,16 +65,43 @@
     def get(self, instance_id: str) -> BackendInstance | None:
         """Return the instance if it is known and takes new work, otherwise None."""
         entry = self._entries.get(instance_id)
-        return entry.instance if entry is not None and self._is_usable(entry) else None
+        if entry is None or not self._is_usable(entry):
+            return None
+        instance = entry.instance
+        if self._notices.is_leaving(instance) and instance not in self.ready(
+            instance.service, role=instance.role
+        ):
+            return None
+        return instance
 
     def ready(self, service: str, *, role: EngineRole | None = None) -> list[BackendInstance]:
         """Return the instances of a service that take new work, optionally of one role only."""
-        return [
+        usable = [
             entry.instance
             for entry in self._entries.values()
-            if self._is_usable(entry)
-            and entry.instance.service == service
+            if entry.instance.service == service
             and (role is None or entry.instance.role is role)
+            and self._is_usable(entry)
+        ]
+        leaving = [instance for instance in usable if self._notices.is_leaving(instance)]
+        if not leaving:
+            return usable
+        staying = [instance for instance in usable if not self._notices.is_leaving(instance)]
+        staying_roles = {instance.role for instance in staying}
+        return staying + [
+            instance
+            for instance in leaving
+            if instance.role not in staying_roles and self._notices.is_last_resort(instance)
+        ]
+
+    def unreported_leaving(self) -> list[LeavingServer]:
+        """Return the servers that state that they leave while they are listed as ready."""
+        return [
+            server
+            for server in self._notices.leaving()
+            if (entry := self._entries.get(server.instance_id)) is not None
+            and entry.instance.accepts_new_work
+            and entry.instance.started_ms <= server.started_ms
         ]
 
     def ids(self) -> set[str]:
@@ -75,6 +123,10 @@
         """Apply a complete list of instances; a list of an older revision is ignored."""
         if revision < self._revision:
             return
+        is_restored = self._revision > 0 and era_of(revision) > era_of(self._revision)
+        if is_restored:
+            self.record_outage_end()
+            instances = self._hold_departed(instances)
         for instance_id in list(self._entries):
             if instance_id not in instances:
                 self._remove(instance_id)
@@ -92,9 +144,40 @@
             self._set(instance)
         self._revision = max(self._revision, revision)
 
+    def _hold_departed(
+        self, instances: Mapping[str, BackendInstance]
+    ) -> dict[str, BackendInstance]:
+        """Return the listed instances without those that had left before a restore of the store.
+
+        They are added for use after the time for which the store keeps silent entries.
+        """
+        kept = {}
+        for instance_id, instance in instances.items():
+            departed = self._departed.get(instance_id)
+            if (
+                departed is None
+                or instance_id in self._entries
+                or instance.started_ms > departed.started_ms
+            ):
+                kept[instance_id] = instance
+                continue
+            logger.bind(step="servers", peer=instance_id).info(
+                "backend server listed by a restored store had left; held back"
+            )
+            self._entries[instance_id] = _Entry(
+                instance=instance, usable_from_s=now_s() + self._silent_entry_s
+            )
+        held = instances.keys() - kept.keys()
+        return {**kept, **{name: self._entries[name].instance for name in held}}
+
     def _set(self, instance: BackendInstance) -> None:
         """Add or update an entry unless it is from an earlier run of the server."""
         current = self._entries.get(instance.instance_id)
+        if self._has_left(instance):
+            logger.bind(step="servers", peer=instance.instance_id).info(
+                "backend server entry ignored; the server has reported that it leaves"
+            )
+            return
         if current is not None and 0 < instance.started_ms < current.instance.started_ms:
             logger.bind(step="servers", peer=instance.instance_id).info(
                 "backend server entry ignored; it is from an earlier run of the server"
@@ -110,10 +193,30 @@
                 address=instance.address,
             ).info("backend server registered")
         is_same = current is not None and current.instance == instance
+        if is_same and current is not None and current.usable_until_s is None:
+            return
+        if not instance.accepts_new_work:
+            self._record_departure(instance)
         self._entries[instance.instance_id] = _Entry(
             instance=instance, is_replaced=is_same and current is not None and current.is_replaced
         )
 
+    def _has_left(self, instance: BackendInstance) -> bool:
+        """Return whether this run of a server reported that it leaves."""
+        departed = self._departed.get(instance.instance_id)
+        return (
+            departed is not None
+            and not departed.accepts_new_work
+            and instance.accepts_new_work
+            and 0 < instance.started_ms <= departed.started_ms
+        )
+
+    def _record_departure(self, instance: BackendInstance) -> None:
+        self._departed.pop(instance.instance_id, None)  # it becomes the newest
+        self._departed[instance.instance_id] = instance
+        while len(self._departed) > _MAX_DEPARTED:
+            self._departed.popitem(last=False)
+
     def _remove(self, instance_id: str) -> None:
         """Remove an entry, or keep it for the grace period after an outage."""
         entry = self._entries.get(instance_id)
@@ -125,6 +228,7 @@
             entry.usable_until_s = self._outage_ended_s + _EXPIRY_GRACE_S
             entry_log.info("backend server entry expired in an outage; used for a grace period")
             return
+        self._record_departure(entry.instance)
         del self._entries[instance_id]
         entry_log.info("backend server deregistered")
 
@@ -135,4 +239,6 @@
     def _is_usable(self, entry: _Entry) -> bool:
         if entry.usable_until_s is not None and now_s() >= entry.usable_until_s:
             return False
+        if now_s() < entry.usable_from_s:
+            return False
         return entry.instance.accepts_new_work and not entry.is_replaced
--- a/flamingoshelf/routing/tests/test_directory.py
+++ b/flamingoshelf/routing/tests/test_directory.py
@@ -5,6 +5,7 @@
 import pytest
 
 from flamingoshelf.routing import BackendInstance, EngineRole, InstanceDirectory, InstanceState
+from flamingoshelf.store import join_revision
 
 pytestmark = pytest.mark.looptime
 
@@ -91,3 +92,53 @@
     assert ready(directory) == []
     directory.apply([instance("i", started_ms=9)], [], 7)
     assert ready(directory) == ["i"]
+
+
+@pytest.fixture
+def restored(directory):
+    """A function that lists servers as a store does that was restored from a copy."""
+
+    def replace(*instances):
+        directory.replace({item.key: item for item in instances}, join_revision(1, 3))
+
+    return replace
+
+
+async def test_server_that_left_before_a_restore_gets_no_work_though_it_is_listed(
+    directory, restored
+):
+    directory.apply([], ["i"], 6)
+    restored(instance("i"), instance("j"))
+    assert ready(directory) == ["j"]
+    # The store removes the entries of silent servers; this one has written its own again.
+    await asyncio.sleep(5.1)
+    assert ready(directory) == ["i", "j"]
+
+
+async def test_draining_server_that_a_restored_store_lists_as_ready_stays_draining(
+    directory, restored
+):
+    directory.apply([instance("i", started_ms=100)], [], 6)
+    directory.apply([instance("i", InstanceState.DRAINING, started_ms=100)], [], 7)
+    restored(instance("i", started_ms=100))
+    assert ready(directory) == []
+    directory.apply([instance("i", started_ms=100)], [], join_revision(1, 4))
+    await asyncio.sleep(60)
+    assert ready(directory) == []
+    directory.apply([instance("i", started_ms=200)], [], join_revision(1, 5))  # a new run of it
+    assert ready(directory) == ["i"]
+
+
+async def test_server_that_a_restored_store_does_not_list_is_used_for_the_grace_period(
+    directory, restored
+):
+    restored()
+    assert ready(directory) == ["i"]
+    await asyncio.sleep(2.0)
+    assert ready(directory) == []
+
+
+async def test_new_run_of_a_server_that_left_is_used_at_once_after_a_restore(directory, restored):
+    directory.apply([instance("i", InstanceState.DRAINING, started_ms=100)], ["i"], 6)
+    restored(instance("i", started_ms=200))
+    assert ready(directory) == ["i"]
--- a/flamingoshelf/store/_relayed_store.py
+++ b/flamingoshelf/store/_relayed_store.py
@@ -8,8 +8,10 @@
 
 from flamingoshelf.base import NodeLink
 from flamingoshelf.exceptions import FlamingoshelfError, HistoryLostError
+from flamingoshelf.store._eras import StoreEras, era_of
 from flamingoshelf.store._relay import FollowKind, KindAnswer
 from flamingoshelf.store._types import KindChanges, KindSnapshot, KindStore, StoreObject
+from flamingoshelf.store._watcher import MISSED_CHANGE
 from flamingoshelf.utils import TaskGroup, now_s
 
 __all__ = ["RelayedStore"]
@@ -45,6 +47,8 @@
         watches the store itself.
     substitutes : callable
         Returns the names of the nodes to read from while the store does not answer, best first.
+    eras : StoreEras
+        Eras of the store; answers of other nodes from an earlier era are not used.
     """
 
     def __init__(
@@ -53,7 +57,9 @@
         store: KindStore,
         relay: Callable[[], str | None],
         substitutes: Callable[[], Sequence[str]],
+        eras: StoreEras,
     ) -> None:
+        self._eras = eras
         self._store = store
         self._relay = relay
         self._substitutes = substitutes
@@ -138,9 +144,9 @@
             result = await call
         except HistoryLostError:
             raise
-        except asyncio.CancelledError:
-            # `KindWatcher` cancels a watch that missed a change which other nodes know of.
-            self._record_store_failure(kind, revision, "watch missed a change")
+        except asyncio.CancelledError as error:
+            if error.args == (MISSED_CHANGE,):  # not at a stop of this node
+                self._record_store_failure(kind, revision, MISSED_CHANGE)
             raise
         except FlamingoshelfError as error:
             self._record_store_failure(kind, revision, error.message)
@@ -197,8 +203,9 @@
             answer = await self._link.request(
                 name, request, timeout_s=request.wait_s + _REPLY_SLACK_S
             )
-        except asyncio.CancelledError:  # as in `_query_store`
-            self._back_off(name, "watch missed a change")
+        except asyncio.CancelledError as error:  # as in `_query_store`
+            if error.args == (MISSED_CHANGE,):
+                self._back_off(name, MISSED_CHANGE)
             raise
         except FlamingoshelfError as error:
             self._back_off(name, error.message)
@@ -207,6 +214,10 @@
         if not answer.is_usable:
             self._back_off(name, "relay is not up to date")
             return None
+        if era_of(answer.revision) < self._eras.current:
+            self._back_off(name, "relay does not know of a restore of the store")
+            return None
+        self._eras.observe(era_of(answer.revision), source=name)
         return answer
 
     def _back_off(self, name: str, reason: str) -> None:
--- a/flamingoshelf/store/_types.py
+++ b/flamingoshelf/store/_types.py
@@ -1,4 +1,7 @@
-"""Interface and data types of the platform's store."""
+"""Interface and data types of the platform's store.
+
+Revisions grow over restores of the store from a copy, see `join_revision`.
+"""
 
 from collections.abc import Mapping
 from typing import Any, Protocol
@@ -73,7 +76,7 @@
         Raises
         ------
         HistoryLostError
-            The store no longer has the changes after that revision.
+            The store no longer has the changes after that revision, or was restored since.
         """
 
     async def create(self, kind: str, name: str, content: Any) -> StoreObject:
@@ -82,7 +85,11 @@
     async def replace(
         self, kind: str, name: str, content: Any, *, expected_revision: int
     ) -> StoreObject:
-        """Replace an object; raise `ConflictError` if its revision is not `expected_revision`."""
+        """Replace an object; raise `ConflictError` if its revision is not `expected_revision`.
+
+        A call that meets a restore of the store raises `OutcomeUnknownError`: it may have replaced
+        an object of the new era that got the same revision again.
+        """
 
     async def put(self, kind: str, name: str, content: Any, *, is_likely_new: bool) -> StoreObject:
         """Create an object or replace it, whatever its revision.
--- a/flamingoshelf/store/_watcher.py
+++ b/flamingoshelf/store/_watcher.py
@@ -6,11 +6,14 @@
 
 from loguru import logger
 
-from flamingoshelf.exceptions import FlamingoshelfError, HistoryLostError
+from flamingoshelf.exceptions import FlamingoshelfError, HistoryLostError, ObjectServiceError
+from flamingoshelf.store._eras import StoreEras, era_of
 from flamingoshelf.store._types import KindChanges, KindSnapshot, KindStore
 from flamingoshelf.utils import TaskGroup, now_s
 
-__all__ = ["KindListener", "KindWatcher"]
+__all__ = ["MISSED_CHANGE", "KindListener", "KindWatcher"]
+
+MISSED_CHANGE = "watch missed a change"  # message with which such a watch is cancelled
 
 _RETRY_BASE_S = 0.1  # the store replies within a few milliseconds
 _CURRENT_SLACK_S = 1.5  # a watch that exceeds its wait by more than this counts as dead
@@ -48,6 +51,8 @@
         Longest time that one watch waits, in seconds.
     random_source : random.Random
         Source of the jitter of the retries.
+    eras : StoreEras
+        Tells of restores of the store, after which the kind is listed again.
     """
 
     def __init__(
@@ -58,7 +63,9 @@
         listener: KindListener,
         wait_s: float,
         random_source: random.Random,
+        eras: StoreEras,
     ) -> None:
+        self._eras = eras
         self._store = store
         self._kind = kind
         self._listener = listener
@@ -71,6 +78,7 @@
         self._last_answer_s: float | None = None
         self._rewatch = asyncio.Event()
         self._tasks = TaskGroup(owner="watcher")
+        eras.subscribe(self._rewatch.set)
 
     @property
     def last_change(self) -> int:
@@ -116,7 +124,7 @@
     async def _run(self) -> None:
         while True:
             try:
-                if self._revision is None:
+                if self._revision is None or era_of(self._revision) < self._eras.current:
                     await self._list()
                 else:
                     await self._watch(self._revision)
@@ -129,7 +137,10 @@
                 await self._wait_before_retry(error)
 
     async def _list(self) -> None:
+        self._rewatch.clear()
         snapshot = await self._store.list(self._kind)
+        if era_of(snapshot.revision) < self._eras.current:
+            raise ObjectServiceError("list of an earlier era", step="list")
         self._record_answer()
         self._revision = snapshot.revision
         newest = max((item.revision for item in snapshot.objects.values()), default=0)
@@ -147,7 +158,10 @@
         try:
             await asyncio.wait((watch, rewatch), return_when=asyncio.FIRST_COMPLETED)
             if not watch.done():
-                return  # the watch missed a change that another node knows of: restart it
+                # The watch missed a change that another node knows of, or a restore.
+                is_restored = era_of(revision) < self._eras.current
+                watch.cancel(None if is_restored else MISSED_CHANGE)
+                return
             changes = watch.result()
         finally:
             watch.cancel()
--- a/flamingoshelf/store/tests/conftest.py
+++ b/flamingoshelf/store/tests/conftest.py
@@ -7,13 +7,23 @@
 import pytest
 
 from flamingoshelf.exceptions import HistoryLostError, ObjectServiceError
-from flamingoshelf.store import KindChanges, KindSnapshot, KindWatcher, StoreObject
+from flamingoshelf.store import (
+    KindChanges,
+    KindSnapshot,
+    KindWatcher,
+    StoreEras,
+    StoreObject,
+    era_of,
+    join_revision,
+    revision_in_era,
+)
 
 
 class FakeStore:
     """In-memory store of one kind that can fail and can drop its history."""
 
-    def __init__(self):
+    def __init__(self, eras=None):
+        self.eras = eras  # the era that answers state, if the store knows of eras
         self.revision = 1
         self.objects = {}
         self.events = []
@@ -36,6 +46,18 @@
     def forget_history(self):
         self.oldest_revision = self.revision
 
+    def restore(self, objects):
+        """Restore the store from a copy of its objects; it gives out revisions again."""
+        era = era_of(self.revision) + 1
+        self.objects = {
+            name: attrs.evolve(item, revision=join_revision(era, revision_in_era(item.revision)))
+            for name, item in objects.items()
+        }
+        last = max((revision_in_era(item.revision) for item in objects.values()), default=1)
+        self.revision = join_revision(era, last)
+        self.events = []
+        self.oldest_revision = self.revision
+
     def _record_event(self, item, *, removed):
         self.events.append((self.revision, item, removed))
         changed, self.changed = self.changed, asyncio.Event()
@@ -43,6 +65,7 @@
 
     async def list(self, kind):
         self._record_call("list")
+        self._state_era()
         return KindSnapshot(objects=dict(self.objects), revision=self.revision)
 
     async def watch(self, kind, *, after_revision, timeout_s):
@@ -56,6 +79,9 @@
             except TimeoutError:
                 pass
         self._record_call("answer")
+        self._state_era()
+        if era_of(after_revision) != era_of(self.revision):
+            raise HistoryLostError("restored", step="watch")
         later = [entry for entry in self.events if entry[0] > after_revision]
         return KindChanges(
             changed=tuple(item for _, item, removed in later if not removed),
@@ -64,6 +90,10 @@
             last_change=max((revision for revision, _, _ in later), default=0),
         )
 
+    def _state_era(self):
+        if self.eras is not None:
+            self.eras.observe(era_of(self.revision), source="store")
+
     def _record_call(self, name):
         self.calls.append(name)
         if self.is_down:
@@ -87,6 +117,11 @@
         self.recoveries.append(asyncio.get_running_loop().time())
 
 
+@pytest.fixture
+def eras():
+    return StoreEras()
+
+
 @pytest.fixture
 def store():
     return FakeStore()
@@ -98,9 +133,14 @@
 
 
 @pytest.fixture
-async def watcher(store, listener):
+async def watcher(store, listener, eras):
     watcher = KindWatcher(
-        store=store, kind="k", listener=listener, wait_s=5.0, random_source=random.Random(1)
+        store=store,
+        kind="k",
+        listener=listener,
+        wait_s=5.0,
+        random_source=random.Random(1),
+        eras=eras,
     )
     yield watcher
     await watcher.stop()
--- a/flamingoshelf/store/tests/test_relay.py
+++ b/flamingoshelf/store/tests/test_relay.py
@@ -7,7 +7,14 @@
 import pytest
 
 from flamingoshelf.exceptions import ObjectServiceError, OutcomeUnknownError
-from flamingoshelf.store import KindStore, KindWatcher, RelayedStore, StoreRelay
+from flamingoshelf.store import (
+    KindStore,
+    KindWatcher,
+    RelayedStore,
+    StoreEras,
+    StoreRelay,
+    join_revision,
+)
 from flamingoshelf.store.tests.conftest import FakeStore, Listener
 
 pytestmark = pytest.mark.looptime
@@ -84,6 +91,8 @@
 
     def __init__(self, *, link: Any):
         self.store = FakeStore()
+        self.relay_eras = StoreEras()
+        self.follower_eras = StoreEras()
         self.link = link
         self.relay = StoreRelay(
             kinds=("k",),
@@ -93,24 +102,36 @@
         )
         self.relay.register(self.link)
         self.store_access = StoreAccess(self.store)
-        self.relay_store = self._new_store(self.store_access, relay=None)
-        self.relay_watcher = self._new_watcher(self.relay_store, RelayingListener(self.relay))
+        self.relay_store = self._new_store(self.store_access, relay=None, eras=self.relay_eras)
+        self.relay_watcher = self._new_watcher(
+            self.relay_store, RelayingListener(self.relay), eras=self.relay_eras
+        )
         self.follower_access = StoreAccess(self.store)
         self.relay_name: str | None = "first"
-        self.follower_store = self._new_store(self.follower_access, relay="first")
+        self.follower_store = self._new_store(
+            self.follower_access, relay="first", eras=self.follower_eras
+        )
         self.listener = Listener()
-        self.follower_watcher = self._new_watcher(self.follower_store, self.listener)
+        self.follower_watcher = self._new_watcher(
+            self.follower_store, self.listener, eras=self.follower_eras
+        )
 
-    def _new_store(self, store_access, *, relay):
+    def _new_store(self, store_access, *, relay, eras):
         return RelayedStore(
             store=cast(KindStore, store_access),
             relay=lambda: relay and self.relay_name,
             substitutes=lambda: ["lost", "first"] if relay else [],
+            eras=eras,
         )
 
-    def _new_watcher(self, store, listener):
+    def _new_watcher(self, store, listener, *, eras):
         return KindWatcher(
-            store=store, kind="k", listener=listener, wait_s=5.0, random_source=random.Random(1)
+            store=store,
+            kind="k",
+            listener=listener,
+            wait_s=5.0,
+            random_source=random.Random(1),
+            eras=eras,
         )
 
     async def start(self):
@@ -268,11 +289,12 @@
     store: Any = FakeStore()
     listener = Listener()
     watcher = KindWatcher(
-        store=RelayedStore(store=store, relay=lambda: None, substitutes=list),
+        store=RelayedStore(store=store, relay=lambda: None, substitutes=list, eras=StoreEras()),
         kind="k",
         listener=listener,
         wait_s=5.0,
         random_source=random.Random(1),
+        eras=StoreEras(),
     )
     await watcher.start()
     await asyncio.sleep(0.1)
@@ -282,3 +304,35 @@
     await asyncio.sleep(0.4)
     assert listener.objects == {"a": 49}
     assert store.calls.count("watch") <= 4.4 / 0.3 + 2
+
+
+async def test_follower_learns_of_a_restore_as_fast_as_its_relay(pair):
+    pair.store.eras = pair.relay_eras
+    pair.store.revision = join_revision(1, 1)
+    pair.store.set("a", 1)
+    copy = dict(pair.store.objects)
+    pair.store.set("b", 1)
+    await pair.start()
+    assert pair.listener.objects == {"a": 1, "b": 1}
+    pair.store.restore(copy)
+    pair.store.set("c", 1)
+    await asyncio.sleep(1.0)
+    assert pair.listener.objects == {"a": 1, "c": 1}
+    assert pair.follower_eras.current == 2
+
+
+async def test_relay_that_missed_a_restore_is_not_followed(pair):
+    pair.store.revision = join_revision(1, 1)
+    pair.relay_eras.observe(1, source="store")
+    pair.store.set("a", 1)
+    await pair.start()
+    pair.follower_eras.observe(2, source="another node")
+    pair.follower_access.calls.clear()
+    await asyncio.sleep(0.5)
+    assert "list" in pair.follower_access.calls  # it asks the store itself
+
+
+async def test_stop_of_a_node_does_not_count_as_a_failure_of_the_store(pair):
+    await pair.start()
+    await pair.relay_watcher.stop()
+    assert pair.relay_store.reads_store_directly("k")
--- a/lab/gateway/_store.py
+++ b/lab/gateway/_store.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform's object store."""
 
 import asyncio
+import copy
 import json
 from collections import Counter
 from typing import Any
@@ -14,6 +15,7 @@
 
 _MAX_BODY_BYTES = 1024 * 1024
 _PAGE_ITEMS = 20
+_OUTSIDE_KINDS = ("config", "servers")  # written by the operator and by the backend servers
 
 
 @attrs.define(kw_only=True)
@@ -35,6 +37,15 @@
     lost_writes: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class StoreCopy:
+    """State of the store at one moment, from which it can be restored."""
+
+    objects: dict[str, dict[str, dict[str, Any]]]
+    events: list[tuple[int, str, dict[str, Any], bool]]
+    revision: int
+
+
 class StoreStandIn:
     """Objects by kind and name with one revision counter, watches and faults.
 
@@ -42,6 +53,11 @@
     ----------
     address : str
         ``ip:port`` to listen at.
+
+    Attributes
+    ----------
+    era : int
+        Number of restores from a copy, counted from 1; all answers state it.
     """
 
     def __init__(self, *, address: str) -> None:
@@ -51,6 +67,7 @@
         self._revision = 1
         self._changed = asyncio.Event()
         self._server = HttpServer(address=address, handle=self._handle)
+        self.era = 1
         self.faults = StoreFaults()
         self.calls: Counter[str] = Counter()
 
@@ -105,6 +122,32 @@
         self._oldest_revision = self._revision
         self._wake_watches()
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of the current state."""
+        return StoreCopy(
+            objects=copy.deepcopy(self._objects),
+            events=copy.deepcopy(self._events),
+            revision=self._revision,
+        )
+
+    def restore(self, state: StoreCopy) -> None:
+        """Go back to a copy; what the operator and the servers wrote since is written again.
+
+        What other writers have written since is lost. Revisions are given out again, and watches
+        from a revision that the copy doesn't have get 410.
+        """
+        outside = {kind: self.objects(kind) for kind in _OUTSIDE_KINDS}
+        self.era += 1
+        self._objects = copy.deepcopy(state.objects)
+        self._events = copy.deepcopy(state.events)
+        self._revision = state.revision
+        self._wake_watches()
+        for kind, objects in outside.items():
+            for name in self.objects(kind).keys() - objects.keys():
+                self.remove(kind, name)
+            for name, spec in objects.items():
+                self.put(kind, name, spec)
+
     def _append_event(self, kind: str, item: dict[str, Any], *, removed: bool) -> None:
         self._events.append((self._revision, kind, item, removed))
         self._wake_watches()
@@ -130,14 +173,14 @@
             self.faults.lost_writes -= 1
             exchange.abort()
             return
-        _respond(exchange, status, document)
+        self._respond(exchange, status, document)
 
     async def _apply_faults(self, exchange: Exchange) -> bool:
         """Delay a call and fail it if a fault mode is set; return whether it failed."""
         await asyncio.sleep(self.faults.delay_s)
         match self.faults.mode:
             case "busy":
-                _respond(exchange, 503, {"error": "busy"})
+                self._respond(exchange, 503, {"error": "busy"})
             case "reset":
                 exchange.abort()
             case "silent":
@@ -149,7 +192,7 @@
     async def _read(self, exchange: Exchange, kind: str, name: str, query: dict[str, str]) -> None:
         if name:
             item = self._objects.get(kind, {}).get(name)
-            _respond(exchange, 200 if item else 404, item or {"error": "none"})
+            self._respond(exchange, 200 if item else 404, item or {"error": "none"})
         elif "watch" in query:
             wait_s = int(query.get("waitMs", "0")) / 1000
             await self._watch(exchange, kind, int(query["watch"]), wait_s)
@@ -158,13 +201,13 @@
             page = names[:_PAGE_ITEMS]
             items = [self._objects[kind][found] for found in page]
             document = {"items": items, "morePages": len(names) > len(page), "asOf": self._revision}
-            _respond(exchange, 200, document)
+            self._respond(exchange, 200, document)
 
     async def _watch(self, exchange: Exchange, kind: str, after: int, wait_s: float) -> None:
         deadline_s = asyncio.get_running_loop().time() + wait_s
         while True:
-            if after < self._oldest_revision:
-                _respond(exchange, 410, {"error": "gone"})
+            if after < self._oldest_revision or after > self._revision:
+                self._respond(exchange, 410, {"error": "gone"})
                 return
             found = [event for event in self._events if event[0] > after and event[1] == kind]
             left_s = deadline_s - asyncio.get_running_loop().time()
@@ -176,7 +219,7 @@
             except TimeoutError:
                 continue
         events = [{"object": item, "removed": removed} for _, _, item, removed in found]
-        _respond(exchange, 200, {"events": events, "asOf": self._revision})
+        self._respond(exchange, 200, {"events": events, "asOf": self._revision})
 
     def _write(self, method: str, kind: str, name: str, document: Any) -> tuple[int, Any]:
         """Return status and document of the answer to a write."""
@@ -196,7 +239,8 @@
         self.put(kind, name, document["spec"])
         return 200, self._objects[kind][name]
 
-
-def _respond(exchange: Exchange, status: int, document: Any) -> None:
-    head = ResponseHead(status=status, headers=Headers([("Content-Type", "application/json")]))
-    exchange.respond(head, json.dumps(document).encode())
+    def _respond(self, exchange: Exchange, status: int, document: Any) -> None:
+        headers = Headers([("Content-Type", "application/json"), ("Store-Era", str(self.era))])
+        exchange.respond(
+            ResponseHead(status=status, headers=headers), json.dumps(document).encode()
+        )
