--- a/flamingoshelf/cluster/_coordination.py
+++ b/flamingoshelf/cluster/_coordination.py
@@ -166,8 +166,9 @@
             and now - self._first_checked_s.setdefault(member.name, now) > _DEAD_AFTER_S
             and now - self._last_heard_s.get(member.name, float("-inf")) > _DEAD_AFTER_S
         ]
-        replies = await asyncio.gather(*(self._send_heartbeat(member) for member in silent))
-        return [m.name for m, reply in zip(silent, replies, strict=True) if reply is None]
+        await asyncio.gather(*(self._send_heartbeat(member) for member in silent))
+        # A member that replies that it is leaving is alive.
+        return [m.name for m in silent if self._last_heard_s.get(m.name, float("-inf")) < now]
 
     def report_failure(self, name: str) -> None:
         """Back off from the coordinator `name`, to which a request failed."""
--- a/flamingoshelf/cluster/tests/test_coordination.py
+++ b/flamingoshelf/cluster/tests/test_coordination.py
@@ -257,3 +257,14 @@
     with fleet.nodes["c"].coordination.during_request():
         await asyncio.sleep(0.7)
         assert fleet.coordinators()["c"] == "b"
+
+
+async def test_silent_member_that_replies_that_it_is_leaving_is_not_dead(fleet):
+    await start_three(fleet)
+    fleet.network.silent.add("c")
+    coordination = fleet.nodes["a"].coordination
+    await coordination.find_dead_members()
+    await asyncio.sleep(9)
+    fleet.network.silent.discard("c")
+    fleet.nodes["c"].coordination.leave()
+    assert await coordination.find_dead_members() == []
--- a/flamingoshelf/daemon/_http_server.py
+++ b/flamingoshelf/daemon/_http_server.py
@@ -1,5 +1,6 @@
 """HTTP servers of a node."""
 
+import math
 from collections.abc import Iterator
 from contextlib import contextmanager
 from typing import Any
@@ -52,7 +53,7 @@
                 access_log=False,
                 backlog=_BACKLOG_CONNECTIONS,
                 timeout_keep_alive=_KEEP_ALIVE_TIMEOUT_S,
-                timeout_graceful_shutdown=int(shutdown_timeout_s),
+                timeout_graceful_shutdown=math.ceil(shutdown_timeout_s),
                 server_header=False,
             )
         )
--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -7,26 +7,18 @@
 import attrs
 from loguru import logger
 
-from flamingoshelf.cluster import (
-    Coordination,
-    ExclusiveDuty,
-    LeavingRun,
-    Member,
-    MemberList,
-    NodeNews,
-    Registration,
-)
+from flamingoshelf.cluster import Coordination, ExclusiveDuty, Member, MemberList, Registration
 from flamingoshelf.gateway._active_configuration import ActiveConfiguration
-from flamingoshelf.gateway._admission import Admission
-from flamingoshelf.gateway._app import Gateway
 from flamingoshelf.gateway._backend_client import BackendClient
 from flamingoshelf.gateway._configuration_exchange import ConfigurationExchange
 from flamingoshelf.gateway._crash_detector import CrashDetector
 from flamingoshelf.gateway._engine_control import EngineControl, EngineWire
 from flamingoshelf.gateway._engine_prober import EngineProber
 from flamingoshelf.gateway._load_poller import LoadPoller
+from flamingoshelf.gateway._lost_nodes import remove_lost_nodes
 from flamingoshelf.gateway._node_limits import NodeLimits
-from flamingoshelf.gateway._plain_forwarder import PlainForwarder
+from flamingoshelf.gateway._peer_news import PeerNews
+from flamingoshelf.gateway._request_path import new_gateway
 from flamingoshelf.gateway._role_controller import RoleController
 from flamingoshelf.gateway._settings import GatewaySettings, changed_fields
 from flamingoshelf.gateway._shutdown import ShutdownPlan
@@ -37,8 +29,6 @@
     InstanceListener,
     StoreFormat,
 )
-from flamingoshelf.gateway._stream_forwarder import StreamForwarder
-from flamingoshelf.gateway._target_selector import TargetSelector
 from flamingoshelf.gateway._wire import WireFormat
 from flamingoshelf.http1 import ConnectionPool, HttpServer
 from flamingoshelf.nodes import WebsocketNodeLink
@@ -51,13 +41,7 @@
 )
 from flamingoshelf.quarantine import ContentGuard, Quarantine, QuarantineService
 from flamingoshelf.retries import RetryBudgets
-from flamingoshelf.routing import (
-    EjectionRule,
-    InstanceDirectory,
-    LeavingServer,
-    ServerNotices,
-    ServerSelector,
-)
+from flamingoshelf.routing import InstanceDirectory, ServerNotices
 from flamingoshelf.store import KindStore, StoreEras
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import TaskGroup, boot_time_s, new_incarnation
@@ -65,8 +49,6 @@
 __all__ = ["GatewayNode"]
 
 _METRICS_BUILD_DELAY_S = 2.0  # building them takes 0.1 s of CPU time, which would delay the start
-_REMOVE_NODES_INTERVAL_S = 3.0  # each entry of a lost node costs a connection attempt
-_MAX_TOLD_SERVERS = 32  # in one heartbeat; the store soon lists them as leaving
 _ORDER_DUTY = "engine-orders"
 
 
@@ -217,9 +199,28 @@
             eras=eras,
             random_source=self._random,
         )
+        self._peer_news = PeerNews(
+            configuration=self._configuration,
+            exchange=self._configuration_exchange,
+            directory=self._directory,
+            notices=self._notices,
+        )
         self._caller_server = HttpServer(
             address=settings.caller_address,
-            handle=self._build_gateway(wire).handle,
+            handle=new_gateway(
+                configuration=self._configuration,
+                client=self._client,
+                directory=self._directory,
+                notices=self._notices,
+                placer=self._placer,
+                plain_calls=self._plain_calls,
+                crash_detector=self._crash_detector,
+                budget=self._budgets.budget,
+                wire=wire,
+                data_centre=settings.data_centre,
+                metrics=self._metrics,
+                random_source=self._random,
+            ).handle,
             limits=lambda: self._configuration.limits,
         )
         self._status_server = StatusServer(
@@ -251,7 +252,9 @@
         await self._prober.start()
         await self._load_poller.start()
         self._tasks.start(self._build_metrics(), name="metrics")
-        self._tasks.start(self._remove_unreachable_nodes(), name="gone_nodes")
+        self._tasks.start(
+            remove_lost_nodes(lambda: self._coordination, self._registration), name="gone_nodes"
+        )
         logger.bind(step="start", address=self._settings.caller_address).info("node started")
 
     def apply_settings(self, settings: GatewaySettings) -> None:
@@ -309,8 +312,8 @@
             own=own,
             revisions=lambda: self._store_follower.revisions,
             on_revisions=self._store_follower.expect_change,
-            news=self._news,
-            on_news=self._record_news,
+            news=self._peer_news.outgoing,
+            on_news=self._peer_news.record,
         )
         self._configuration_exchange.connect(link)
         self._dispatchers.register(link)
@@ -333,23 +336,6 @@
         await shared.start()
         return shared
 
-    def _news(self) -> NodeNews:
-        """Return what this node tells others with its heartbeats."""
-        leaving = self._directory.unreported_leaving()
-        return NodeNews(
-            configuration_version=self._configuration.version,
-            leaving=tuple(
-                LeavingRun(server=server.instance_id, started_ms=server.started_ms)
-                for server in leaving[:_MAX_TOLD_SERVERS]
-            ),
-        )
-
-    def _record_news(self, peer: str, news: NodeNews) -> None:
-        self._configuration_exchange.record_version(peer, news.configuration_version)
-        for run in news.leaving:
-            server = LeavingServer(instance_id=run.server, started_ms=run.started_ms)
-            self._notices.record_leaving(server, source=peer)
-
     def _render_metrics(self) -> bytes:
         """Return all metrics; count the log lines dropped since the last call."""
         dropped = self._dropped_log_lines()
@@ -387,55 +373,6 @@
         await asyncio.sleep(_METRICS_BUILD_DELAY_S)
         self._metrics.build()
 
-    async def _remove_unreachable_nodes(self) -> None:
-        """Delete the entries of lost nodes while this node is the coordinator."""
-        while True:
-            await asyncio.sleep(_REMOVE_NODES_INTERVAL_S)
-            coordination = self._coordination
-            if coordination is None or not coordination.is_coordinator:
-                continue
-            for name in await coordination.find_dead_members():
-                if coordination.reachable_count > 1:  # otherwise this node itself is disconnected
-                    logger.bind(step="members", peer=name).info("node lost; removing its entry")
-                    self._registration.remove_node(name)
-
-    def _build_gateway(self, wire: WireFormat) -> Gateway:
-        """Create the request path from admission to the forwarders."""
-        targets = TargetSelector(
-            configuration=self._configuration,
-            directory=self._directory,
-            random_source=self._random,
-            notices=self._notices,
-        )
-        selector = ServerSelector(
-            data_centre=self._settings.data_centre,
-            rule=EjectionRule(),
-            random_source=self._random,
-        )
-        budget = self._budgets.budget
-        return Gateway(
-            configuration=self._configuration,
-            admission=Admission(configuration=self._configuration, wire=wire),
-            plain=PlainForwarder(
-                client=self._client,
-                targets=targets,
-                selector=selector,
-                budget=budget,
-                plain_calls=self._plain_calls,
-                crash_detector=self._crash_detector,
-                metrics=self._metrics,
-            ),
-            streams=StreamForwarder(
-                client=self._client,
-                targets=targets,
-                directory=self._directory,
-                placer=self._placer,
-                crash_detector=self._crash_detector,
-                metrics=self._metrics,
-            ),
-            metrics=self._metrics,
-        )
-
     def _node_count(self) -> int:
         return max(1, len(self._members))
 
--- /dev/null
+++ b/flamingoshelf/gateway/_request_path.py
@@ -0,0 +1,70 @@
+"""Puts the request path of a node together, from admission to the forwarders."""
+
+import random
+from collections.abc import Callable
+
+from flamingoshelf.gateway._active_configuration import ActiveConfiguration
+from flamingoshelf.gateway._admission import Admission
+from flamingoshelf.gateway._app import Gateway
+from flamingoshelf.gateway._backend_client import BackendClient
+from flamingoshelf.gateway._crash_detector import CrashDetector
+from flamingoshelf.gateway._plain_forwarder import PlainForwarder
+from flamingoshelf.gateway._stream_forwarder import StreamForwarder
+from flamingoshelf.gateway._target_selector import TargetSelector
+from flamingoshelf.gateway._wire import WireFormat
+from flamingoshelf.placement import Placer, PlainCallMeter
+from flamingoshelf.retries import RetryBudget
+from flamingoshelf.routing import EjectionRule, InstanceDirectory, ServerNotices, ServerSelector
+from flamingoshelf.telemetry import Metrics
+
+__all__ = ["new_gateway"]
+
+
+def new_gateway(
+    *,
+    configuration: ActiveConfiguration,
+    client: BackendClient,
+    directory: InstanceDirectory,
+    notices: ServerNotices,
+    placer: Placer,
+    plain_calls: PlainCallMeter,
+    crash_detector: CrashDetector,
+    budget: Callable[[str], RetryBudget],
+    wire: WireFormat,
+    data_centre: str,
+    metrics: Metrics,
+    random_source: random.Random,
+) -> Gateway:
+    """Return the handler of callers' requests; the parameters are those of its parts."""
+    targets = TargetSelector(
+        configuration=configuration,
+        directory=directory,
+        random_source=random_source,
+        notices=notices,
+    )
+    plain = PlainForwarder(
+        client=client,
+        targets=targets,
+        selector=ServerSelector(
+            data_centre=data_centre, rule=EjectionRule(), random_source=random_source
+        ),
+        budget=budget,
+        plain_calls=plain_calls,
+        crash_detector=crash_detector,
+        metrics=metrics,
+    )
+    streams = StreamForwarder(
+        client=client,
+        targets=targets,
+        directory=directory,
+        placer=placer,
+        crash_detector=crash_detector,
+        metrics=metrics,
+    )
+    return Gateway(
+        configuration=configuration,
+        admission=Admission(configuration=configuration, wire=wire),
+        plain=plain,
+        streams=streams,
+        metrics=metrics,
+    )
--- a/flamingoshelf/gateway/_role_controller.py
+++ b/flamingoshelf/gateway/_role_controller.py
@@ -116,6 +116,10 @@
         log = logger.bind(step="order", peer=engine.key, role=change.role.value, token=token.number)
         try:
             report = await self._control.report(engine)
+        except FlamingoshelfError as error:
+            log.info("role change not ordered; no report from the engine: {}", error)
+            return
+        try:
             if report.is_changing or report.role is change.role:
                 log.info(
                     "role change not ordered; engine has role {} (changing: {})",
--- a/flamingoshelf/gateway/_stream_forwarder.py
+++ b/flamingoshelf/gateway/_stream_forwarder.py
@@ -17,6 +17,12 @@
 from flamingoshelf.gateway._crash_detector import CrashDetector
 from flamingoshelf.gateway._prefill_timeout import prefill_timeout_s
 from flamingoshelf.gateway._stream_relay import RelayResult, StreamRelay
+from flamingoshelf.gateway._stream_state import (
+    StreamState,
+    final_refusal,
+    pause_refusal,
+    run_outcome,
+)
 from flamingoshelf.gateway._target_selector import TargetSelector
 from flamingoshelf.gateway._wire import BackendCall, KvHandle
 from flamingoshelf.http1 import Exchange
@@ -28,15 +34,15 @@
     Turn,
     new_turn_id,
 )
-from flamingoshelf.refusals import Refusal, RefusalReason, RetryReason
+from flamingoshelf.refusals import Refusal, RetryReason
 from flamingoshelf.routing import BackendInstance, InstanceDirectory
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import now_s
 
 __all__ = ["StreamForwarder"]
 
+_SERVER_ERROR_STATUS = 500  # from here on, the status blames the server
 _MAX_TURNS = 4  # per request
-_FULL_RETRY_AFTER_S = 0.4  # about the interval at which a decode engine finishes a run
 _DEFAULT_PROMPT_TOKENS = 1000  # if the caller states no size; a third of the usual size
 _DEFAULT_OUTPUT_TOKENS = 500  # if the caller states no size; about the mean size of an answer (590)
 
@@ -87,11 +93,11 @@
             return refusal
         service = self._targets.choose_service(request.route)
         relay = StreamRelay(exchange=exchange, request=request, metrics=self._metrics)
-        state = _RequestState(request=request, service=service, relay=relay)
+        state = StreamState(request=request, service=service, relay=relay)
         for _ in range(_MAX_TURNS):
             pause_s = self._pause_s(state)
             if pause_s is not None:
-                return self._refuse_or_abort(state, _pause_refusal(service, pause_s))
+                return self._refuse_or_abort(state, pause_refusal(service, pause_s))
             turn = await self._placer.acquire(self._placement_request(state))
             if isinstance(turn, Refusal):
                 return self._refuse_or_abort(state, turn)
@@ -102,9 +108,11 @@
                 return None
             if not self._may_retry(state):
                 break
-        return self._refuse_or_abort(state, self._final_refusal(state))
+        return self._refuse_or_abort(
+            state, final_refusal(state, remaining_s=self._remaining_s(state))
+        )
 
-    def _pause_s(self, state: "_RequestState") -> float | None:
+    def _pause_s(self, state: StreamState) -> float | None:
         """Avoid engines that want nothing from this node.
 
         Return the seconds until a turn is possible again if no engine of a role is left, else None.
@@ -121,7 +129,7 @@
                 waits.append(min(pauses[key] for key in keys))
         return max(waits, default=None)
 
-    def _release_if_unlisted(self, state: "_RequestState", turn: Turn) -> bool:
+    def _release_if_unlisted(self, state: StreamState, turn: Turn) -> bool:
         """Release a turn if this node can't use its engines; return whether it was released.
 
         While the store does not answer all nodes, the dispatcher may know other engines than this
@@ -145,7 +153,7 @@
         self._placer.release(turn, events=0, seconds=0.0, outcome=RunOutcome.ENDED)
         return True
 
-    def _placement_request(self, state: "_RequestState") -> PlacementRequest:
+    def _placement_request(self, state: StreamState) -> PlacementRequest:
         request, caller = state.request, state.request.caller
         now = now_s()
         prompt = caller.prompt_tokens or _DEFAULT_PROMPT_TOKENS
@@ -177,7 +185,7 @@
             return float(caller.prompt_tokens + caller.max_output_tokens)
         return 0.0 if workspace is None else workspace.default_call_tokens
 
-    async def _use_turn(self, state: "_RequestState", turn: Turn) -> bool:
+    async def _use_turn(self, state: StreamState, turn: Turn) -> bool:
         """Run prefill and decode of a turn; return whether the caller was answered."""
         state.turns += 1
         state.is_answer_lost = False
@@ -199,7 +207,7 @@
                 handle = None  # fetched by the decode engine, or lost with that engine
             if result is RelayResult.COMPLETE:
                 self._crash_detector.record_success(state.request)
-            return result is RelayResult.COMPLETE
+            return result in (RelayResult.COMPLETE, RelayResult.FAILED)
         finally:
             if handle is not None:
                 self._release_handle(state, handle)
@@ -209,10 +217,10 @@
                 turn,
                 events=events,
                 seconds=seconds,
-                outcome=_run_outcome(state, result),
+                outcome=run_outcome(state, result),
             )
 
-    async def _prefill(self, state: "_RequestState", turn: Turn, engine_id: str) -> KvHandle | None:
+    async def _prefill(self, state: StreamState, turn: Turn, engine_id: str) -> KvHandle | None:
         """Return the KV cache handle of the processed prompt, or None if the prefill failed."""
         engine = self._directory.get(engine_id)
         log = logger.bind(
@@ -258,7 +266,7 @@
         return None
 
     async def _choose_decode(
-        self, state: "_RequestState", turn: Turn, handle: KvHandle | None
+        self, state: StreamState, turn: Turn, handle: KvHandle | None
     ) -> BackendInstance | None:
         decode_id = await self._placer.confirm(turn)
         log = logger.bind(request_id=state.request.request_id, step="place", peer=decode_id)
@@ -274,7 +282,7 @@
         return engine
 
     async def _decode(
-        self, state: "_RequestState", turn: Turn, engine: BackendInstance, handle: KvHandle | None
+        self, state: StreamState, turn: Turn, engine: BackendInstance, handle: KvHandle | None
     ) -> RelayResult:
         log = logger.bind(
             request_id=state.request.request_id, step="decode", peer=engine.key, turn=state.turns
@@ -291,7 +299,12 @@
         try:
             async with AsyncExitStack() as stack:
                 sending = stack.enter_async_context(self._client.send(state.request, call))
-                return await state.relay.relay(await state.relay.wait(sending))
+                response = await state.relay.wait(sending)
+                result = await state.relay.relay(response)
+                if result is RelayResult.FAILED and response.head.status >= _SERVER_ERROR_STATUS:
+                    detail = f"status {response.head.status}"
+                    self._record_failure(state, engine.key, FailureKind.BROKE_OFF, detail)
+                return result
         except WrongInstanceError as error:
             log.info("decode not run: {}", error.message)
             self._record_failure(state, engine.key, FailureKind.REPLACED, error.message)
@@ -321,7 +334,7 @@
 
     def _call(
         self,
-        state: "_RequestState",
+        state: StreamState,
         engine: BackendInstance,
         *,
         is_prefill: bool = False,
@@ -336,7 +349,7 @@
             resume_after=state.relay.last_event_id,
         )
 
-    def _may_retry(self, state: "_RequestState") -> bool:
+    def _may_retry(self, state: StreamState) -> bool:
         """Return whether the request may use another turn, and count the retry if so."""
         if state.sent and not state.request.route.may_repeat:
             return False
@@ -347,7 +360,7 @@
         )
         return True
 
-    def _refuse_or_abort(self, state: "_RequestState", refusal: Refusal) -> Refusal | None:
+    def _refuse_or_abort(self, state: StreamState, refusal: Refusal) -> Refusal | None:
         """Return the refusal, as a 502 if the request may have run; or abort a started stream."""
         if state.relay.is_started:
             self._metrics.count_event("streams_broken_off")
@@ -361,90 +374,20 @@
         if handle is not None:
             self._metrics.count_event("prefills_wasted")
 
-    def _final_refusal(self, state: "_RequestState") -> Refusal:
-        if self._remaining_s(state) <= 0:
-            detail, reason, status = "No time is left.", RefusalReason.DEADLINE_UNREACHABLE, 504
-        elif state.sent:
-            detail, reason, status = "The engine gave no answer.", RefusalReason.BACKEND_FAILED, 502
-        else:
-            detail, reason, status = "The engines are full.", RefusalReason.QUEUE_FULL, 503
-        return Refusal(
-            reason=reason,
-            status=status,
-            detail=detail,
-            not_run=state.sent == 0,
-            retry_after_s=_FULL_RETRY_AFTER_S,
-            step="decode",
-        )
-
-    def _release_handle(self, state: "_RequestState", handle: KvHandle) -> None:
+    def _release_handle(self, state: StreamState, handle: KvHandle) -> None:
         if state.prefill_engine is not None:
             self._client.release_handle(handle, state.prefill_engine)
 
     def _record_failure(
-        self, state: "_RequestState", engine_id: str, kind: FailureKind, detail: str
+        self, state: StreamState, engine_id: str, kind: FailureKind, detail: str
     ) -> None:
         state.avoid.add(engine_id)
         self._placer.record_failure(state.service, engine_id, kind, detail=detail)
 
-    def _record_rejection(self, state: "_RequestState", engine_id: str, error: NotRunError) -> None:
+    def _record_rejection(self, state: StreamState, engine_id: str, error: NotRunError) -> None:
         state.avoid.add(engine_id)
         if not isinstance(error, ServerPausedError):  # it has room, but not for this node
             self._placer.record_rejection(state.service, engine_id)
 
-    def _remaining_s(self, state: "_RequestState") -> float:
+    def _remaining_s(self, state: StreamState) -> float:
         return state.request.deadline_s - now_s()
-
-
-@attrs.define(kw_only=True)
-class _RequestState:
-    """Progress of one request over all turns.
-
-    Attributes
-    ----------
-    turns : int
-        Number of turns used.
-    sent : int
-        Number of decode engines that may have run the request.
-    avoid : set of str
-        Keys of engines to avoid: they failed, or are not listed at this node.
-    paused : set of str
-        Keys of engines that have asked this node for a pause.
-    is_answer_lost : bool
-        Whether the current decode engine may run on after its answer was lost before any event.
-    """
-
-    request: AdmittedRequest
-    service: str
-    relay: StreamRelay
-    turns: int = 0
-    sent: int = 0
-    avoid: set[str] = attrs.field(factory=set)
-    paused: set[str] = attrs.field(factory=set)
-    is_charged: bool = False
-    prefill_engine: BackendInstance | None = None
-    is_answer_lost: bool = False
-    has_called_prefill: bool = False
-    has_called_decode: bool = False
-
-    @property
-    def repeat_cost(self) -> int:
-        """Number of engine calls in the next turn that repeat an earlier call."""
-        return int(self.has_called_prefill) + int(self.has_called_decode)
-
-
-def _pause_refusal(service: str, pause_s: float) -> Refusal:
-    return Refusal(
-        reason=RefusalReason.QUEUE_FULL,
-        status=503,
-        detail=f"The engines of {service} have asked for a pause.",
-        not_run=True,
-        retry_after_s=pause_s,
-        step="place",
-    )
-
-
-def _run_outcome(state: _RequestState, result: RelayResult | None) -> RunOutcome:
-    if result is RelayResult.COMPLETE:
-        return RunOutcome.COMPLETE
-    return RunOutcome.LOST if state.is_answer_lost else RunOutcome.ENDED
--- a/flamingoshelf/gateway/_stream_relay.py
+++ b/flamingoshelf/gateway/_stream_relay.py
@@ -36,6 +36,7 @@
     """How a run at a decode engine ended."""
 
     COMPLETE = "complete"
+    FAILED = "failed"  # the caller got the engine's own failure
     BROKEN = "broken"
     NOT_RUN = "not_run"
 
@@ -188,7 +189,7 @@
             "engine answered with status {}", response.head.status
         )
         self._exchange.respond(response.head, body)
-        return RelayResult.COMPLETE
+        return RelayResult.FAILED
 
     def _split_events(self, splitter: EventSplitter, part: bytes) -> list[StreamEvent]:
         try:
--- /dev/null
+++ b/flamingoshelf/gateway/tests/fake_placer.py
@@ -0,0 +1,60 @@
+"""Placer that needs no dispatcher."""
+
+from flamingoshelf.placement import RunOutcome, Turn
+
+
+class FakePlacer:
+    """Grants the first engines in order that are not to be avoided, where possible."""
+
+    def __init__(self):
+        self.requests = []
+        self.released = []
+        self.slow_prefills = []
+        self.completed = []
+        self.outcomes = []
+        self.failed = []
+        self.rejected = []
+        self.started = []
+        self.refusals = []
+        self.later_refusals = []  # used from the second request on
+        self.has_room = True
+        self.has_prefill = True
+
+    async def acquire(self, request):
+        self.requests.append(request)
+        if self.refusals:
+            return self.refusals.pop(0)
+        if len(self.requests) > 1 and self.later_refusals:
+            return self.later_refusals.pop(0)
+        free = [name for name in ("d1", "d2", "d3") if name not in request.avoid]
+        prefills = [name for name in ("p1", "p2") if name not in request.avoid] or ["p1"]
+        return Turn(
+            turn_id=request.turn_id,
+            service=request.service,
+            prefill_id=prefills[0] if self.has_prefill else None,
+            decode_id=free[0],
+            prefill_s=0.1,
+        )
+
+    async def confirm(self, turn):
+        return turn.decode_id if self.has_room else None
+
+    def record_prefill(self, turn, *, seconds):
+        pass
+
+    def record_start(self, turn):
+        self.started.append(turn.decode_id)
+
+    def record_slow_prefill(self, turn, *, seconds):
+        self.slow_prefills.append((turn.prefill_id, seconds))
+
+    def release(self, turn, *, events, seconds, outcome):
+        self.released.append((turn.decode_id, events))
+        self.completed.append(outcome is RunOutcome.COMPLETE)
+        self.outcomes.append(outcome)
+
+    def record_failure(self, service, engine_id, kind, *, detail):
+        self.failed.append((engine_id, kind))
+
+    def record_rejection(self, service, engine_id):
+        self.rejected.append(engine_id)
--- a/flamingoshelf/http1/_server_connection.py
+++ b/flamingoshelf/http1/_server_connection.py
@@ -294,10 +294,14 @@
     return status in (204, 304) or status < 200
 
 
+# Two spaces, the version and a line end in the request line; the empty line at the end of the head.
+_REQUEST_LINE_BYTES = len("  HTTP/1.1") + 2 * len("\r\n")
+
+
 def _head_size_bytes(event: h11.Request) -> int:
     """Return the size of a request head, which `h11` limits only while it is incomplete."""
     fields = sum(len(name) + len(value) + 4 for name, value in event.headers.raw_items())
-    return len(event.method) + len(event.target) + 13 + fields
+    return len(event.method) + len(event.target) + _REQUEST_LINE_BYTES + fields
 
 
 def _has_conflicting_lengths(headers: Headers) -> bool:
--- a/flamingoshelf/limits/_per_node.py
+++ b/flamingoshelf/limits/_per_node.py
@@ -37,6 +37,7 @@
         self._catalog = catalog
         self._node_count = node_count
         self._buckets: dict[str, _Bucket] = {}
+        self._open_charges: set[str] = set()  # request ids that are not settled
 
     async def charge(
         self, *, request_id: str, workspace: str, tokens: int
@@ -50,13 +51,17 @@
             missing = tokens - bucket.available_tokens
             return Err(rate_exceeded(missing * self._node_count() / spec.rate_tokens_s))
         bucket.available_tokens -= tokens
+        self._open_charges.add(request_id)
         return Ok(Charge(request_id=request_id, workspace=workspace, tokens=tokens))
 
     def update(self, charge: Charge, *, used_tokens: int, reserved_tokens: int) -> None:
         """Do nothing: this limiter refunds on settlement only."""
 
     def settle(self, charge: Charge, *, used_tokens: int) -> None:
-        """Refund the unused tokens."""
+        """Refund the unused tokens; repeated calls have no effect."""
+        if charge.request_id not in self._open_charges:
+            return
+        self._open_charges.remove(charge.request_id)
         bucket = self._buckets.get(charge.workspace)
         if bucket is not None:
             bucket.available_tokens += max(0, charge.tokens - used_tokens)
--- a/flamingoshelf/membership/_gossip.py
+++ b/flamingoshelf/membership/_gossip.py
@@ -5,7 +5,7 @@
 from loguru import logger
 
 from flamingoshelf.base import NodeLink, VirtualMachine, VmListSnapshot, VmState
-from flamingoshelf.exceptions import FlamingoshelfError
+from flamingoshelf.exceptions import FlamingoshelfError, ProtocolError
 from flamingoshelf.membership._members import MemberRegistry
 from flamingoshelf.membership._messages import (
     Heartbeat,
@@ -200,9 +200,11 @@
 
 
 def _to_vm(entry: VmEntry) -> VirtualMachine:
+    """Return the VM of an entry; raise `ProtocolError` if its state is not known."""
+    try:
+        state = VmState(entry.state)
+    except ValueError as error:
+        raise ProtocolError(str(error), step="list", peer=entry.name) from error
     return VirtualMachine(
-        name=entry.name,
-        address=entry.address,
-        data_centre=entry.data_centre,
-        state=VmState(entry.state),
+        name=entry.name, address=entry.address, data_centre=entry.data_centre, state=state
     )
--- a/flamingoshelf/nodes/_connection.py
+++ b/flamingoshelf/nodes/_connection.py
@@ -25,6 +25,7 @@
 __all__ = ["MAX_FRAME_BYTES", "Dispatch", "NodeConnection"]
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+_MAX_REASON_CHARS = 1000  # of a failure; a longer text would not fit into a frame
 _MAX_CONCURRENT_HANDLERS = 256
 
 Dispatch = Callable[[str, Any], Awaitable[Any]]
@@ -179,7 +180,7 @@
             logger.bind(step=name, peer=self._peer.name).warning(
                 "message handler failed: {!r}", error
             )
-            failure = Failure(step=name, reason=str(error))
+            failure = Failure(step=name, reason=str(error)[:_MAX_REASON_CHARS])
             return self._encode(FrameKind.ERROR, frame.number, failure)
 
     def _unknown_outcome(self, reason: str) -> OutcomeUnknownError:
--- a/flamingoshelf/nodes/_handshake.py
+++ b/flamingoshelf/nodes/_handshake.py
@@ -126,6 +126,8 @@
         The other side does not know the secret, or is not the target of the greeting.
     """
     nonce, incarnation, proof = _parse_fields(await socket.recv(), 3)
+    if not isinstance(nonce, bytes) or not isinstance(incarnation, str):
+        raise ProtocolError("malformed handshake message", step="handshake", peer=greeting.target)
     peer = Identity(name=greeting.target, incarnation=incarnation)
     context = greeting.nonce + nonce + certificate_digest
     _check_proof(proof, secret, "server", peer, context)
@@ -169,7 +171,10 @@
 
 
 def _parse_fields(data: str | bytes, count: int) -> list[Any]:
-    fields = cbor2.loads(data) if isinstance(data, bytes) else None
+    try:
+        fields = cbor2.loads(data) if isinstance(data, bytes) else None
+    except Exception as error:  # the decoder raises errors of several kinds
+        raise ProtocolError("malformed handshake message", step="handshake") from error
     if not isinstance(fields, list) or len(fields) != count:
         raise ProtocolError("malformed handshake message", step="handshake")
     return fields
--- a/flamingoshelf/object_service/_object_service.py
+++ b/flamingoshelf/object_service/_object_service.py
@@ -29,7 +29,7 @@
     async def get(self, key: str) -> VersionedObject | None:
         """Return the object, or None if it does not exist."""
         answer = await self._read(f"/objects/{quote(key)}", step="get")
-        return None if answer.status == 404 else _to_object(key, answer)
+        return None if answer.status == 404 else _to_object(key, answer, peer=self._address)
 
     async def put(self, key: str, value: bytes, *, expected_version: int) -> int:
         """Write `value` if the object has `expected_version` (0: absent); return the new version.
@@ -55,7 +55,7 @@
             headers={"If-Match": str(expected_version)},
         )
         self._check_precondition(key, answer, step="put")
-        return int(answer.headers["etag"])
+        return _version_of(answer, step="put", peer=self._address)
 
     async def delete(self, key: str, *, expected_version: int) -> None:
         """Delete the object if it has `expected_version`; raise the errors of `put`."""
@@ -78,7 +78,7 @@
         """Return the object once its version is above `after_version`; None after `timeout_s`."""
         path = f"/objects/{quote(key)}?after={after_version}&wait={timeout_s}"
         answer = await self._read(path, step="watch", extra_timeout_s=timeout_s)
-        return None if answer.status in (204, 404) else _to_object(key, answer)
+        return None if answer.status in (204, 404) else _to_object(key, answer, peer=self._address)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -98,5 +98,23 @@
             raise ObjectServiceError(message, step=step, peer=self._address)
 
 
-def _to_object(key: str, answer: HttpAnswer) -> VersionedObject:
-    return VersionedObject(key=key, value=answer.body, version=int(answer.headers["etag"]))
+def _to_object(key: str, answer: HttpAnswer, *, peer: str) -> VersionedObject:
+    try:
+        version = _version_of(answer, step="read", peer=peer)
+    except OutcomeUnknownError as error:  # a read changes nothing
+        raise ObjectServiceError(error.message, step="read", peer=peer) from error
+    return VersionedObject(key=key, value=answer.body, version=version)
+
+
+def _version_of(answer: HttpAnswer, *, step: str, peer: str) -> int:
+    """Return the version that a success states.
+
+    Raises
+    ------
+    OutcomeUnknownError
+        It states none: a write took effect, but at an unknown version.
+    """
+    text = answer.headers.get("etag") or ""
+    if not text.isascii() or not text.isdigit():
+        raise OutcomeUnknownError(f"success without a version: {text!r:.40}", step=step, peer=peer)
+    return int(text)
--- a/flamingoshelf/object_service/tests/test_object_service.py
+++ b/flamingoshelf/object_service/tests/test_object_service.py
@@ -179,3 +179,26 @@
     await harness.set_fault("stale_reads")
     assert (await harness.service.get("x")).version == first
     assert (await harness.service.get("x")).version == second
+
+
+@pytest.mark.parametrize("version", [None, "", "seven", "-1"])
+async def test_success_without_a_version_is_an_error_of_its_own(version):
+    """The write took effect, but at an unknown version."""
+    headers = {} if version is None else {"ETag": version}
+
+    async def answer(request):
+        return Response(b"x", headers=headers)
+
+    address = AddressPool().reserve()[0]
+    app = Starlette(routes=[Route("/objects/{key}", answer, methods=["GET", "PUT"])])
+    server = HttpServer(app=app, address=address, shutdown_timeout_s=0.5)
+    await server.start()
+    service = HttpObjectService(address=address)
+    try:
+        with pytest.raises(OutcomeUnknownError):
+            await service.put("k", b"x", expected_version=0)
+        with pytest.raises(ObjectServiceError):
+            await service.get("k")
+    finally:
+        await service.close()
+        await server.stop()
--- a/flamingoshelf/placement/_dispatcher.py
+++ b/flamingoshelf/placement/_dispatcher.py
@@ -3,16 +3,20 @@
 import random
 from collections.abc import Callable, Iterable, Sequence
 
-import attrs
-from loguru import logger
-
-from flamingoshelf.placement._decisions import ActiveTurn, Decision, DecodeChosen, TurnDecided
+from flamingoshelf.placement._decisions import (
+    ActiveTurn,
+    Decision,
+    DecodeChosen,
+    TurnDecided,
+    registered_turn,
+    with_resumed_tokens,
+)
 from flamingoshelf.placement._engine_model import EngineModel
 from flamingoshelf.placement._engine_selector import EngineSelector
-from flamingoshelf.placement._engine_trackers import UNMEASURED_RUN_S
 from flamingoshelf.placement._engines import EngineTable
 from flamingoshelf.placement._feasibility import FeasibilityChecker
 from flamingoshelf.placement._forecast import PrefillForecast
+from flamingoshelf.placement._owner_reports import OwnerReports
 from flamingoshelf.placement._queue import QueuedRequest, WaitingQueue
 from flamingoshelf.placement._refusals import no_engine_refusal, queue_full_refusal
 from flamingoshelf.placement._refused_requests import RefusedRequests
@@ -36,10 +40,6 @@
 _LATE_RESERVE_SHARE = 0.1
 # Part of a handle's lifetime for which a processed prompt waits for room at a decode engine.
 _CONFIRM_LIFETIME_SHARE = 0.6
-# A turn that is granted while its owner's report is under way is missing from that report.
-_UNLISTED_TURN_GRACE_S = 0.5
-_OWNER_TIMEOUT_S = 1.0  # four report intervals
-_ORPHAN_RUN_FACTOR = 1.5  # multiple of the expected run time, as runs may take longer
 _CHECK_INTERVAL_S = 0.05  # between checks for infeasible requests and for lost turns
 _MAX_GRANT_CANDIDATES = 8  # queued requests that are considered for one grant
 
@@ -79,7 +79,7 @@
         self._selector = EngineSelector(engines=self._engines, random_source=random_source)
         self._queue = WaitingQueue()
         self._active_turns: dict[str, ActiveTurn] = {}
-        self._last_report_s: dict[str, float] = {}
+        self._owners = OwnerReports(clock=clock)
         self._refused = RefusedRequests()
         self._feasibility_checked_s = float("-inf")
         self._orphans_checked_s = float("-inf")
@@ -120,7 +120,7 @@
         refused_goal_s = self._refused.find_goal(request.content, now)
         self._queue.put(
             QueuedRequest(
-                request=self._count_resumed_tokens(request),
+                request=with_resumed_tokens(request, self._model.tokens_per_event),
                 owner=owner,
                 arrived_s=now,
                 first_event_by_s=goal_s if refused_goal_s is None else refused_goal_s,
@@ -222,46 +222,23 @@
             return
         now = self._clock()
         tracker = self._engines.decode_tracker(run.decode_id)
-        request = self._count_resumed_tokens(
-            PlacementRequest(
-                turn_id=run.turn_id,
-                service=self._service,
-                prompt_tokens=run.prompt_tokens,
-                expected_tokens=run.expected_tokens,
-                resumed_events=run.resumed_events,
-                goal_left_s=0.0,
-                wait_left_s=0.0,
-                deadline_left_s=0.0,
-            )
+        active = registered_turn(
+            run,
+            service=self._service,
+            owner=owner,
+            now_s=now,
+            tokens_per_event=self._model.tokens_per_event,
         )
-        tracker.add(run.turn_id, request.prompt_tokens, request.expected_tokens)
+        tracker.add(run.turn_id, active.request.prompt_tokens, active.request.expected_tokens)
         if run.age_s >= 0:
             tracker.start(run.turn_id, now - run.age_s)
-        self._active_turns[run.turn_id] = ActiveTurn(
-            turn=Turn(
-                turn_id=run.turn_id,
-                service=self._service,
-                prefill_id=None,
-                decode_id=run.decode_id,
-            ),
-            request=request,
-            owner=owner,
-            granted_s=now,
-            decode_id=run.decode_id,
-        )
+        self._active_turns[run.turn_id] = active
 
     def reconcile(self, owner: str, held: Iterable[str]) -> list[str]:
         """Release turns that their owner no longer lists; return listed ids that are unknown."""
-        self._last_report_s[owner] = self._clock()
         listed = set(held)
-        oldest_s = self._clock() - _UNLISTED_TURN_GRACE_S
-        for turn_id, active in list(self._active_turns.items()):
-            is_owned = active.owner == owner and active.granted_s < oldest_s
-            if is_owned and turn_id not in listed:
-                logger.bind(request_id=request_id_of(turn_id), step="reconcile", peer=owner).info(
-                    "turn released; its owner no longer holds it"
-                )
-                self.release(turn_id)
+        for turn_id in self._owners.unlisted_turns(owner, listed, self._active_turns):
+            self.release(turn_id)
         return sorted(listed - self._active_turns.keys())
 
     def record_rejection(self, engine_id: str) -> None:
@@ -283,21 +260,8 @@
             return
         self._orphans_checked_s = now
         forecast = PrefillForecast(engines=self._engines, now_s=now)
-        for turn_id, active in list(self._active_turns.items()):
-            silent_s = now - self._last_report_s.get(active.owner, active.granted_s)
-            if silent_s < _OWNER_TIMEOUT_S:
-                continue
-            request = active.request
-            run_s = (
-                forecast.run_s(request.prompt_tokens, request.expected_tokens)
-                if forecast.is_measured
-                else UNMEASURED_RUN_S
-            )
-            if now > active.granted_s + _ORPHAN_RUN_FACTOR * run_s:
-                logger.bind(
-                    request_id=request_id_of(turn_id), step="orphan", peer=active.owner
-                ).info("turn released; its owner has been silent for {:.1f} s", silent_s)
-                self.release(turn_id)
+        for turn_id in self._owners.orphaned_turns(self._active_turns, forecast):
+            self.release(turn_id)
 
     def _choose_decodes(self) -> list[DecodeChosen]:
         """Choose decode engines for processed prompts, in order of expiry."""
@@ -376,10 +340,7 @@
         return self._queue.ranked(is_on_time=is_on_time)
 
     def _grant_turns(self) -> list[TurnDecided]:
-        granted = []
-        while (turn := self._grant_next()) is not None:
-            granted.append(turn)
-        return granted
+        return list(iter(self._grant_next, None))
 
     def _grant_next(self) -> TurnDecided | None:
         """Grant a turn to the first queued request that fits, or return None."""
@@ -433,21 +394,6 @@
         )
         return TurnDecided(turn_id=request.turn_id, owner=queued.owner, outcome=turn)
 
-    def _count_resumed_tokens(self, request: PlacementRequest) -> PlacementRequest:
-        """Count the tokens of events that the caller has as prompt instead of answer."""
-        tokens = round(request.resumed_events * (self._model.tokens_per_event or 0.0))
-        if not tokens:
-            return request
-        return attrs.evolve(
-            request,
-            prompt_tokens=request.prompt_tokens + tokens,
-            expected_tokens=max(1, request.expected_tokens - tokens),
-        )
-
     def _has_spare_memory(self, now: float) -> bool:
         """Return whether enough decode memory is free to serve late requests."""
-        shares = [
-            self._engines.decode_tracker(engine.key).free_share(now)
-            for engine in self._engines.usable_decodes()
-        ]
-        return bool(shares) and sum(shares) / len(shares) > _LATE_RESERVE_SHARE
+        return self._engines.memory_load(now) < 1 - _LATE_RESERVE_SHARE
--- a/flamingoshelf/platform/_configuration.py
+++ b/flamingoshelf/platform/_configuration.py
@@ -49,7 +49,7 @@
             workspaces=_decode_by_name(document.get("tenants") or (), _decode_workspace),
             limits=_decode_limits(document.get("limits") or {}),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise ConfigurationError(repr(error), step="decode configuration") from error
 
 
--- a/flamingoshelf/platform/_instances.py
+++ b/flamingoshelf/platform/_instances.py
@@ -33,7 +33,7 @@
             role=None if stage is None else _ROLE_BY_STAGE[stage],
             started_ms=int(document.get("born") or 0),  # "born" is the start as Unix time in ms
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise ConfigurationError(repr(error), step="decode server", peer=name) from error
 
 
--- a/flamingoshelf/platform/_wire.py
+++ b/flamingoshelf/platform/_wire.py
@@ -95,9 +95,11 @@
         handle = document.get("handle") if isinstance(document, dict) else None
         if not isinstance(handle, str) or not handle:
             raise ValueError("no handle")
-        return KvHandle(
-            address=instance.address, handle_id=handle, tokens=int(document.get("tokens") or 0)
-        )
+        try:
+            tokens = int(document.get("tokens") or 0)
+        except (TypeError, OverflowError) as error:
+            raise ValueError(repr(error)) from error
+        return KvHandle(address=instance.address, handle_id=handle, tokens=tokens)
 
     def encode_handle_release(self, handle: KvHandle, instance: BackendInstance) -> RequestHead:
         """Return the head of a request that frees a handle."""
--- a/flamingoshelf/platform/tests/test_decoding.py
+++ b/flamingoshelf/platform/tests/test_decoding.py
@@ -1,12 +1,22 @@
 """Decoding of the platform's settings, configuration and registry entries."""
 
+import contextlib
 import copy
+import json
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from flamingoshelf.exceptions import ConfigurationError
-from flamingoshelf.platform import check_settings, decode_configuration, decode_instance
-from flamingoshelf.routing import CallKind, EngineRole, InstanceState
+from flamingoshelf.platform import (
+    PlatformWire,
+    check_settings,
+    decode_configuration,
+    decode_instance,
+)
+from flamingoshelf.platform._engine_wire import PlatformEngineWire
+from flamingoshelf.routing import BackendInstance, CallKind, EngineRole, InstanceState
 
 SETTINGS = """\
 nodeName=front-a-1
@@ -191,3 +201,87 @@
 def test_entry_that_is_no_document_is_an_error(entry):
     with pytest.raises(ConfigurationError):
         decode_instance("i-1", entry)
+
+
+INSTANCE = BackendInstance(instance_id="i", service="s", address="10.0.0.1:80", data_centre="a")
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=True, allow_infinity=True)
+    | st.text(max_size=8),
+    lambda children: (
+        st.lists(children, max_size=4) | st.dictionaries(st.text(max_size=8), children, max_size=4)
+    ),
+    max_leaves=8,
+)
+REPORT = {
+    "stage": "decode",
+    "busy": False,
+    "sequence": 1,
+    "running": 0,
+    "waiting": 0,
+    "kvUsed": 10,
+    "kvTotal": 100,
+    "runs": [["q1", 100, 3, 5]],
+}
+
+
+def replaced(document, path, value):
+    """Return a copy of a document with the value at a path replaced."""
+    if not path:
+        return value
+    copy = list(document) if isinstance(document, list) else dict(document)
+    copy[path[0]] = replaced(copy[path[0]], path[1:], value)
+    return copy
+
+
+def paths(document, prefix=()):
+    """Return the paths of all values in a document."""
+    children = (
+        enumerate(document)
+        if isinstance(document, list)
+        else document.items() if isinstance(document, dict) else ()
+    )
+    return [prefix, *(path for key, child in children for path in paths(child, (*prefix, key)))]
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(data=st.data(), value=JSON_VALUES)
+@pytest.mark.parametrize(
+    ("document", "decode", "error"),
+    [
+        pytest.param(ENTRY, lambda d: decode_instance("i", d), ConfigurationError, id="entry"),
+        pytest.param(CONFIGURATION, decode_configuration, ConfigurationError, id="configuration"),
+        pytest.param(
+            REPORT,
+            lambda d: PlatformEngineWire().decode_report(json.dumps(d).encode()),
+            ValueError,
+            id="report",
+        ),
+        pytest.param(
+            {"handle": "h", "tokens": 5, "version": 1},
+            lambda d: PlatformWire().decode_handle(json.dumps(d).encode(), INSTANCE),
+            ValueError,
+            id="handle",
+        ),
+    ],
+)
+def test_document_with_any_value_anywhere_is_decoded_or_a_documented_error(
+    document, decode, error, data, value
+):
+    path = data.draw(st.sampled_from(paths(document)))
+    with contextlib.suppress(error):
+        decode(replaced(document, path, value))
+
+
+@pytest.mark.parametrize("field", ["slots", "born"])
+def test_entry_with_an_infinite_number_is_an_error(field):
+    with pytest.raises(ConfigurationError):
+        decode_instance("i-1", {**ENTRY, field: float("inf")})
+
+
+@pytest.mark.parametrize("field", ["version"])
+def test_configuration_with_an_infinite_number_is_an_error(field):
+    with pytest.raises(ConfigurationError):
+        decode_configuration({**CONFIGURATION, field: float("inf")})
--- a/flamingoshelf/routing/_server_selector.py
+++ b/flamingoshelf/routing/_server_selector.py
@@ -144,9 +144,7 @@
         """
         now = now_s()
         ejected_keys = [
-            server.key
-            for server in live
-            if self._get_or_add_record(server.key).ejected_until_s > now
+            server.key for server in live if self._peek_record(server.key).ejected_until_s > now
         ]
         ejected_keys.sort(key=lambda key: self._peek_record(key).ejected_until_s, reverse=True)
         return set(ejected_keys[: int(len(live) * self._rule.max_ejected_share)])
--- a/flamingoshelf/services/tests/test_services.py
+++ b/flamingoshelf/services/tests/test_services.py
@@ -171,3 +171,11 @@
     assert isinstance(outcome, Refusal)
     assert outcome.not_run
     assert addresses == []
+
+
+async def test_choosing_among_servers_keeps_no_record_of_them():
+    """Servers come and go; a record of each would grow without end."""
+    selector = ServerSelector(data_centre="a", rule=RULE, random_source=random.Random(1))
+    for number in range(100):
+        selector.choose([server(number)])
+    assert not selector._records
--- a/lab/gateway/__init__.py
+++ b/lab/gateway/__init__.py
@@ -5,7 +5,8 @@
 """
 
 from lab.gateway._caller import Answer, Caller
-from lab.gateway._servers import EngineStandIn, PlainStandIn, RunLog, ServerFaults
+from lab.gateway._records import RunLog, ServerFaults
+from lab.gateway._servers import EngineStandIn, PlainStandIn
 from lab.gateway._site import GatewaySite
 from lab.gateway._store import StoreFaults, StoreStandIn
 
--- a/lab/gateway/_site.py
+++ b/lab/gateway/_site.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 from lab.gateway._caller import Caller
-from lab.gateway._servers import EngineStandIn, PlainStandIn, RunLog
+from lab.gateway._records import RunLog
+from lab.gateway._servers import EngineStandIn, PlainStandIn
 from lab.gateway._store import StoreStandIn
 from lab.processes import AddressPool, Process, wait_until_listening
 from lab.proxy import FaultProxy
--- a/lab/gateway/_soak.py
+++ b/lab/gateway/_soak.py
@@ -14,7 +14,8 @@
 from flamingoshelf.utils import TaskGroup
 from lab.faults import Fault, FaultKind
 from lab.gateway._caller import Answer
-from lab.gateway._servers import EngineStandIn, PlainStandIn, ServerFaults
+from lab.gateway._records import ServerFaults
+from lab.gateway._servers import EngineStandIn, PlainStandIn
 from lab.gateway._site import BOOKINGS, KEY, NOTES, RESUMABLE, STOCK, GatewaySite
 from lab.processes import Process
 from lab.proxy import FaultProxy, ProxyMode
@@ -28,6 +29,8 @@
 _CHUNK_DELAY_S = 0.2  # of each chunk; heartbeats between nodes then exceed their timeout
 _RECOVERY_LIMIT_S = 15.0  # the platform requires that calls are served again within this time
 _STOP_LIMIT_S = 6.0  # for a planned stop: the grace period of 4 s and the time of a start
+_RESTORE_OUTAGE_S = 0.5
+_PAUSE_STATED_S = 0.3  # time in which a server turns requests away and asks for a pause
 _SERVER_FAULTS = (
     ServerFaults(reset_before=0.5),
     ServerFaults(reset_after=0.4),
@@ -127,6 +130,38 @@
                 server.faults = faults
                 await asyncio.sleep(fault.duration_s)
                 server.faults = ServerFaults()
+            case FaultKind.RESTORE_STORE:
+                await self._restore_store(fault.duration_s)
+            case FaultKind.LEAVE_SERVER:
+                server = self._pick_server(fault)
+                await self._restart_exclusively(
+                    server.instance_id, self._leave(server, fault.duration_s)
+                )
+            case FaultKind.PAUSE_SERVER:
+                server = self._pick_server(fault)
+                server.faults = ServerFaults(full=True, pause_s=fault.duration_s)
+                await asyncio.sleep(_PAUSE_STATED_S)
+                server.faults = ServerFaults()
+
+    async def _restore_store(self, delay_s: float) -> None:
+        """Take a copy; later, the store is away for a moment and comes back from the copy."""
+        store = self._site.store
+        state = store.take_copy()
+        await asyncio.sleep(delay_s)
+        store.faults.mode = self._random.choice(("busy", "reset"))
+        await asyncio.sleep(_RESTORE_OUTAGE_S)
+        store.restore(state)
+        store.faults.mode = ""
+
+    async def _leave(self, server: EngineStandIn | PlainStandIn, notice_s: float) -> None:
+        """Let a server state that it leaves while it is listed as ready, then start it anew."""
+        server.is_leaving = True
+        await asyncio.sleep(notice_s)
+        await server.stop()
+        server.is_leaving = False
+        server.started_ms += 1
+        await server.start()
+        self._site.register(server)
 
     async def _restart_exclusively(self, name: str, change: Awaitable[None]) -> None:
         """Stop and restart a node or server, unless another fault is doing so already."""
--- a/lab/tests/test_gateway_site.py
+++ b/lab/tests/test_gateway_site.py
@@ -7,6 +7,7 @@
 
 from flamingoshelf.http1 import BackendConnection
 from lab.gateway import GatewaySite
+from lab.gateway._records import ServerFaults
 from lab.gateway._site import BOOKINGS, KEY, NOTES, RESUMABLE, STOCK, WORKSPACE
 from lab.processes import wait_until_listening
 
@@ -270,6 +271,90 @@
     assert sum(engine.role == "decode" for engine in site.engines) > 1
 
 
+async def test_restore_of_the_store_is_survived(new_site):
+    """The copy is older than the nodes' registrations."""
+    site = await new_site(node_count=3)
+    copy = site.store.take_copy()
+    for kind in ("gateway-nodes", "gateway-duties"):
+        copy.objects.pop(kind, None)
+    site.store.faults.mode = "reset"
+    await asyncio.sleep(1.0)
+    site.store.restore(copy)
+    site.store.faults.mode = ""
+    await wait_until(lambda: len(site.store.objects("gateway-nodes")) == 4)  # and the secret
+    for address in site.node_addresses:
+        answer = await site.caller.call(address, f"{NOTES}1", tokens=(200, 80))
+        assert answer.status == 200 and answer.is_complete
+    # A node that starts anew joins the others with the secret that they wrote again.
+    await site.nodes[2].stop()
+    site.nodes[2].start()
+    await site.wait_until_ready(site.ready_addresses[2])
+    answer = await site.caller.call(site.node_addresses[2], f"{NOTES}1", tokens=(200, 80))
+    assert answer.status == 200
+
+
+async def test_node_that_starts_before_the_configuration_is_written_again_asks_its_peers(new_site):
+    site = await new_site(node_count=3)
+    copy = site.store.take_copy()
+    site.configure(routes=[])
+    newest = site.store.objects("config")["main"]
+    address = site.node_addresses[0]
+    async with asyncio.timeout(5):
+        while (await site.caller.call(address, f"{STOCK}1", method="GET")).status != 404:
+            await asyncio.sleep(0.05)
+    site.store.restore(copy)
+    site.store.put("config", "main", copy.objects["config"]["main"]["spec"])  # not written yet
+    await asyncio.sleep(1.0)
+    await site.nodes[2].stop()
+    site.nodes[2].start()
+    await site.wait_until_ready(site.ready_addresses[2])
+    answer = await site.caller.call(site.node_addresses[2], f"{STOCK}1", method="GET")
+    assert answer.status == 404  # the route that was removed is not served again
+    assert f'"version": {newest["version"]}' in site.nodes[2].log
+
+
+async def test_server_that_leaves_gets_no_requests_of_any_node_soon(new_site):
+    """It states so in its answers alone; its entry stays ready."""
+    site = await new_site(node_count=3)
+    leaving, staying = site.plain
+    leaving.is_leaving = True
+
+    async def call_all():
+        for address in site.node_addresses * 4:
+            answer = await site.caller.call(address, f"{STOCK}1", method="GET")
+            assert answer.status == 200
+
+    await call_all()
+    await asyncio.sleep(1.0)  # the nodes tell one another
+    before = len([run for run in site.log.runs if run.server == leaving.instance_id])
+    assert before
+    await call_all()
+    after = len([run for run in site.log.runs if run.server == leaving.instance_id])
+    assert after == before
+
+
+async def test_server_that_asks_for_a_pause_gets_nothing_from_a_node_until_its_end(new_site):
+    site = await new_site(node_count=1)
+    server = site.plain[0]
+    arrivals = []
+    serve = server._serve
+
+    async def record(exchange, body):
+        arrivals.append(asyncio.get_running_loop().time())
+        await serve(exchange, body)
+
+    server._serve = record
+    server.faults = ServerFaults(full=True, pause_s=1.0)
+    started_s = asyncio.get_running_loop().time()
+    while asyncio.get_running_loop().time() < started_s + 2.0:
+        answer = await site.caller.call(site.node_addresses[0], f"{STOCK}1", method="GET")
+        assert answer.status == 200  # by the other server
+        if len(arrivals) == 1:
+            server.faults = ServerFaults()
+    first, second = arrivals[:2]
+    assert second - first >= 1.0
+
+
 async def test_metrics_and_logs_show_a_refusal(new_site):
     site = await new_site(node_count=1)
     await site.caller.call(site.node_addresses[0], "/none/1", request_id="q-refused")
