--- a/flamingoshelf/cluster/tests/test_duty.py
+++ b/flamingoshelf/cluster/tests/test_duty.py
@@ -174,3 +174,21 @@
     store.replace = replace
     clock.now += LEASE_S  # the object names this node, but another one's use was overwritten
     assert await duty.acquire() is None
+
+
+async def test_own_write_of_an_earlier_era_that_lands_late_gives_no_right(new_duty, store, clock):
+    """It overwrites the object of another holder, which got the same revision by chance."""
+    store.restore({})
+    late, holder = new_duty("a"), new_duty("b")
+    store.loses_answers = True
+    with pytest.raises(OutcomeUnknownError):
+        await late.acquire()
+    store.loses_answers = False
+    [(key, written)] = store.objects.items()
+    store.restore({})
+    for duty in (late, holder):
+        assert await duty.acquire() is None
+    clock.now += LEASE_S + 1.0
+    assert await holder.acquire() is not None
+    store._write(*key, written.content)
+    assert await late.acquire() is None
--- a/flamingoshelf/placement/_feasibility.py
+++ b/flamingoshelf/placement/_feasibility.py
@@ -47,7 +47,7 @@
         begins_s = self._now_s + wait_s
         is_in_time = begins_s + first_event_s <= queued.expires_s
         if is_in_time and begins_s + run_s <= queued.deadline_s:
-            self._memory.reserve(needed_tokens)
+            self._memory.reserve(needed_tokens, begins_s=begins_s, run_s=run_s)
             return False
         logger.bind(
             request_id=request_id_of(request.turn_id),
--- a/flamingoshelf/placement/_forecast.py
+++ b/flamingoshelf/placement/_forecast.py
@@ -1,5 +1,7 @@
 """Forecasts of free decode memory and of prefill completion times."""
 
+from bisect import insort
+
 from flamingoshelf.placement._engines import EngineTable
 
 __all__ = ["MemoryForecast", "PrefillForecast"]
@@ -46,10 +48,14 @@
                 return max(0.0, release_s - self._now_s)
         return float("inf")
 
-    def reserve(self, tokens: float) -> None:
-        """Reserve memory and a slot for a request that is served before the next ones."""
+    def reserve(self, tokens: float, *, begins_s: float, run_s: float) -> None:
+        """Reserve memory and a slot for a request that is served before the next ones.
+
+        It begins at `begins_s` and releases them after `run_s` seconds.
+        """
         self._reserved += tokens
         self._reserved_slots += 1
+        insort(self._releases, (begins_s + run_s, tokens))
 
 
 class PrefillForecast:
--- a/flamingoshelf/placement/tests/simulation.py
+++ b/flamingoshelf/placement/tests/simulation.py
@@ -43,6 +43,41 @@
         model.record_prefill(prompt_tokens=5_000, seconds=0.024 + 5_000 / 33_000)
 
 
+@attrs.frozen(kw_only=True)
+class EngineKind:
+    """True speeds and sizes of the simulated engines.
+
+    Parameters
+    ----------
+    prefill_overhead_s, prefill_tokens_s : float
+        Fixed seconds of a prefill, and its prompt tokens per second.
+    step_s, step_s_per_run : float
+        Seconds per generated token: a fixed part, and one for each run that shares the engine.
+    tokens_per_event : int
+        Tokens in one event of a stream.
+    profile : EngineProfile
+        Capacity that the configuration states.
+    """
+
+    prefill_overhead_s: float = 0.024
+    prefill_tokens_s: float = 33_333.0
+    step_s: float = 0.00434
+    step_s_per_run: float = 0.000151
+    tokens_per_event: int = TOKENS_PER_EVENT
+    profile: EngineProfile = PROFILE
+
+    def prefill_s(self, prompt_tokens):
+        """Return the seconds of a prefill."""
+        return self.prefill_overhead_s + prompt_tokens / self.prefill_tokens_s
+
+    def s_per_token(self, runs):
+        """Return the seconds per generated token."""
+        return self.step_s + self.step_s_per_run * runs
+
+
+REFERENCE = EngineKind()
+
+
 @attrs.define(kw_only=True)
 class Call:
     """One request and its result; `actual` is the true length of the answer in tokens."""
@@ -71,13 +106,14 @@
 
 
 class PrefillEngine:
-    def __init__(self, speed=1.0):
+    def __init__(self, speed=1.0, kind=REFERENCE):
         self.speed = speed
+        self.kind = kind
         self.queue = []
         self.done_s = 0.0
 
     def add(self, call, now):
-        self.done_s = max(now, self.done_s) + self.speed * (0.024 + call.prompt / 33_333)
+        self.done_s = max(now, self.done_s) + self.speed * self.kind.prefill_s(call.prompt)
         self.queue.append((self.done_s, call))
 
     def pop_completed(self, now):
@@ -87,9 +123,10 @@
 
 
 class DecodeEngine:
-    def __init__(self, speed=1.0, profile=PROFILE):
+    def __init__(self, speed=1.0, kind=REFERENCE):
         self.speed = speed
-        self.profile = profile
+        self.kind = kind
+        self.profile = kind.profile
         self.runs = {}
         self.foreign_tokens = 0  # tokens held by runs of other dispatchers
 
@@ -105,7 +142,7 @@
         )
 
     def step(self):
-        s_per_token = self.speed * (0.00434 + 0.000151 * len(self.runs))
+        s_per_token = self.speed * self.kind.s_per_token(len(self.runs))
         for name, (call, generated) in list(self.runs.items()):
             self.runs[name] = (call, generated + STEP_S / s_per_token)
 
@@ -127,24 +164,25 @@
         Slowdown factor of each engine; 1 is the usual speed.
     loses_answer : callable
         ``loses_answer(call)`` returns whether the answer to a call is lost at its first event.
-    profile : EngineProfile
-        Capacity of an engine.
+    kind : EngineKind
+        Kind of the engines.
     """
 
     def __init__(
-        self, calls, *, prefills, decodes, seed=1, loses_answer=lambda call: False, profile=PROFILE
+        self, calls, *, prefills, decodes, seed=1, loses_answer=lambda call: False, kind=REFERENCE
     ):
         self.now = 0.0
+        self.kind = kind
         self.calls = sorted(calls, key=lambda call: call.at_s)
         self.by_name = {call.name: call for call in self.calls}
-        self.prefills = {f"p{n}": PrefillEngine(speed) for n, speed in enumerate(prefills)}
-        self.decodes = {f"d{n}": DecodeEngine(speed, profile) for n, speed in enumerate(decodes)}
+        self.prefills = {f"p{n}": PrefillEngine(speed, kind) for n, speed in enumerate(prefills)}
+        self.decodes = {f"d{n}": DecodeEngine(speed, kind) for n, speed in enumerate(decodes)}
         self.down = set()
         self.loses_answer = loses_answer
         self.dispatcher = Dispatcher(
             service="s",
             instances=self.instances,
-            profile=lambda: profile,
+            profile=lambda: kind.profile,
             random_source=random.Random(seed),
             clock=lambda: self.now,
         )
@@ -155,6 +193,7 @@
         self.preemptions = 0
         self.repeated_prefills = 0
         self.lost_answers = 0
+        self.lost = set()  # names of calls whose answers were lost
         self.granted_s = {}
         self.prefill_times = []  # expected and actual seconds from grant to end of prefill
 
@@ -212,6 +251,7 @@
     def lose_answer(self, call):
         """Lose the answer of a call while its engine runs it to the end."""
         self.lost_answers += 1
+        self.lost.add(call.name)
         self.held.discard(call.name)
         self.dispatcher.release(call.name, outcome=RunOutcome.LOST)
 
@@ -283,21 +323,23 @@
             self.dispatcher.record_reported_run(
                 name,
                 held_tokens=call.prompt + int(generated),
-                events=int(generated / TOKENS_PER_EVENT),
+                events=int(generated / self.kind.tokens_per_event),
             )
 
     def _step_engines(self):
         for name, prefill in self.prefills.items():
             for call in prefill.pop_completed(self.now):
-                seconds = prefill.speed * (0.024 + call.prompt / 33_333)
+                seconds = prefill.speed * self.kind.prefill_s(call.prompt)
                 assert self.turns[call.name].prefill_id == name
                 self.schedule(MESSAGE_DELAY_S, lambda c=call, s=seconds: self._on_prefilled(c, s))
         for engine in self.decodes.values():
             engine.step()
             for name, (call, generated) in list(engine.runs.items()):
-                if generated >= call.actual and call.first_event_s is None:
-                    engine.runs.pop(name)  # its answer was lost
-                elif generated >= call.actual:
+                if generated < call.actual:
+                    continue
+                if name in self.lost:
+                    del engine.runs[name]
+                elif call.first_event_s is not None:
                     del engine.runs[name]
                     call.ended_s = self.now
                     seconds = self.now - call.first_event_s
@@ -305,7 +347,7 @@
                         MESSAGE_DELAY_S,
                         lambda c=call, s=seconds: self.release(
                             c.name,
-                            events=-(-c.actual // TOKENS_PER_EVENT),
+                            events=-(-c.actual // self.kind.tokens_per_event),
                             seconds=s,
                             outcome=RunOutcome.COMPLETE,
                         ),
--- a/flamingoshelf/placement/tests/test_load_patterns.py
+++ b/flamingoshelf/placement/tests/test_load_patterns.py
@@ -8,6 +8,7 @@
 from flamingoshelf.placement.tests.simulation import (
     CALLER_TIMEOUT_S,
     PROFILE,
+    EngineKind,
     Simulation,
     make_calls,
 )
@@ -150,11 +151,23 @@
 @pytest.mark.parametrize("seed", range(3))
 def test_full_slots_refuse_what_would_wait_too_long(seed):
     """Engines with much memory and few slots: the slots are the bottleneck."""
-    profile = attrs.evolve(PROFILE, slots=4, kv_tokens=10**6)
+    kind = EngineKind(profile=attrs.evolve(PROFILE, slots=4, kv_tokens=10**6))
     calls = make_calls(20, seconds=10, seed=seed)
-    Simulation(calls, prefills=[1, 1], decodes=[1] * 4, profile=profile).run(40)
+    Simulation(calls, prefills=[1, 1], decodes=[1] * 4, kind=kind).run(40)
     unserved = [call for call in calls if not call.is_served]
     assert unserved
     # Most callers hear early that they can't be served, and not when they are about to leave.
     waits = sorted(call.refused_s - call.at_s for call in unserved)
     assert waits[len(waits) // 2] < CALLER_TIMEOUT_S / 3
+
+
+def test_burst_of_short_requests_waits_its_turn():
+    """Many more requests come at once than run at a time, but each runs for a moment only."""
+    kind = EngineKind(profile=attrs.evolve(PROFILE, slots=4))
+    warm_up = make_calls(10, seconds=3)
+    burst = make_calls(100_000, seconds=1, start_s=4, prefix="b")[:80]
+    for call in (*warm_up, *burst):
+        call.prompt, call.expected, call.actual = 200, 24, 24
+    Simulation([*warm_up, *burst], prefills=[1, 1], decodes=[1] * 3, kind=kind).run(20)
+    # Twelve at a time take about 0.2 s each: the last ones begin well before their callers leave.
+    assert [call.name for call in burst if not call.is_served] == []
--- a/flamingoshelf/platform/tests/test_store.py
+++ b/flamingoshelf/platform/tests/test_store.py
@@ -141,21 +141,44 @@
     assert again.revision > snapshot.revision and era_of(again.revision) == 2
 
 
-async def test_conditional_write_does_not_hit_an_object_of_another_era(store, platform, eras):
-    """The object of the new era has the same revision number by chance."""
+@pytest.fixture
+async def reused(store, platform):
+    """Revision of an object of ours that another writer's has after a restore, by chance."""
     copy = platform.take_copy()
     mine = await store.create("k", "a", "mine")
     platform.restore(copy)
     other = platform.put("k", "a", "another's")
-    assert platform.objects("k") == {"a": "another's"} and other == mine.revision % 2**40
-    with pytest.raises(OutcomeUnknownError):  # the node learns of the era by this answer
-        await store.replace("k", "a", "mine again", expected_revision=mine.revision)
-    platform.put("k", "a", "another's")
-    with pytest.raises(ConflictError):  # now nothing is sent
-        await store.replace("k", "a", "mine again", expected_revision=mine.revision)
+    assert other == mine.revision % 2**40
+    return mine.revision
+
+
+async def test_conditional_write_is_not_sent_to_another_era(store, platform, eras, reused):
+    eras.observe(2, source="another node")
+    with pytest.raises(ConflictError):
+        await store.replace("k", "a", "mine again", expected_revision=reused)
     assert platform.objects("k") == {"a": "another's"}
 
 
+async def test_conditional_write_that_meets_a_restore_counts_as_unknown(store, reused):
+    with pytest.raises(OutcomeUnknownError):  # the node learns of the era by this answer
+        await store.replace("k", "a", "mine again", expected_revision=reused)
+
+
+async def test_changes_of_a_new_era_do_not_continue_a_watch(store, platform):
+    """The store's own revisions have passed the former one when the watch is answered."""
+    copy = platform.take_copy()
+    for number in range(3):
+        platform.put("k", f"n{number}", 1)
+    snapshot = await store.list("k")
+    waiting = asyncio.ensure_future(store.watch("k", after_revision=snapshot.revision, timeout_s=5))
+    await asyncio.sleep(0.05)
+    platform.restore(copy)
+    for number in range(5):
+        platform.put("k", f"m{number}", 1)
+    with pytest.raises(HistoryLostError):
+        await waiting
+
+
 async def test_answer_of_an_earlier_era_that_arrives_late_is_not_used(store, platform, eras):
     await store.list("k")
     eras.observe(2, source="another node")
--- a/flamingoshelf/store/tests/conftest.py
+++ b/flamingoshelf/store/tests/conftest.py
@@ -103,10 +103,12 @@
 class Listener:
     def __init__(self):
         self.objects = {}
+        self.snapshots = []
         self.recoveries = []
 
     def on_snapshot(self, snapshot):
         self.objects = {name: item.content for name, item in snapshot.objects.items()}
+        self.snapshots.append(dict(self.objects))
 
     def on_changes(self, changes):
         for name in changes.removed:
--- a/flamingoshelf/store/tests/test_eras.py
+++ b/flamingoshelf/store/tests/test_eras.py
@@ -112,4 +112,5 @@
     await watcher.start()
     await asyncio.sleep(1.0)
     assert listener.objects == {"a": "current"}
+    assert listener.snapshots == [{"a": "current"}]  # not even for a moment
     await watcher.stop()
