--- a/flamingoshelf/store/_watcher.py
+++ b/flamingoshelf/store/_watcher.py
@@ -124,7 +124,7 @@
     async def _run(self) -> None:
         while True:
             try:
-                if self._revision is None:
+                if self._revision is None or era_of(self._revision) < self._eras.current:
                     await self._list()
                 else:
                     await self._watch(self._revision)
