--- a/flamingoshelf/placement/_engine_trackers.py
+++ b/flamingoshelf/placement/_engine_trackers.py
@@ -57,8 +57,6 @@
         self._slots = 0
         self._runs: dict[str, _Run] = {}
         self._slowdown = 1.0  # measured time by the model's time
-        self._cached_s_per_token: float | None = None
-        self._cached_for: tuple[int, int, float] | None = None
         self._snapshots: deque[tuple[float, float]] = deque()
         self._foreign_tokens = 0.0
         self._foreign_until_s = 0.0
@@ -77,12 +75,8 @@
     @property
     def s_per_token(self) -> float | None:
         """Seconds per generated token, or None if not measured."""
-        state = (self._model.measurements, len(self._runs), self._slowdown)
-        if state != self._cached_for:  # read for each run in each decision
-            s_per_token = self._model.s_per_token(len(self._runs))
-            self._cached_s_per_token = None if s_per_token is None else s_per_token * self._slowdown
-            self._cached_for = state
-        return self._cached_s_per_token
+        s_per_token = self._model.s_per_token(len(self._runs))
+        return None if s_per_token is None else s_per_token * self._slowdown
 
     def resize(self, *, capacity_tokens: int, slots: int) -> None:
         """Set the size of the KV cache in tokens and the number of concurrent runs."""
@@ -95,8 +89,9 @@
     def used_tokens(self, now_s: float) -> float:
         """Return the tokens that runs hold or that are reserved for the rest of their answers."""
         foreign_tokens = self._foreign_tokens if now_s < self._foreign_until_s else 0.0
+        s_per_token = self.s_per_token
         return foreign_tokens + sum(
-            self._reserved_tokens(run, now_s) for run in self._runs.values()
+            _reserved_tokens(run, now_s, s_per_token) for run in self._runs.values()
         )
 
     def free_tokens(self, now_s: float) -> float:
@@ -114,11 +109,11 @@
 
         The ends are the present while the speed isn't measured.
         """
-        s_per_token = self.s_per_token or 0.0
+        s_per_token = self.s_per_token
         return [
             (
-                now_s + self._remaining_tokens(run, now_s) * s_per_token,
-                self._reserved_tokens(run, now_s),
+                now_s + _remaining_tokens(run, now_s, s_per_token) * (s_per_token or 0.0),
+                _reserved_tokens(run, now_s, s_per_token),
             )
             for run in self._runs.values()
         ]
@@ -189,7 +184,12 @@
 
     def record_snapshot(self, now_s: float) -> None:
         """Store the tokens held now, to compare them with a later report about this moment."""
-        held = sum(self._held_tokens(run, now_s) for run in self._runs.values())
+        s_per_token = self.s_per_token
+        held = sum(
+            run.prompt_tokens + _generated_tokens(run.started_s, now_s, s_per_token)
+            for run in self._runs.values()
+            if run.started_s is not None
+        )
         self._snapshots.append((now_s, held))
         while self._snapshots and self._snapshots[0][0] < now_s - _MAX_REPORT_AGE_S:
             self._snapshots.popleft()
@@ -205,31 +205,28 @@
         self._foreign_tokens = max(0.0, held_tokens - own - tolerance)
         self._foreign_until_s = now_s + _FOREIGN_TOKENS_LIFETIME_S
 
-    def _held_tokens(self, run: _Run, now_s: float) -> float:
-        """Return the tokens that a run holds now."""
-        if run.started_s is None:
-            return 0.0
-        return run.prompt_tokens + self._generated_tokens(run.started_s, now_s)
-
-    def _reserved_tokens(self, run: _Run, now_s: float) -> float:
-        """Return the tokens that a run holds plus the reserve for the rest of its answer."""
-        if run.started_s is None:
-            return initial_need_tokens(run.prompt_tokens, run.expected_tokens)
-        generated = self._generated_tokens(run.started_s, now_s)
-        growth = _ANSWER_RESERVE_SHARE * self._remaining_tokens(run, now_s)
-        return _BLOCK_TOKENS + run.prompt_tokens + generated + growth
-
-    def _remaining_tokens(self, run: _Run, now_s: float) -> float:
-        """Return the expected number of tokens that a run has yet to generate."""
-        if run.started_s is None:
-            return run.expected_tokens
-        generated = self._generated_tokens(run.started_s, now_s)
-        return max(run.expected_tokens - generated, _OVERRUN_SHARE * run.expected_tokens)
-
-    def _generated_tokens(self, started_s: float, now_s: float) -> float:
-        """Return the tokens that a run has generated; 0 if the speed isn't measured."""
-        s_per_token = self.s_per_token
-        return (now_s - started_s) / s_per_token if s_per_token else 0.0
+
+# Functions rather than methods, as each decision calls them for each run.
+def _generated_tokens(started_s: float, now_s: float, s_per_token: float | None) -> float:
+    """Return the tokens that a run has generated; 0 if the speed isn't measured."""
+    return (now_s - started_s) / s_per_token if s_per_token else 0.0
+
+
+def _remaining_tokens(run: _Run, now_s: float, s_per_token: float | None) -> float:
+    """Return the expected number of tokens that a run has yet to generate."""
+    if run.started_s is None:
+        return run.expected_tokens
+    generated = _generated_tokens(run.started_s, now_s, s_per_token)
+    return max(run.expected_tokens - generated, _OVERRUN_SHARE * run.expected_tokens)
+
+
+def _reserved_tokens(run: _Run, now_s: float, s_per_token: float | None) -> float:
+    """Return the tokens that a run holds plus the reserve for the rest of its answer."""
+    if run.started_s is None:
+        return initial_need_tokens(run.prompt_tokens, run.expected_tokens)
+    generated = _generated_tokens(run.started_s, now_s, s_per_token)
+    rest = max(run.expected_tokens - generated, _OVERRUN_SHARE * run.expected_tokens)
+    return _BLOCK_TOKENS + run.prompt_tokens + generated + _ANSWER_RESERVE_SHARE * rest
 
 
 @attrs.define(kw_only=True)
@@ -254,6 +251,11 @@
         self._slowdown = 1.0  # measured time by the model's time
         self._backoff = RejectionBackoff()
 
+    @property
+    def slowdown(self) -> float:
+        """Time that this engine takes, by the time of the model."""
+        return self._slowdown
+
     def work_s(self, prompt_tokens: int) -> float:
         """Return the seconds that a prompt takes on the idle engine; 0 if not measured."""
         return (self._model.prefill_s(prompt_tokens) or 0.0) * self._slowdown
--- a/flamingoshelf/placement/_forecast.py
+++ b/flamingoshelf/placement/_forecast.py
@@ -1,6 +1,7 @@
 """Forecasts of free decode memory and of prefill completion times."""
 
 from bisect import insort
+from functools import cached_property
 
 from flamingoshelf.placement._engines import EngineTable
 
@@ -71,23 +72,30 @@
 
     def __init__(self, *, engines: EngineTable, now_s: float) -> None:
         trackers = [engines.prefill_tracker(engine.key) for engine in engines.usable_prefills()]
-        self._waits = [(tracker.wait_s(now_s), tracker) for tracker in trackers]
+        self._engines = engines
+        self._model = engines.model
+        self._waits = [(tracker.wait_s(now_s), tracker.slowdown) for tracker in trackers]
+        self._least_slowdown = min((slowdown for _, slowdown in self._waits), default=0.0)
         self._first_event_s = engines.model.first_event_s
+
+    @cached_property
+    def _s_per_token(self) -> float | None:
+        """Seconds per token at the fastest engine, or None if not measured."""
+        engines = self._engines
         speeds = [
             engines.decode_tracker(engine.key).s_per_token for engine in engines.usable_decodes()
         ]
-        self._s_per_token = min((speed for speed in speeds if speed is not None), default=None)
+        return min((speed for speed in speeds if speed is not None), default=None)
 
     @property
     def is_measured(self) -> bool:
         """Whether the speeds of the engines are measured; if not, all times are too short."""
-        return self._s_per_token is not None and self.done_s(1) > 0
+        return self._s_per_token is not None and self._model.prefill_s(1) is not None
 
     def done_s(self, prompt_tokens: int) -> float:
         """Return the seconds until a prompt that is assigned now would be processed."""
-        return min(
-            (wait_s + tracker.work_s(prompt_tokens) for wait_s, tracker in self._waits), default=0.0
-        )
+        work_s = self._model.prefill_s(prompt_tokens) or 0.0
+        return min((wait_s + work_s * slowdown for wait_s, slowdown in self._waits), default=0.0)
 
     def first_event_s(self, prompt_tokens: int) -> float:
         """Return the seconds until the first event of a request that is assigned now."""
@@ -95,5 +103,5 @@
 
     def run_s(self, prompt_tokens: int, answer_tokens: int) -> float:
         """Return the seconds that a request takes on idle engines."""
-        work_s = min((tracker.work_s(prompt_tokens) for _, tracker in self._waits), default=0.0)
+        work_s = (self._model.prefill_s(prompt_tokens) or 0.0) * self._least_slowdown
         return work_s + self._first_event_s + answer_tokens * (self._s_per_token or 0.0)
--- a/flamingoshelf/placement/_linear_fit.py
+++ b/flamingoshelf/placement/_linear_fit.py
@@ -24,6 +24,8 @@
         Sum of the weights of the points.
     mean_x, mean_y, variance_x, covariance : float
         Weighted means, and weighted sums of squared deviations and products.
+    slope : float
+        Slope of the line; it follows from the other values and is kept as it is read often.
 
     Examples
     --------
@@ -42,6 +44,7 @@
     mean_y: float = 0.0
     variance_x: float = 0.0
     covariance: float = 0.0
+    slope: float = 0.0
 
     def add(self, x: float, y: float) -> None:
         """Add a point."""
@@ -53,14 +56,15 @@
         self.mean_y += gain * delta_y
         self.variance_x = _DECAY * self.variance_x + decayed * gain * delta_x * delta_x
         self.covariance = _DECAY * self.covariance + decayed * gain * delta_x * delta_y
+        self.slope = self._fitted_slope()
 
     def predict(self, x: float) -> float | None:
         """Return the value of the line at `x`, or None if there is no point yet."""
         if not self.weight:
             return None
-        return max(0.0, self.mean_y + self._slope() * (x - self.mean_x))
+        return max(0.0, self.mean_y + self.slope * (x - self.mean_x))
 
-    def _slope(self) -> float:
+    def _fitted_slope(self) -> float:
         if self.mean_x <= 0:
             return 0.0
         through_origin = self.mean_y / self.mean_x
