Log why a started stream is not continued

When no other run may continue a started stream, the caller's connection is aborted and the refusal that led to it was dropped: logs said that the stream broke off, not why nothing took over (full engines, no retry budget, no attempt left, paused engines). One line now states it with the time since the last event, and explain adds it to the cause.

--- a/flamingoshelf/diagnosis/_cause.py
+++ b/flamingoshelf/diagnosis/_cause.py
@@ -45,7 +45,7 @@
     if last.message == "broken off":
         failure = _find_last_failure(trail.records) or last
         outcome = f"the answer of status {status} was broken off after {after_s} s"
-        return _explanation_from(outcome, failure)
+        return _with_refused_turn(_explanation_from(outcome, failure), trail.records)
     if last.message != "answered":
         return _explain_caller_left(trail, last)
     outcome = f"answered with status {status} after {after_s} s"
@@ -79,6 +79,17 @@
     return Explanation(outcome=outcome, cause=cause, decisive=last)
 
 
+def _with_refused_turn(explanation: Explanation, records: Sequence[LogRecord]) -> Explanation:
+    """Add why no other run continued a broken stream."""
+    refused = next((r for r in reversed(records) if r.message == "stream not continued"), None)
+    if refused is None:
+        return explanation
+    reason, detail = refused.fields.get("reason"), refused.fields.get("detail")
+    return attrs.evolve(
+        explanation, cause=f"{explanation.cause}; not continued: {reason}, {detail}"
+    )
+
+
 def _explain_caller_left(trail: RequestTrail, last: LogRecord) -> Explanation:
     after_s = last.fields.get("after_s")
     outcome = f"the caller left after {after_s} s, before the whole answer was there"
--- a/flamingoshelf/diagnosis/tests/test_explain.py
+++ b/flamingoshelf/diagnosis/tests/test_explain.py
@@ -67,6 +67,17 @@
     assert "broken off" in explanation.outcome and "d-2" in explanation.cause
 
 
+def test_broken_stream_names_why_no_other_run_continued_it():
+    explanation = explain_lines(
+        line(0, "stalled after event 12", step="decode", peer="d-2"),
+        line(
+            1, "stream not continued", step="place", peer="d-2", reason="queue_full", detail="full"
+        ),
+        line(1, "broken off", step="answer", status=200, after_s=1.2),
+    )
+    assert "stalled after event 12; not continued: queue_full, full" in explanation.cause
+
+
 @pytest.mark.parametrize(
     ("waited_s", "cause"), [(2.0, "for a turn"), (0.1, "backend server d-2 took long")]
 )
--- a/flamingoshelf/gateway/_stream_forwarder.py
+++ b/flamingoshelf/gateway/_stream_forwarder.py
@@ -363,6 +363,17 @@
     def _refuse_or_abort(self, state: StreamState, refusal: Refusal) -> Refusal | None:
         """Return the refusal, as a 502 if the request may have run; or abort a started stream."""
         if state.relay.is_started:
+            logger.bind(
+                request_id=state.request.request_id,
+                step="place",
+                peer=refusal.peer or state.relay.backend_server or None,
+                reason=refusal.reason.value,
+                detail=refusal.detail,
+                turns=state.turns,
+                sent=state.sent,
+                last_event=state.relay.last_event_id,
+                idle_s=round(now_s() - state.relay.last_event_s, 3),
+            ).warning("stream not continued")
             self._metrics.count_event("streams_broken_off")
             state.relay.abort()
             return None
