--- a/flamingoshelf/gateway/tests/conftest.py
+++ b/flamingoshelf/gateway/tests/conftest.py
@@ -12,9 +12,11 @@
     ActiveConfiguration,
     AdmittedRequest,
     CallerRequest,
+    StreamForwarder,
     TargetSelector,
 )
 from flamingoshelf.gateway._backend_client import NotRunError, ServerPausedError, WrongInstanceError
+from flamingoshelf.gateway.tests.fake_placer import FakePlacer
 from flamingoshelf.http1 import Exchange, Headers, RequestHead, ResponseHead
 from flamingoshelf.routing import (
     BackendInstance,
@@ -76,6 +78,8 @@
         Number of parts of the body after which the connection breaks.
     pause_s : float
         Pause between two parts of the body in seconds.
+    silences : dict of int to float
+        Seconds of silence after a number of parts of the body.
     """
 
     status: int = 200
@@ -85,8 +89,13 @@
     error: Exception | None = None
     breaks_after: int | None = None
     pause_s: float = 0.0
+    silences: dict[int, float] = attrs.field(factory=dict)
 
 
+CALLER = CallerRequest(
+    request_id="q1", prompt_tokens=1000, max_output_tokens=100, expected_output_tokens=50
+)
+
 SILENT = "silent"  # outcome of a prefill that is never answered
 
 
@@ -111,6 +120,10 @@
     return Answer(error=OutcomeUnknownError("reset", step="head"), **fields)
 
 
+def events(first, last):
+    return [b"id: %d\ndata: x\n\n" % number for number in range(first, last + 1)]
+
+
 class FakeResponse:
     def __init__(self, answer, parts):
         self.head = ResponseHead(status=answer.status, headers=Headers([("Seal", "s")]))
@@ -126,6 +139,7 @@
             return b""
         if self._read and self._answer.pause_s:
             await asyncio.sleep(self._answer.pause_s)
+        await asyncio.sleep(self._answer.silences.get(self._read, 0.0))
         self._read += 1
         return self._parts.pop(0)
 
@@ -136,7 +150,8 @@
 class FakeClient:
     """Fake servers; each gives its queued answers in order, then default answers.
 
-    `prefills` holds the queued outcomes of prefills by engine: an error, a handle, or `SILENT`.
+    `prefills` holds the queued outcomes of prefills by engine: an error, a handle, the seconds
+    until a handle comes, or `SILENT`.
     """
 
     def __init__(self):
@@ -174,6 +189,9 @@
         outcome = queue.pop(0) if queue else f"h{len(self.calls)}"
         if outcome is SILENT:
             await asyncio.Event().wait()
+        if isinstance(outcome, float):
+            await asyncio.sleep(outcome)
+            return f"h{len(self.calls)}"
         await asyncio.sleep(0.1)
         if isinstance(outcome, Exception):
             raise outcome
@@ -334,3 +352,38 @@
         return exchange, output
 
     return make
+
+
+@pytest.fixture
+def placer():
+    return FakePlacer()
+
+
+@pytest.fixture
+def forwarder(client, targets, directory, placer, crash_detector, metrics):
+    return StreamForwarder(
+        client=client,
+        targets=targets,
+        directory=directory,
+        placer=placer,
+        crash_detector=crash_detector,
+        metrics=metrics,
+    )
+
+
+@pytest.fixture
+def forward(forwarder, new_request, new_exchange, list_engines):
+    async def run(*, listed=(["p1", "p2"], ["d1", "d2", "d3"]), **fields):
+        list_engines(*listed)
+        values = {
+            "timeout_s": 14.0,
+            "latency_goal_s": 0.9,
+            "abandon_after_s": 3.6,
+            "caller": CALLER,
+        }
+        request = new_request(CallKind.STREAM, **{**values, **fields})
+        exchange, output = new_exchange(request)
+        refusal = await forwarder.forward(exchange, request)
+        return refusal, output
+
+    return run
--- a/flamingoshelf/gateway/tests/test_stream_forwarder.py
+++ b/flamingoshelf/gateway/tests/test_stream_forwarder.py
@@ -5,21 +5,21 @@
 import pytest
 
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
-from flamingoshelf.gateway import CallerRequest, StreamForwarder
+from flamingoshelf.gateway import CallerRequest
 from flamingoshelf.gateway._backend_client import NotRunError
 from flamingoshelf.gateway.tests.conftest import (
     SILENT,
     Answer,
+    events,
     lost,
     not_run,
     other_instance,
     paused,
     refused,
 )
-from flamingoshelf.gateway.tests.fake_placer import FakePlacer
 from flamingoshelf.placement import FailureKind, RunOutcome
 from flamingoshelf.refusals import Refusal, RefusalReason
-from flamingoshelf.routing import CallKind, LeavingServer
+from flamingoshelf.routing import LeavingServer
 from flamingoshelf.utils import now_s
 
 pytestmark = pytest.mark.looptime
@@ -27,48 +27,6 @@
 FULL = Refusal(
     reason=RefusalReason.QUEUE_FULL, status=503, detail="full", not_run=True, retry_after_s=2.0
 )
-CALLER = CallerRequest(
-    request_id="q1", prompt_tokens=1000, max_output_tokens=100, expected_output_tokens=50
-)
-
-
-def events(first, last):
-    return [b"id: %d\ndata: x\n\n" % number for number in range(first, last + 1)]
-
-
-@pytest.fixture
-def placer():
-    return FakePlacer()
-
-
-@pytest.fixture
-def forwarder(client, targets, directory, placer, crash_detector, metrics):
-    return StreamForwarder(
-        client=client,
-        targets=targets,
-        directory=directory,
-        placer=placer,
-        crash_detector=crash_detector,
-        metrics=metrics,
-    )
-
-
-@pytest.fixture
-def forward(forwarder, new_request, new_exchange, list_engines):
-    async def run(*, listed=(["p1", "p2"], ["d1", "d2", "d3"]), **fields):
-        list_engines(*listed)
-        values = {
-            "timeout_s": 14.0,
-            "latency_goal_s": 0.9,
-            "abandon_after_s": 3.6,
-            "caller": CALLER,
-        }
-        request = new_request(CallKind.STREAM, **{**values, **fields})
-        exchange, output = new_exchange(request)
-        refusal = await forwarder.forward(exchange, request)
-        return refusal, output
-
-    return run
 
 
 async def test_prompt_is_processed_at_one_engine_and_streamed_from_another(forward, client, placer):
