Streams: a silent attempt stays open until another has taken over

What callers saw: a stream that may be resumed was aborted, or ended in 502, when its engine sent nothing for 1.2 s (a third of the time after which callers leave) and no other turn was to be had: engines full, no retry budget, no attempt left, engines that asked for a pause. A request whose prefill engine was silent was refused in the same way.

Cause: silence was taken for failure. The run was closed when its pause passed a limit, before anything else was found; whatever failed afterwards ended the caller's connection. A caller that read slowly did the same: the time in which it took nothing counted as a pause of the engine.

Change: an attempt (prefill at one engine, run at another) is a task of its own. If it is silent, another turn is asked for beside it. It is ended when the other is ahead: its prompt is processed first, its run is accepted, or 0.25 s have passed since the run was sent (engines may not work on a request together for longer than 0.4 s). If it goes on first, the other is withdrawn. If there is no turn, it is followed to the caller's deadline, and a turn is asked for again every 0.4 s. A prefill that is overdue is given up after another 1.5 s. A run that fell silent once still counts as stalled at two thirds of the time after which callers leave.

Why it works: nothing is given up before something else is there, so silence alone can't end a stream.

Changed test: an unanswered prefill is reported as silent when it is overdue, and as failed once another engine has taken over; the test expects exactly these two.

--- /dev/null
+++ b/flamingoshelf/gateway/_stream_attempt.py
@@ -0,0 +1,399 @@
+"""One attempt to serve a stream: a prefill at one engine, and a run at another."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
+from flamingoshelf.gateway._backend_client import (
+    BackendResponse,
+    NotRunError,
+    ServerPausedError,
+    WrongInstanceError,
+)
+from flamingoshelf.gateway._prefill_timeout import prefill_timeout_s
+from flamingoshelf.gateway._silence_watch import SilenceWatch
+from flamingoshelf.gateway._stream_relay import RelayResult, RunRelay
+from flamingoshelf.gateway._stream_state import AttemptTools, StreamState
+from flamingoshelf.gateway._wire import BackendCall, KvHandle
+from flamingoshelf.placement import FailureKind, RunOutcome, Turn
+from flamingoshelf.routing import BackendInstance
+from flamingoshelf.utils import now_s
+
+if TYPE_CHECKING:
+    from loguru import Logger
+
+__all__ = ["StreamAttempt"]
+
+_SERVER_ERROR_STATUS = 500  # from here on, the status blames the server
+# Longest time for which a run that resumes a silent one is open beside it before its head arrives;
+# engines are not to work on the same request for longer than 0.4 s.
+_MAX_OVERLAP_S = 0.25
+# A sound engine may be silent for about a second; a prefill that takes longer is given up.
+_MAX_PREFILL_SILENCE_S = 1.5
+
+
+class StreamAttempt:
+    """Uses one turn: runs the prefill, then streams the answer to the caller.
+
+    An attempt may be started while an earlier one is silent. The earlier one stays open until this
+    one has taken over: when its prompt is processed first, or when its run is accepted.
+
+    Parameters
+    ----------
+    state : StreamState
+        Progress of the request.
+    turn : Turn
+        Granted turn.
+    tools : AttemptTools
+        What it works with.
+    silent : StreamAttempt or None
+        Silent attempt that it is to replace.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: StreamState,
+        turn: Turn,
+        tools: AttemptTools,
+        silent: "StreamAttempt | None" = None,
+    ) -> None:
+        self._state = state
+        self._turn = turn
+        self._tools = tools
+        self._silent = silent
+        self._number = state.turns
+        self._engine_id = ""
+        self._has_run = False  # whether a decode engine may have run the request
+        self._is_replaced = False
+        self._handle: KvHandle | None = None
+        self._prefill_engine: BackendInstance | None = None
+        self._run: RunRelay | None = None
+        self._give_up_timer: asyncio.TimerHandle | None = None
+        self._ahead = asyncio.Event()
+        self._watch = SilenceWatch(on_silence=self._on_silence, on_progress=self._on_progress)
+        self._task = asyncio.create_task(self._use_turn(), name="stream.attempt")
+
+    @property
+    def engine_id(self) -> str:
+        """Engine that works on the request, empty before the first call."""
+        return self._engine_id
+
+    @property
+    def has_run(self) -> bool:
+        """Whether a decode engine may have run the request."""
+        return self._has_run
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether its engine has been silent for so long that it is to be replaced."""
+        return self._watch.is_silent
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the attempt has ended."""
+        return self._task.done()
+
+    @property
+    def has_taken_over(self) -> bool:
+        """Whether it has replaced the silent attempt."""
+        return self._ahead.is_set() and self._silent is None
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether the attempt has ended with the caller's answer; raises what it failed with."""
+        if not self._task.done() or self._task.cancelled():
+            return False
+        return self._task.result() in (RelayResult.COMPLETE, RelayResult.FAILED)
+
+    async def wait_for_silence(self) -> None:
+        """Wait until the attempt is silent or has ended."""
+        while not self.is_silent and not self._watch.is_stopped:
+            await self._watch.wait_for_change()
+        await self._wait_for_end_if_stopped()
+
+    async def wait_for_progress(self) -> None:
+        """Wait until a silent attempt makes progress or has ended."""
+        while self.is_silent:
+            await self._watch.wait_for_change()
+        await self._wait_for_end_if_stopped()
+
+    async def wait_for_takeover(self) -> None:
+        """Wait until the attempt has taken over or has ended."""
+        await self._ahead.wait()
+        if not self.has_taken_over:
+            await asyncio.wait({self._task})
+
+    async def stop(self) -> None:
+        """End the attempt, and wait until it has released what it holds."""
+        self._task.cancel()
+        await asyncio.wait({self._task})
+
+    def replace(self) -> None:
+        """End the attempt, as another one has taken over; nothing more reaches the caller."""
+        self._is_replaced = True
+        self._task.cancel()
+
+    async def _wait_for_end_if_stopped(self) -> None:
+        if self._watch.is_stopped:
+            await asyncio.wait({self._task})
+
+    async def _use_turn(self) -> RelayResult:
+        result: RelayResult | None = None
+        try:
+            async with asyncio.timeout(self._remaining_s):
+                result = await self._process_and_run()
+        except TimeoutError:
+            result = self._on_deadline()
+        finally:
+            self._end(result)
+        return result
+
+    async def _process_and_run(self) -> RelayResult:
+        if self._turn.prefill_id is not None:
+            self._handle = await self._prefill(self._turn.prefill_id)
+            if self._handle is None:
+                return RelayResult.NOT_RUN
+        self._watch.start(lambda: None)
+        if self._silent is not None and not self._silent.has_run:
+            self._take_over()
+        engine = await self._choose_decode()
+        if engine is None:
+            return RelayResult.NOT_RUN
+        result = await self._decode(engine)
+        if result is not RelayResult.NOT_RUN:
+            self._handle = None  # fetched by the decode engine, or lost with that engine
+        if result is RelayResult.COMPLETE:
+            self._tools.crash_detector.record_success(self._state.request)
+        return result
+
+    def _end(self, result: RelayResult | None) -> None:
+        """Release what the attempt holds, and report how its turn ended."""
+        self._watch.stop()
+        self._ahead.set()
+        if self._give_up_timer is not None:
+            self._give_up_timer.cancel()
+        if self._is_replaced:
+            self._report_replaced()
+        run = self._run
+        if run is not None:
+            run.stop()
+        if self._handle is not None and self._prefill_engine is not None:
+            self._tools.client.release_handle(self._handle, self._prefill_engine)
+        is_lost = run is not None and not run.has_begun and self._has_run
+        is_given_up = result is RelayResult.BROKEN or self._is_replaced
+        outcome = RunOutcome.LOST if is_lost and is_given_up else RunOutcome.ENDED
+        self._tools.placer.release(
+            self._turn,
+            events=0 if run is None else run.event_count,
+            seconds=0.0 if run is None else run.seconds,
+            outcome=RunOutcome.COMPLETE if result is RelayResult.COMPLETE else outcome,
+        )
+
+    async def _prefill(self, engine_id: str) -> KvHandle | None:
+        """Return the KV cache handle of the processed prompt, or None if the prefill failed."""
+        state = self._state
+        engine = self._tools.directory.get(engine_id)
+        log = self._log("prefill", engine_id)
+        if engine is None:
+            state.avoid.add(engine_id)
+            log.info("prefill engine not listed at this node")
+            return None
+        self._engine_id = engine_id
+        began_s = now_s()
+        state.has_called_prefill = True
+        timeout_s = prefill_timeout_s(self._turn.prefill_s, state.request.goal_s - began_s)
+        self._watch.start(lambda: timeout_s)
+        try:
+            async with asyncio.timeout(timeout_s + _MAX_PREFILL_SILENCE_S):
+                handle = await self._tools.client.prefill(
+                    state.request, self._call(engine, is_prefill=True)
+                )
+        except WrongInstanceError as error:
+            log.info("prefill not run: {}", error.message)
+            self._record_failure(engine_id, FailureKind.REPLACED, error.message)
+        except NotRunError as error:
+            log.info("prefill not run: {}", error.message)
+            self._record_rejection(engine_id, error)
+        except PeerUnreachableError as error:
+            log.warning("prefill not sent: {}", error.message)
+            self._record_failure(engine_id, FailureKind.UNREACHABLE, error.message)
+        except OutcomeUnknownError as error:
+            log.warning("prefill failed: {}", error.message)
+            self._tools.crash_detector.record_lost_run(state.request, engine)
+            self._record_failure(engine_id, FailureKind.BROKE_OFF, error.message)
+        except TimeoutError:
+            self._report_slow_prefill(now_s() - began_s)
+        else:
+            seconds = now_s() - began_s
+            log.debug("prefill done in {:.3f} s", seconds)
+            self._prefill_engine = engine
+            self._tools.placer.record_prefill(self._turn, seconds=seconds)
+            return handle
+        return None
+
+    async def _choose_decode(self) -> BackendInstance | None:
+        decode_id = await self._tools.placer.confirm(self._turn)
+        log = self._log("place", decode_id)
+        if decode_id is None:
+            self._count_wasted_prefill()
+            log.warning("no decode engine has room for the processed prompt")
+            return None
+        engine = self._tools.directory.get(decode_id)
+        if engine is None:
+            self._state.avoid.add(decode_id)
+            self._count_wasted_prefill()
+            log.warning("decode engine not listed at this node")
+        return engine
+
+    async def _decode(self, engine: BackendInstance) -> RelayResult:
+        """Run the request at a decode engine, and relay its events to the caller."""
+        state, placer = self._state, self._tools.placer
+        log = self._log("decode", engine.key)
+        if not state.may_run:  # the silent attempt has run meanwhile
+            return RelayResult.NOT_RUN
+        call = self._call(engine, kv_handle=self._handle)
+        self._engine_id = engine.key
+        self._run = RunRelay(
+            relay=state.relay,
+            request=state.request,
+            on_first_event=lambda: placer.record_start(self._turn),
+            on_suspicion=lambda: placer.record_failure(
+                state.service, engine.key, FailureKind.SILENT, detail="no event for a time"
+            ),
+            watch=self._watch,
+        )
+        self._set_has_run(True)
+        state.has_called_decode = True
+        self._limit_overlap()
+        try:
+            async with self._tools.client.send(state.request, call) as response:
+                return await self._relay(self._run, engine, response, call)
+        except WrongInstanceError as error:
+            log.info("decode not run: {}", error.message)
+            self._record_failure(engine.key, FailureKind.REPLACED, error.message)
+        except NotRunError as error:
+            log.info("decode not run: {}", error.message)
+            self._record_rejection(engine.key, error)
+            self._count_wasted_prefill()
+        except PeerUnreachableError as error:
+            log.warning("decode not sent: {}", error.message)
+            self._record_failure(engine.key, FailureKind.UNREACHABLE, error.message)
+        except OutcomeUnknownError as error:
+            log.warning("broke off after event {}: {}", state.relay.last_event_id, error.message)
+            self._tools.crash_detector.record_lost_run(state.request, engine)
+            self._record_failure(engine.key, FailureKind.BROKE_OFF, error.message)
+            return RelayResult.BROKEN
+        self._set_has_run(False)
+        return RelayResult.NOT_RUN
+
+    async def _relay(
+        self, run: RunRelay, engine: BackendInstance, response: BackendResponse, call: BackendCall
+    ) -> RelayResult:
+        """Relay an accepted run, unless the silent run that it was to replace goes on."""
+        if not self._take_over() or call.resume_after != self._state.relay.last_event_id:
+            return RelayResult.BROKEN
+        self._state.relay.backend_server = engine.key
+        result = await run.relay(response)
+        if result is RelayResult.FAILED and response.head.status >= _SERVER_ERROR_STATUS:
+            detail = f"status {response.head.status}"
+            self._record_failure(engine.key, FailureKind.BROKE_OFF, detail)
+        return result
+
+    def _take_over(self) -> bool:
+        """End the silent attempt that this one replaces; return False if that goes on."""
+        if self._silent is not None and not self._silent.has_ended:
+            if not self._silent.is_silent:
+                return False
+            self._silent.replace()
+        self._silent = None
+        self._ahead.set()
+        return True
+
+    def _limit_overlap(self) -> None:
+        if self._silent is not None:
+            loop = asyncio.get_running_loop()
+            self._give_up_timer = loop.call_later(_MAX_OVERLAP_S, self._take_over)
+
+    def _on_deadline(self) -> RelayResult:
+        if self._run is None:
+            return RelayResult.NOT_RUN
+        self._log("decode", self._engine_id).warning(
+            "no time left after event {}", self._state.relay.last_event_id
+        )
+        if self._run.is_suspect:
+            self._record_failure(self._engine_id, FailureKind.BROKE_OFF, "stalled")
+        return RelayResult.BROKEN
+
+    def _on_silence(self) -> None:
+        self._log("silence", self._engine_id).info(
+            "engine silent for {:.3f} s after event {}",
+            self._watch.pause_s,
+            self._state.relay.last_event_id,
+        )
+        if self._run is None:
+            self._tools.placer.record_failure(
+                self._state.service, self._engine_id, FailureKind.SILENT, detail="prefill overdue"
+            )
+
+    def _on_progress(self, silent_s: float) -> None:
+        self._log("silence", self._engine_id).info("engine goes on after {:.3f} s", silent_s)
+
+    def _report_replaced(self) -> None:
+        if self._run is None:
+            self._report_slow_prefill(self._watch.pause_s)
+            return
+        self._log("decode", self._engine_id).warning(
+            "stalled after event {}; another run has taken over", self._state.relay.last_event_id
+        )
+        self._record_failure(self._engine_id, FailureKind.BROKE_OFF, "stalled")
+
+    def _report_slow_prefill(self, seconds: float) -> None:
+        self._log("prefill", self._engine_id).bind(
+            expected_s=round(self._turn.prefill_s, 3)
+        ).warning("prefill timed out after {:.3f} s", seconds)
+        self._tools.placer.record_slow_prefill(self._turn, seconds=seconds)
+        self._record_failure(self._engine_id, FailureKind.BROKE_OFF, "no answer to a prefill")
+
+    def _call(
+        self,
+        engine: BackendInstance,
+        *,
+        is_prefill: bool = False,
+        kv_handle: KvHandle | None = None,
+    ) -> BackendCall:
+        return BackendCall(
+            instance=engine,
+            workspace=self._state.request.workspace_name,
+            remaining_s=self._remaining_s,
+            is_prefill=is_prefill,
+            kv_handle=kv_handle,
+            resume_after=self._state.relay.last_event_id,
+        )
+
+    @property
+    def _remaining_s(self) -> float:
+        return self._state.request.deadline_s - now_s()
+
+    def _set_has_run(self, has_run: bool) -> None:
+        self._state.sent += int(has_run) - int(self._has_run)
+        self._has_run = has_run
+
+    def _count_wasted_prefill(self) -> None:
+        if self._handle is not None:
+            self._tools.metrics.count_event("prefills_wasted")
+
+    def _record_failure(self, engine_id: str, kind: FailureKind, detail: str) -> None:
+        self._state.avoid.add(engine_id)
+        self._tools.placer.record_failure(self._state.service, engine_id, kind, detail=detail)
+
+    def _record_rejection(self, engine_id: str, error: NotRunError) -> None:
+        self._state.avoid.add(engine_id)
+        if not isinstance(error, ServerPausedError):  # it has room, but not for this node
+            self._tools.placer.record_rejection(self._state.service, engine_id)
+
+    def _log(self, step: str, peer: str | None) -> "Logger":
+        request_id = self._state.request.request_id
+        return logger.bind(request_id=request_id, step=step, peer=peer, turn=self._number)
--- a/flamingoshelf/gateway/_stream_forwarder.py
+++ b/flamingoshelf/gateway/_stream_forwarder.py
@@ -1,33 +1,25 @@
 """Forwards streams that are served by separate prefill and decode engines."""
 
 import asyncio
-from contextlib import AsyncExitStack
+from typing import Any
 
 import attrs
 from loguru import logger
 
-from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
 from flamingoshelf.gateway._admission import AdmittedRequest
-from flamingoshelf.gateway._backend_client import (
-    BackendClient,
-    NotRunError,
-    ServerPausedError,
-    WrongInstanceError,
-)
+from flamingoshelf.gateway._backend_client import BackendClient
 from flamingoshelf.gateway._crash_detector import CrashDetector
-from flamingoshelf.gateway._prefill_timeout import prefill_timeout_s
-from flamingoshelf.gateway._stream_relay import RelayResult, StreamRelay
+from flamingoshelf.gateway._stream_attempt import StreamAttempt
+from flamingoshelf.gateway._stream_relay import StreamRelay
 from flamingoshelf.gateway._stream_state import (
+    AttemptTools,
     StreamState,
     final_refusal,
     pause_refusal,
-    run_outcome,
 )
 from flamingoshelf.gateway._target_selector import TargetSelector
-from flamingoshelf.gateway._wire import BackendCall, KvHandle
 from flamingoshelf.http1 import Exchange
 from flamingoshelf.placement import (
-    FailureKind,
     PlacementRequest,
     Placer,
     RunOutcome,
@@ -35,14 +27,14 @@
     new_turn_id,
 )
 from flamingoshelf.refusals import Refusal, RetryReason
-from flamingoshelf.routing import BackendInstance, InstanceDirectory
+from flamingoshelf.routing import InstanceDirectory
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import now_s
 
 __all__ = ["StreamForwarder"]
 
-_SERVER_ERROR_STATUS = 500  # from here on, the status blames the server
 _MAX_TURNS = 4  # per request
+_REPLACE_INTERVAL_S = 0.4  # between two requests for a turn in place of a silent attempt
 _DEFAULT_PROMPT_TOKENS = 1000  # if the caller states no size; a third of the usual size
 _DEFAULT_OUTPUT_TOKENS = 500  # if the caller states no size; about the mean size of an answer (590)
 
@@ -79,12 +71,18 @@
         crash_detector: CrashDetector,
         metrics: Metrics,
     ) -> None:
-        self._crash_detector = crash_detector
-        self._client = client
         self._targets = targets
         self._directory = directory
         self._placer = placer
+        self._crash_detector = crash_detector
         self._metrics = metrics
+        self._tools = AttemptTools(
+            client=client,
+            directory=directory,
+            placer=placer,
+            crash_detector=crash_detector,
+            metrics=metrics,
+        )
 
     async def forward(self, exchange: Exchange, request: AdmittedRequest) -> Refusal | None:
         """Answer a request, or return its refusal."""
@@ -94,23 +92,96 @@
         service = self._targets.choose_service(request.route)
         relay = StreamRelay(exchange=exchange, request=request, metrics=self._metrics)
         state = StreamState(request=request, service=service, relay=relay)
-        for _ in range(_MAX_TURNS):
+        try:
+            refusal = await self._serve(state)
+        finally:
+            for attempt in state.attempts:
+                await attempt.stop()
+        return None if refusal is None else self._refuse_or_abort(state, refusal)
+
+    async def _serve(self, state: StreamState) -> Refusal | None:
+        """Use turns until the caller is answered; return a refusal if no further one is tried."""
+        current = await self._begin_attempt(state)
+        while not isinstance(current, Refusal):
+            await current.wait_for_silence()
+            if current.is_answered:
+                return None
+            if current.is_silent:
+                current = await self._replace_silent(state, current)
+            elif self._may_use_turn(state):
+                self._count_retry(state)
+                current = await self._begin_attempt(state)
+            else:
+                return final_refusal(state, remaining_s=self._remaining_s(state))
+        return current
+
+    async def _begin_attempt(
+        self, state: StreamState, *, silent: StreamAttempt | None = None
+    ) -> StreamAttempt | Refusal:
+        """Return an attempt with the next turn, or a refusal if there is no turn."""
+        while state.turns < _MAX_TURNS:
             pause_s = self._pause_s(state)
             if pause_s is not None:
-                return self._refuse_or_abort(state, pause_refusal(service, pause_s))
-            turn = await self._placer.acquire(self._placement_request(state))
+                return pause_refusal(state.service, pause_s)
+            turn = await self._placer.acquire(self._placement_request(state, silent))
             if isinstance(turn, Refusal):
-                return self._refuse_or_abort(state, turn)
+                return turn
             state.is_charged = True
+            state.turns += 1
             if self._release_if_unlisted(state, turn):
                 continue
-            if await self._use_turn(state, turn):
-                return None
-            if not self._may_retry(state):
-                break
-        return self._refuse_or_abort(
-            state, final_refusal(state, remaining_s=self._remaining_s(state))
-        )
+            attempt = StreamAttempt(state=state, turn=turn, tools=self._tools, silent=silent)
+            state.attempts.append(attempt)
+            return attempt
+        return final_refusal(state, remaining_s=self._remaining_s(state))
+
+    async def _replace_silent(
+        self, state: StreamState, silent: StreamAttempt
+    ) -> StreamAttempt | Refusal:
+        """Look for a turn while an attempt is silent; return the attempt that is to be followed.
+
+        The silent attempt is followed further if it goes on first, or if nothing replaces it.
+        """
+        goes_on = asyncio.ensure_future(silent.wait_for_progress())
+        try:
+            if state.turns >= _MAX_TURNS or not self._may_use_turn(state):
+                await goes_on
+                return silent
+            return await self._race_silent(state, silent, goes_on)
+        finally:
+            goes_on.cancel()
+
+    async def _race_silent(
+        self, state: StreamState, silent: StreamAttempt, goes_on: asyncio.Future[None]
+    ) -> StreamAttempt | Refusal:
+        """Begin another attempt beside a silent one, until one of the two is ahead."""
+        began = asyncio.ensure_future(self._begin_attempt(state, silent=silent))
+        either: set[asyncio.Future[Any]] = {goes_on, began}
+        try:
+            await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
+            if not began.done() and self._has_failed(state, silent):
+                return await began
+        finally:
+            began.cancel()
+        other = began.result() if began.done() and not began.cancelled() else None
+        if not isinstance(other, StreamAttempt):
+            if not goes_on.done():  # nothing replaces it now; ask again later
+                await asyncio.wait({goes_on}, timeout=_REPLACE_INTERVAL_S)
+            return silent
+        self._count_retry(state)
+        ahead = asyncio.ensure_future(other.wait_for_takeover())
+        try:
+            await asyncio.wait({goes_on, ahead}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            ahead.cancel()
+        if other.has_taken_over or self._has_failed(state, silent):
+            return other
+        await other.stop()
+        return silent
+
+    def _has_failed(self, state: StreamState, attempt: StreamAttempt) -> bool:
+        """Return whether an attempt has ended without an answer, and another may serve."""
+        return attempt.has_ended and not attempt.is_answered and self._may_use_turn(state)
 
     def _pause_s(self, state: StreamState) -> float | None:
         """Avoid engines that want nothing from this node.
@@ -146,21 +217,26 @@
         if not unlisted:
             return False
         state.avoid |= unlisted
-        state.turns += 1
         logger.bind(
             request_id=state.request.request_id, step="place", peer=min(unlisted), turn=state.turns
         ).info("turn released; engine not usable from this node")
         self._placer.release(turn, events=0, seconds=0.0, outcome=RunOutcome.ENDED)
         return True
 
-    def _placement_request(self, state: StreamState) -> PlacementRequest:
+    def _placement_request(
+        self, state: StreamState, silent: StreamAttempt | None
+    ) -> PlacementRequest:
+        avoid = state.avoid | state.paused
+        if silent is not None:
+            avoid.add(silent.engine_id)
+        state.placements += 1
         request, caller = state.request, state.request.caller
         now = now_s()
         prompt = caller.prompt_tokens or _DEFAULT_PROMPT_TOKENS
         max_output = caller.max_output_tokens or _DEFAULT_OUTPUT_TOKENS
         expected_output = min(caller.expected_output_tokens or max_output, max_output)
         return PlacementRequest(
-            turn_id=new_turn_id(request.request_id, state.turns),
+            turn_id=new_turn_id(request.request_id, state.placements),
             service=state.service,
             workspace=request.workspace_name or "",
             priority=request.priority,
@@ -172,7 +248,7 @@
             wait_left_s=(request.deadline_s if state.relay.is_started else request.abandoned_s)
             - now,
             deadline_left_s=request.deadline_s - now,
-            avoid=tuple(state.avoid | state.paused),
+            avoid=tuple(avoid),
             repeat_cost=state.repeat_cost,
             is_resumed=state.relay.is_started,
             content=request.content,
@@ -185,180 +261,14 @@
             return float(caller.prompt_tokens + caller.max_output_tokens)
         return 0.0 if workspace is None else workspace.default_call_tokens
 
-    async def _use_turn(self, state: StreamState, turn: Turn) -> bool:
-        """Run prefill and decode of a turn; return whether the caller was answered."""
-        state.turns += 1
-        state.is_answer_lost = False
-        started_s: float | None = None
-        events_before = state.relay.event_count
-        handle: KvHandle | None = None
-        result: RelayResult | None = None
-        try:
-            if turn.prefill_id is not None:
-                handle = await self._prefill(state, turn, turn.prefill_id)
-                if handle is None:
-                    return False
-            decode = await self._choose_decode(state, turn, handle)
-            if decode is None:
-                return False
-            result = await self._decode(state, turn, decode, handle)
-            started_s = state.relay.first_event_s
-            if result is not RelayResult.NOT_RUN:
-                handle = None  # fetched by the decode engine, or lost with that engine
-            if result is RelayResult.COMPLETE:
-                self._crash_detector.record_success(state.request)
-            return result in (RelayResult.COMPLETE, RelayResult.FAILED)
-        finally:
-            if handle is not None:
-                self._release_handle(state, handle)
-            events = state.relay.event_count - events_before
-            seconds = 0.0 if started_s is None else state.relay.last_event_s - started_s
-            self._placer.release(
-                turn,
-                events=events,
-                seconds=seconds,
-                outcome=run_outcome(state, result),
-            )
-
-    async def _prefill(self, state: StreamState, turn: Turn, engine_id: str) -> KvHandle | None:
-        """Return the KV cache handle of the processed prompt, or None if the prefill failed."""
-        engine = self._directory.get(engine_id)
-        log = logger.bind(
-            request_id=state.request.request_id, step="prefill", peer=engine_id, turn=state.turns
-        )
-        if engine is None:
-            state.avoid.add(engine_id)
-            log.info("prefill engine not listed at this node")
-            return None
-        began_s = now_s()
-        state.has_called_prefill = True
-        try:
-            timeout_s = prefill_timeout_s(turn.prefill_s, state.request.goal_s - began_s)
-            async with asyncio.timeout(min(timeout_s, self._remaining_s(state))):
-                handle = await self._client.prefill(
-                    state.request, self._call(state, engine, is_prefill=True)
-                )
-        except WrongInstanceError as error:
-            log.info("prefill not run: {}", error.message)
-            self._record_failure(state, engine_id, FailureKind.REPLACED, error.message)
-        except NotRunError as error:
-            log.info("prefill not run: {}", error.message)
-            self._record_rejection(state, engine_id, error)
-        except PeerUnreachableError as error:
-            log.warning("prefill not sent: {}", error.message)
-            self._record_failure(state, engine_id, FailureKind.UNREACHABLE, error.message)
-        except OutcomeUnknownError as error:
-            log.warning("prefill failed: {}", error.message)
-            self._crash_detector.record_lost_run(state.request, engine)
-            self._record_failure(state, engine_id, FailureKind.BROKE_OFF, error.message)
-        except TimeoutError:
-            log.bind(expected_s=round(turn.prefill_s, 3)).warning(
-                "prefill timed out after {:.3f} s", now_s() - began_s
-            )
-            self._placer.record_slow_prefill(turn, seconds=now_s() - began_s)
-            self._record_failure(state, engine_id, FailureKind.BROKE_OFF, "no answer to a prefill")
-        else:
-            seconds = now_s() - began_s
-            log.debug("prefill done in {:.3f} s", seconds)
-            state.prefill_engine = engine
-            self._placer.record_prefill(turn, seconds=seconds)
-            return handle
-        return None
-
-    async def _choose_decode(
-        self, state: StreamState, turn: Turn, handle: KvHandle | None
-    ) -> BackendInstance | None:
-        decode_id = await self._placer.confirm(turn)
-        log = logger.bind(request_id=state.request.request_id, step="place", peer=decode_id)
-        if decode_id is None:
-            self._count_wasted_prefill(handle)
-            log.warning("no decode engine has room for the processed prompt")
-            return None
-        engine = self._directory.get(decode_id)
-        if engine is None:
-            state.avoid.add(decode_id)
-            self._count_wasted_prefill(handle)
-            log.warning("decode engine not listed at this node")
-        return engine
-
-    async def _decode(
-        self, state: StreamState, turn: Turn, engine: BackendInstance, handle: KvHandle | None
-    ) -> RelayResult:
-        log = logger.bind(
-            request_id=state.request.request_id, step="decode", peer=engine.key, turn=state.turns
-        )
-        call = self._call(state, engine, kv_handle=handle)
-        state.relay.backend_server = engine.key
-        state.has_called_decode = True
-        state.relay.start_run(
-            on_first_event=lambda: self._placer.record_start(turn),
-            on_silence=lambda: self._placer.record_failure(
-                state.service, engine.key, FailureKind.SILENT, detail="no event for a time"
-            ),
-        )
-        try:
-            async with AsyncExitStack() as stack:
-                sending = stack.enter_async_context(self._client.send(state.request, call))
-                response = await state.relay.wait(sending)
-                result = await state.relay.relay(response)
-                if result is RelayResult.FAILED and response.head.status >= _SERVER_ERROR_STATUS:
-                    detail = f"status {response.head.status}"
-                    self._record_failure(state, engine.key, FailureKind.BROKE_OFF, detail)
-                return result
-        except WrongInstanceError as error:
-            log.info("decode not run: {}", error.message)
-            self._record_failure(state, engine.key, FailureKind.REPLACED, error.message)
-            return RelayResult.NOT_RUN
-        except NotRunError as error:
-            log.info("decode not run: {}", error.message)
-            self._record_rejection(state, engine.key, error)
-            self._count_wasted_prefill(handle)
-            return RelayResult.NOT_RUN
-        except PeerUnreachableError as error:
-            log.warning("decode not sent: {}", error.message)
-            self._record_failure(state, engine.key, FailureKind.UNREACHABLE, error.message)
-            return RelayResult.NOT_RUN
-        except OutcomeUnknownError as error:
-            state.sent += 1
-            log.warning("broke off after event {}: {}", state.relay.last_event_id, error.message)
-            state.is_answer_lost = state.relay.first_event_s is None
-            self._crash_detector.record_lost_run(state.request, engine)
-            self._record_failure(state, engine.key, FailureKind.BROKE_OFF, error.message)
-            return RelayResult.BROKEN
-        except TimeoutError:
-            state.sent += 1
-            state.is_answer_lost = state.relay.first_event_s is None
-            log.warning("stalled after event {}", state.relay.last_event_id)
-            self._record_failure(state, engine.key, FailureKind.BROKE_OFF, "stalled")
-            return RelayResult.BROKEN
+    def _may_use_turn(self, state: StreamState) -> bool:
+        """Return whether the request may use another turn."""
+        return state.may_run and self._remaining_s(state) > 0
 
-    def _call(
-        self,
-        state: StreamState,
-        engine: BackendInstance,
-        *,
-        is_prefill: bool = False,
-        kv_handle: KvHandle | None = None,
-    ) -> BackendCall:
-        return BackendCall(
-            instance=engine,
-            workspace=state.request.workspace_name,
-            remaining_s=self._remaining_s(state),
-            is_prefill=is_prefill,
-            kv_handle=kv_handle,
-            resume_after=state.relay.last_event_id,
-        )
-
-    def _may_retry(self, state: StreamState) -> bool:
-        """Return whether the request may use another turn, and count the retry if so."""
-        if state.sent and not state.request.route.may_repeat:
-            return False
-        if state.sent >= state.request.route.max_attempts or self._remaining_s(state) <= 0:
-            return False
+    def _count_retry(self, state: StreamState) -> None:
         self._metrics.count_retry(
             RetryReason.STREAM_BROKEN if state.sent else RetryReason.ENGINE_REFUSED
         )
-        return True
 
     def _refuse_or_abort(self, state: StreamState, refusal: Refusal) -> Refusal | None:
         """Return the refusal, as a 502 if the request may have run; or abort a started stream."""
@@ -381,24 +291,5 @@
             return attrs.evolve(refusal, status=502, not_run=False, retry_after_s=None)
         return refusal
 
-    def _count_wasted_prefill(self, handle: KvHandle | None) -> None:
-        if handle is not None:
-            self._metrics.count_event("prefills_wasted")
-
-    def _release_handle(self, state: StreamState, handle: KvHandle) -> None:
-        if state.prefill_engine is not None:
-            self._client.release_handle(handle, state.prefill_engine)
-
-    def _record_failure(
-        self, state: StreamState, engine_id: str, kind: FailureKind, detail: str
-    ) -> None:
-        state.avoid.add(engine_id)
-        self._placer.record_failure(state.service, engine_id, kind, detail=detail)
-
-    def _record_rejection(self, state: StreamState, engine_id: str, error: NotRunError) -> None:
-        state.avoid.add(engine_id)
-        if not isinstance(error, ServerPausedError):  # it has room, but not for this node
-            self._placer.record_rejection(state.service, engine_id)
-
     def _remaining_s(self, state: StreamState) -> float:
         return state.request.deadline_s - now_s()
--- a/flamingoshelf/gateway/_stream_relay.py
+++ b/flamingoshelf/gateway/_stream_relay.py
@@ -1,9 +1,7 @@
 """Relays the events of a stream to its caller."""
 
-import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from enum import StrEnum
-from typing import TypeVar
 
 from loguru import logger
 
@@ -11,22 +9,22 @@
 from flamingoshelf.gateway._admission import AdmittedRequest
 from flamingoshelf.gateway._backend_client import BackendResponse
 from flamingoshelf.gateway._events import EventSplitter, StreamEvent
+from flamingoshelf.gateway._silence_watch import SilenceWatch
 from flamingoshelf.http1 import Exchange
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import now_s
 
-__all__ = ["RelayResult", "StreamRelay"]
-
-_ResultT = TypeVar("_ResultT")
+__all__ = ["RelayResult", "RunRelay", "StreamRelay"]
 
 _MAX_ERROR_BYTES = 64 * 1024  # an error document has some hundred bytes
-# Part of the pause after which callers leave that a run which may be resumed can be silent. Another
-# run must have begun before they leave.
+# Part of the pause after which callers leave that a run which may be resumed can be silent before
+# another run is prepared.
 _STALL_SHARE = 1 / 3
 # A run is also left alone for this multiple of its longest pause so far: it may be slow but sound.
 _STALL_PAUSES = 4.0
+_MAX_STALL_SHARE = 2 / 3  # another run must begin before the callers leave
 # The engine is reported as suspect after a pause of this multiple of the goal for pauses; without a
-# goal, of this part of the stall timeout.
+# goal, of this part of the stall limit.
 _SILENCE_GOALS = 4 / 3
 _SILENCE_SHARE = 1 / 3
 _UNKNOWN_ABANDON_S = 3.6  # if the route doesn't say when its callers leave
@@ -60,12 +58,7 @@
         self._metrics = metrics
         self._last_event_id = request.caller.last_event_id
         self._event_count = 0
-        self._first_event_s: float | None = None
         self._last_event_s = 0.0
-        self._progress_s = 0.0  # time of the last event of the run, or of its start
-        self._longest_pause_s = 0.0
-        self._on_first_event: Callable[[], None] = lambda: None
-        self._on_silence: Callable[[], None] = lambda: None
 
     @property
     def backend_server(self) -> str:
@@ -96,99 +89,141 @@
         """Time of the last event that was received."""
         return self._last_event_s
 
-    @property
-    def first_event_s(self) -> float | None:
-        """Time of the first event of the current run, or None before it."""
-        return self._first_event_s
+    def abort(self) -> None:
+        """Abort the connection, so that the stream does not look complete to the caller."""
+        self._exchange.abort()
+
+    def check_order(self, event: StreamEvent) -> None:
+        """Raise `OutcomeUnknownError` if an event is missing before this one, or it is repeated."""
+        last_id = self._last_event_id
+        if event.event_id is None or last_id is None:
+            return
+        if event.event_id != last_id + 1:
+            raise OutcomeUnknownError(
+                f"event {event.event_id} follows event {last_id}", step="decode"
+            )
+
+    async def send_event(self, response: BackendResponse, event: StreamEvent) -> None:
+        """Send an event, and wait until the caller has taken it."""
+        self._start_response(response)
+        now = now_s()
+        if self._event_count == 0:
+            self._metrics.record_first_token(now - self._request.arrived_s)
+        self._last_event_s = now
+        if event.event_id is not None:
+            self._last_event_id = event.event_id
+        self._event_count += 1
+        await self._exchange.write(event.data)
+
+    def end(self, response: BackendResponse) -> None:
+        """End the stream; raise `OutcomeUnknownError` if it had no event."""
+        if self._last_event_id is None and not self._event_count:
+            raise OutcomeUnknownError("the stream ends without an event", step="decode")
+        self._start_response(response)
+        self._exchange.end()
 
-    def start_run(
-        self, *, on_first_event: Callable[[], None], on_silence: Callable[[], None]
+    def send_failure(self, response: BackendResponse, body: bytes) -> None:
+        """Pass on an error response of the engine."""
+        self._exchange.respond(response.head, body)
+
+    def _start_response(self, response: BackendResponse) -> None:
+        if not self._exchange.is_started:
+            self._exchange.start_response(response.head)
+
+
+class RunRelay:
+    """Relays one run at an engine to the stream that it belongs to.
+
+    Only events count as progress: a server may send bytes now and then that never make one.
+
+    Parameters
+    ----------
+    relay : StreamRelay
+        The stream to the caller.
+    request : AdmittedRequest
+        The caller's request.
+    on_first_event : callable
+        Called when the first event of the run arrives.
+    on_suspicion : callable
+        Called each time the engine has sent nothing for longer than the route's goal for pauses.
+    watch : SilenceWatch
+        Watch of the run, started with its limit.
+    """
+
+    def __init__(
+        self,
+        *,
+        relay: StreamRelay,
+        request: AdmittedRequest,
+        on_first_event: Callable[[], None],
+        on_suspicion: Callable[[], None],
+        watch: SilenceWatch,
     ) -> None:
-        """Prepare for a run at an engine.
-
-        Parameters
-        ----------
-        on_first_event : callable
-            Called when the first event arrives.
-        on_silence : callable
-            Called when the engine has sent nothing for longer than the route's goal for pauses; may
-            be called more than once.
-        """
-        self._first_event_s = None
-        self._longest_pause_s = 0.0
-        self._progress_s = now_s()
+        self._relay = relay
+        self._request = request
         self._on_first_event = on_first_event
-        self._on_silence = on_silence
+        self._event_count = 0
+        self._first_event_s: float | None = None
+        self._last_event_s = 0.0
+        self._longest_pause_s = 0.0
+        self._suspicion = SilenceWatch(on_silence=on_suspicion)
+        self._suspicion.start(self._suspicion_limit_s)
+        self._watch = watch
+        self._watch.start(self._stall_limit_s)
 
-    def abort(self) -> None:
-        """Abort the connection, so that the stream does not look complete to the caller."""
-        self._exchange.abort()
+    @property
+    def event_count(self) -> int:
+        """Number of events of this run that were sent to the caller."""
+        return self._event_count
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the first event of the run has arrived."""
+        return self._first_event_s is not None
+
+    @property
+    def seconds(self) -> float:
+        """Seconds from the first event of the run to its last."""
+        return 0.0 if self._first_event_s is None else self._last_event_s - self._first_event_s
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the engine has sent nothing for longer than the route's goal for pauses."""
+        return self._suspicion.is_silent
+
+    def stop(self) -> None:
+        """Stop to time the run, which has ended."""
+        self._suspicion.stop()
 
     async def relay(self, response: BackendResponse) -> RelayResult:
-        """Relay the events of a run to the caller.
+        """Relay the events of the run to the caller.
 
         Raises
         ------
         OutcomeUnknownError
             The run broke off, or its response is not valid.
-        TimeoutError
-            The run stalled, or the caller's deadline passed.
         """
         if not response.head.is_success:
-            return await self._relay_error_response(response)
+            return await self._relay_failure(response)
         if not response.is_signed:
             raise OutcomeUnknownError("no signature", step="decode")
         splitter = EventSplitter()
-        while part := await self.wait(response.read()):
+        while part := await response.read():
             for event in self._split_events(splitter, part):
-                await self._forward_event(response, event)
+                await self._send_event(response, event)
         if splitter.partial_event:
             raise OutcomeUnknownError("the stream ends within an event", step="decode")
-        if self._last_event_id is None and not self._event_count:
-            raise OutcomeUnknownError("the stream ends without an event", step="decode")
-        self._start_response(response)
-        self._exchange.end()
+        self._relay.end(response)
         return RelayResult.COMPLETE
 
-    async def wait(self, answer: Awaitable[_ResultT]) -> _ResultT:
-        """Wait for a part of the answer; raise `TimeoutError` on a stall or at the deadline.
-
-        Only events count as progress: a server may send bytes now and then that never make one.
-        """
-        end_s = self._request.deadline_s
-        if self._request.route.may_resume:
-            end_s = min(end_s, self._progress_s + self._stall_timeout_s)
-        loop = asyncio.get_running_loop()
-        silence_timer = loop.call_later(self._silence_threshold_s, self._on_silence)
-        try:
-            async with asyncio.timeout(end_s - now_s()):
-                return await answer
-        finally:
-            silence_timer.cancel()
-
-    @property
-    def _stall_timeout_s(self) -> float:
-        """Pause after which a run that may be resumed counts as stalled."""
-        abandon_s = self._request.route.abandon_after_s or _UNKNOWN_ABANDON_S
-        return max(_STALL_SHARE * abandon_s, _STALL_PAUSES * self._longest_pause_s)
-
-    @property
-    def _silence_threshold_s(self) -> float:
-        """Pause after which the engine counts as suspect."""
-        goal_s = self._request.route.event_gap_goal_s
-        usual_s = _SILENCE_GOALS * goal_s if goal_s else _SILENCE_SHARE * self._stall_timeout_s
-        return max(usual_s, _STALL_PAUSES / 2 * self._longest_pause_s)
-
-    async def _relay_error_response(self, response: BackendResponse) -> RelayResult:
-        """Pass on an error response of the engine."""
-        async with asyncio.timeout(self._request.deadline_s - now_s()):
-            body = await response.read_all(limit=_MAX_ERROR_BYTES)
-        if body is None or self.is_started:
+    async def _relay_failure(self, response: BackendResponse) -> RelayResult:
+        body = await response.read_all(limit=_MAX_ERROR_BYTES)
+        if body is None or self._relay.is_started:
             raise OutcomeUnknownError(f"status {response.head.status}", step="decode")
         logger.bind(request_id=self._request.request_id, step="decode").info(
             "engine answered with status {}", response.head.status
         )
-        self._exchange.respond(response.head, body)
+        self._relay.send_failure(response, body)
         return RelayResult.FAILED
 
     def _split_events(self, splitter: EventSplitter, part: bytes) -> list[StreamEvent]:
@@ -197,45 +232,49 @@
         except ValueError as error:
             raise OutcomeUnknownError(str(error), step="decode") from error
 
-    async def _forward_event(self, response: BackendResponse, event: StreamEvent) -> None:
-        self._check_event_order(event)
-        self._start_response(response)
+    async def _send_event(self, response: BackendResponse, event: StreamEvent) -> None:
+        self._relay.check_order(event)
         now = now_s()
         if self._first_event_s is None:
             self._first_event_s = now
             self._on_first_event()
             self._log_first_event()
-            if self._event_count == 0:
-                self._metrics.record_first_token(self._first_event_s - self._request.arrived_s)
         else:
             self._longest_pause_s = max(self._longest_pause_s, now - self._last_event_s)
-        self._last_event_s = self._progress_s = now
-        if event.event_id is not None:
-            self._last_event_id = event.event_id
+        self._last_event_s = now
         self._event_count += 1
-        await self._exchange.write(event.data)
+        for watch in (self._suspicion, self._watch):
+            watch.record_progress()
+            watch.hold()  # a caller that reads slowly is no silence of the engine
+        await self._relay.send_event(response, event)
+        for watch in (self._suspicion, self._watch):
+            watch.record_progress()
+
+    def _stall_limit_s(self) -> float | None:
+        """Return the pause after which the run counts as silent; None if none may resume it."""
+        if not self._request.route.may_resume:
+            return None
+        return self._stall_timeout_s
+
+    @property
+    def _stall_timeout_s(self) -> float:
+        abandon_s = self._request.route.abandon_after_s or _UNKNOWN_ABANDON_S
+        usual_s = max(_STALL_SHARE * abandon_s, _STALL_PAUSES * self._longest_pause_s)
+        return min(usual_s, _MAX_STALL_SHARE * abandon_s)
+
+    def _suspicion_limit_s(self) -> float:
+        """Return the pause after which the engine counts as suspect."""
+        goal_s = self._request.route.event_gap_goal_s
+        usual_s = _SILENCE_GOALS * goal_s if goal_s else _SILENCE_SHARE * self._stall_timeout_s
+        return max(usual_s, _STALL_PAUSES / 2 * self._longest_pause_s)
 
     def _log_first_event(self) -> None:
         assert self._first_event_s is not None
         logger.bind(
             request_id=self._request.request_id,
             step="decode",
-            peer=self.backend_server,
+            peer=self._relay.backend_server,
             after_s=round(self._first_event_s - self._request.arrived_s, 4),
             goal_s=self._request.route.latency_goal_s,
-            resumed_after=self._last_event_id,
+            resumed_after=self._relay.last_event_id,
         ).info("first event")
-
-    def _check_event_order(self, event: StreamEvent) -> None:
-        """Raise `OutcomeUnknownError` if an event is missing or repeated."""
-        last_id = self._last_event_id
-        if event.event_id is None or last_id is None:
-            return
-        if event.event_id != last_id + 1:
-            raise OutcomeUnknownError(
-                f"event {event.event_id} follows event {last_id}", step="decode"
-            )
-
-    def _start_response(self, response: BackendResponse) -> None:
-        if not self._exchange.is_started:
-            self._exchange.start_response(response.head)
--- a/flamingoshelf/gateway/_stream_state.py
+++ b/flamingoshelf/gateway/_stream_state.py
@@ -1,49 +1,77 @@
 """Progress of one streamed request, and the refusals that it may end with."""
 
+from typing import TYPE_CHECKING
+
 import attrs
 
 from flamingoshelf.gateway._admission import AdmittedRequest
-from flamingoshelf.gateway._stream_relay import RelayResult, StreamRelay
-from flamingoshelf.placement import RunOutcome
+from flamingoshelf.gateway._backend_client import BackendClient
+from flamingoshelf.gateway._crash_detector import CrashDetector
+from flamingoshelf.gateway._stream_relay import StreamRelay
+from flamingoshelf.placement import Placer
 from flamingoshelf.refusals import Refusal, RefusalReason
-from flamingoshelf.routing import BackendInstance
+from flamingoshelf.routing import InstanceDirectory
+from flamingoshelf.telemetry import Metrics
+
+if TYPE_CHECKING:
+    from flamingoshelf.gateway._stream_attempt import StreamAttempt
 
-__all__ = ["StreamState", "final_refusal", "pause_refusal", "run_outcome"]
+__all__ = ["AttemptTools", "StreamState", "final_refusal", "pause_refusal"]
 
 _FULL_RETRY_AFTER_S = 0.4  # about the interval at which a decode engine finishes a run
 
 
+@attrs.frozen(kw_only=True)
+class AttemptTools:
+    """What attempts use to call engines, and to report what they learn."""
+
+    client: BackendClient
+    directory: InstanceDirectory
+    placer: Placer
+    crash_detector: CrashDetector
+    metrics: Metrics
+
+
 @attrs.define(kw_only=True)
 class StreamState:
     """Progress of one request over all turns.
 
     Attributes
     ----------
+    placements : int
+        Number of times that a turn was asked for.
     turns : int
-        Number of turns used.
+        Number of turns granted.
     sent : int
         Number of decode engines that may have run the request.
     avoid : set of str
         Keys of engines to avoid: they failed, or are not listed at this node.
     paused : set of str
         Keys of engines that have asked this node for a pause.
-    is_answer_lost : bool
-        Whether the current decode engine may run on after its answer was lost before any event.
+    attempts : list of StreamAttempt
+        All attempts so far.
     """
 
     request: AdmittedRequest
     service: str
     relay: StreamRelay
+    placements: int = 0
     turns: int = 0
     sent: int = 0
     avoid: set[str] = attrs.field(factory=set)
     paused: set[str] = attrs.field(factory=set)
+    attempts: "list[StreamAttempt]" = attrs.field(factory=list)
     is_charged: bool = False
-    prefill_engine: BackendInstance | None = None
-    is_answer_lost: bool = False
     has_called_prefill: bool = False
     has_called_decode: bool = False
 
+    @property
+    def may_run(self) -> bool:
+        """Whether another decode engine may run the request."""
+        if self.sent and not self.request.route.may_repeat:
+            return False
+        return self.sent < self.request.route.max_attempts
+
     @property
     def repeat_cost(self) -> int:
         """Number of engine calls in the next turn that repeat an earlier call."""
@@ -78,10 +106,3 @@
         retry_after_s=pause_s,
         step="place",
     )
-
-
-def run_outcome(state: StreamState, result: RelayResult | None) -> RunOutcome:
-    """Return how a turn ended at its decode engine."""
-    if result is RelayResult.COMPLETE:
-        return RunOutcome.COMPLETE
-    return RunOutcome.LOST if state.is_answer_lost else RunOutcome.ENDED
--- a/flamingoshelf/gateway/tests/conftest.py
+++ b/flamingoshelf/gateway/tests/conftest.py
@@ -151,7 +151,8 @@
     """Fake servers; each gives its queued answers in order, then default answers.
 
     `prefills` holds the queued outcomes of prefills by engine: an error, a handle, the seconds
-    until a handle comes, or `SILENT`.
+    until a handle comes, or `SILENT`. `spans` holds server, begin and end of each ended call,
+    prefills excepted.
     """
 
     def __init__(self):
@@ -160,6 +161,7 @@
         self.cancelled = []
         self.freed = []
         self.prefills = {}
+        self.spans = []
 
     def queue_answers(self, server, *answers):
         self.answers.setdefault(server, []).extend(answers)
@@ -169,6 +171,15 @@
 
     @asynccontextmanager
     async def send(self, request, call, *, fresh=False):
+        began_s = now_s()
+        try:
+            async with self._send(call) as response:
+                yield response
+        finally:
+            self.spans.append((call.instance.key, began_s, now_s()))
+
+    @asynccontextmanager
+    async def _send(self, call):
         self.calls.append(call)
         queue = self.answers.get(call.instance.key)
         answer = queue.pop(0) if queue else Answer()
--- a/flamingoshelf/gateway/tests/fake_placer.py
+++ b/flamingoshelf/gateway/tests/fake_placer.py
@@ -1,6 +1,13 @@
 """Placer that needs no dispatcher."""
 
+import asyncio
+
 from flamingoshelf.placement import RunOutcome, Turn
+from flamingoshelf.refusals import Refusal, RefusalReason
+
+NO_ENGINE = Refusal(
+    reason=RefusalReason.NO_BACKEND, status=503, detail="none", not_run=True, retry_after_s=1.0
+)
 
 
 class FakePlacer:
@@ -17,6 +24,7 @@
         self.started = []
         self.refusals = []
         self.later_refusals = []  # used from the second request on
+        self.later_wait_s = 0.0  # time that a turn takes from the second request on
         self.has_room = True
         self.has_prefill = True
 
@@ -26,7 +34,11 @@
             return self.refusals.pop(0)
         if len(self.requests) > 1 and self.later_refusals:
             return self.later_refusals.pop(0)
+        if len(self.requests) > 1:
+            await asyncio.sleep(self.later_wait_s)
         free = [name for name in ("d1", "d2", "d3") if name not in request.avoid]
+        if not free:
+            return NO_ENGINE
         prefills = [name for name in ("p1", "p2") if name not in request.avoid] or ["p1"]
         return Turn(
             turn_id=request.turn_id,
--- a/flamingoshelf/gateway/tests/test_stream_forwarder.py
+++ b/flamingoshelf/gateway/tests/test_stream_forwarder.py
@@ -48,7 +48,8 @@
     refusal, output = await forward()
     assert refusal is None and output.is_complete
     assert now_s() - began_s < 0.9
-    assert placer.failed == [("p1", FailureKind.BROKE_OFF)]
+    # Its silence is reported at once, its failure once another engine has taken over.
+    assert placer.failed == [("p1", FailureKind.SILENT), ("p1", FailureKind.BROKE_OFF)]
 
 
 async def test_refusal_of_the_placer_reaches_the_caller(forward, placer, client):
