Plain calls: a retry after a failure status counts against maxAttempts

What callers saw: an idempotent call that got a failure status and then lost its second answer ran at a third server (and a fourth, and so on) although maxAttempts was 2, and the repeats weren't charged to the budget.

Cause: once a failure status was kept, every later retry was taken for the one that had been charged.

Evidence: with three servers, status 500 at the first and a lost answer at the second, three servers were called: assert 3 == 2.

Why the fix works: the charge is noted for the next attempt only and cleared when it starts; later ones pass the checks of maxAttempts and of the budget again.

--- a/flamingoshelf/gateway/_plain_forwarder.py
+++ b/flamingoshelf/gateway/_plain_forwarder.py
@@ -146,6 +146,7 @@
             self._crash_detector.record_success(state.request)
             if answer.is_failure and self._may_retry_failure(state):
                 state.failure, state.failed_server = answer, instance.key
+                state.is_retry_charged = True
                 log.info("status {}; another server is tried", answer.head.status)
                 return False
             exchange.respond(answer.head, answer.body)
@@ -255,8 +256,9 @@
         """Return whether to try another server; only sent attempts cost a retry of the budget."""
         if state.is_out_of_time:
             return False
-        if state.failure is not None:
-            return True  # the retry was charged to the budget already
+        if state.is_retry_charged:
+            state.is_retry_charged = False
+            return True
         if state.sent and not state.request.route.may_repeat:
             return False
         if state.sent >= state.request.route.max_attempts:
@@ -312,6 +314,8 @@
         Failure response that the caller gets if no other server answers.
     failed_server : str
         Key of the server that sent the failure response.
+    is_retry_charged : bool
+        Whether the next attempt was charged to the budget already.
     last_error : Exception or None
         Last error of an attempt, timeouts excluded.
     pause_s : float or None
@@ -326,6 +330,7 @@
     is_out_of_time: bool = False
     failure: _BufferedResponse | None = None
     failed_server: str = ""
+    is_retry_charged: bool = False
     last_error: Exception | None = None
     pause_s: float | None = None
 
--- a/flamingoshelf/gateway/tests/test_plain_forwarder.py
+++ b/flamingoshelf/gateway/tests/test_plain_forwarder.py
@@ -133,6 +133,15 @@
     assert (output.head.status, output.body) == (500, b"failed")
 
 
+async def test_retry_after_a_failure_status_counts_against_max_attempts(forward, client):
+    """Guards against a third server for a call that two may run."""
+    client.queue_answers("a", Answer(status=500, body=b"failed"))
+    client.queue_answers("b", lost())
+    refusal, output = await forward(SAFE, servers=3, max_attempts=2)
+    assert len(client.calls) == 2
+    assert refusal is None and (output.head.status, output.body) == (500, b"failed")
+
+
 async def test_failure_of_a_non_idempotent_call_is_passed_on(forward, client):
     client.queue_answers("a", Answer(status=500, body=b"failed"))
     _, output = await forward(UNSAFE)
