Plain calls: a large answer that reaches the deadline is aborted

What callers saw: when the deadline passed within a large answer that was being streamed, the refusal's head was written after the answer's, within its body; the request was logged as refused.

Cause: the timeout didn't look whether the answer had begun, as a broken connection does.

Evidence: a server that sends 300 KB and then nothing: forward() returned a refusal of status 504 for a response that had begun, in place of None.

Why the fix works: a started answer is aborted, so that it doesn't look complete, and nothing follows it.

--- a/flamingoshelf/gateway/_plain_forwarder.py
+++ b/flamingoshelf/gateway/_plain_forwarder.py
@@ -187,6 +187,9 @@
                 "call timed out {:.3f} s after the request arrived",
                 now_s() - state.request.arrived_s,
             )
+            if exchange.is_started:
+                exchange.abort()
+                return True
         finally:
             self._selector.end_call(instance.key, is_failure=is_failure)
         return False
--- a/flamingoshelf/gateway/tests/test_plain_forwarder.py
+++ b/flamingoshelf/gateway/tests/test_plain_forwarder.py
@@ -167,6 +167,14 @@
     assert output.is_aborted and not output.is_complete
 
 
+async def test_large_answer_that_is_late_is_aborted_and_gets_no_second_head(forward, client):
+    """Guards against a refusal within the body of an answer whose server went silent."""
+    client.queue_answers("a", Answer(body=[bytes(300_000), b"x"], pause_s=60))
+    refusal, output = await forward(UNSAFE)
+    assert refusal is None
+    assert output.is_aborted and not output.is_complete
+
+
 async def test_caller_is_answered_at_the_routes_timeout(forward, client):
     client.queue_answers("a", Answer(after_s=60))
     started_s = asyncio.get_running_loop().time()
