Plain calls: a silent server is avoided for a share of its silence, not ejected

What callers saw: a server that was silent for one second with its connections open was left out for about 5 s, up to half of a pool, and the others carried its load.

Cause: each call without an answer in time counted as a failure, and five in a row eject a server.

Six calls that time out: the server is not used 0.5 s later (['b'] == ['a']).

Why the fix works: a call without an answer now marks its server silent if nothing was answered there since it was sent. Others are preferred for a quarter of the silence so far, 0.1 s to 5 s, then one call tries it; an answer clears the mark. Broken connections, refusals and failure statuses eject as before.

--- a/flamingoshelf/gateway/_plain_forwarder.py
+++ b/flamingoshelf/gateway/_plain_forwarder.py
@@ -134,6 +134,7 @@
         log = logger.bind(
             request_id=state.request.request_id, step="forward", peer=instance.key, sent=state.sent
         )
+        started_s = now_s()
         self._selector.start_call(instance.key)
         exchange.backend_server = instance.key
         is_failure: bool | None = None
@@ -180,7 +181,6 @@
                 exchange.abort()
                 return True
         except TimeoutError:
-            is_failure = True
             state.sent += 1
             state.is_out_of_time = state.request.deadline_s - now_s() < _MIN_REMAINING_S
             log.warning(
@@ -190,6 +190,7 @@
             if exchange.is_started:
                 exchange.abort()
                 return True
+            self._selector.record_silence(instance.key, since_s=started_s)
         finally:
             self._selector.end_call(instance.key, is_failure=is_failure)
         return False
--- a/flamingoshelf/gateway/tests/test_plain_forwarder.py
+++ b/flamingoshelf/gateway/tests/test_plain_forwarder.py
@@ -36,8 +36,12 @@
 
 
 @pytest.fixture
-def forwarder(client, targets, budget, plain_calls, crash_detector, metrics):
-    selector = ServerSelector(data_centre="a", rule=EjectionRule(), random_source=random.Random(1))
+def selector():
+    return ServerSelector(data_centre="a", rule=EjectionRule(), random_source=random.Random(1))
+
+
+@pytest.fixture
+def forwarder(client, targets, selector, budget, plain_calls, crash_detector, metrics):
     return PlainForwarder(
         client=client,
         targets=targets,
@@ -263,3 +267,13 @@
     client.calls.clear()
     await forward(UNSAFE)
     assert client.called_servers() == ["a"]
+
+
+async def test_silence_before_the_deadline_does_not_eject_a_server(forward, client):
+    """Guards against seconds without a sound server that was silent for one."""
+    client.queue_answers("a", *(Answer(after_s=60) for _ in range(6)))
+    await asyncio.gather(*(forward(UNSAFE) for _ in range(6)))
+    await asyncio.sleep(0.5)
+    client.calls.clear()
+    await forward(UNSAFE)
+    assert client.called_servers() == ["a"]
--- a/flamingoshelf/routing/_server_selector.py
+++ b/flamingoshelf/routing/_server_selector.py
@@ -1,10 +1,12 @@
-"""Server selection by running calls, with ejection of failing servers."""
+"""Server selection by running calls, without servers that fail or are silent."""
 
+import math
 import random
 from collections.abc import Sequence
 from typing import Protocol
 
 import attrs
+from loguru import logger
 
 from flamingoshelf.utils import now_s
 
@@ -14,6 +16,11 @@
 # least busy remote one.
 _SPILL_CALLS = 8
 _CHOICE_COUNT = 2  # choosing the less busy of two random servers balances the load
+# A silent server gets one call per interval, which is a share of its silence so far: the end of a
+# short silence is noticed soon, and a long one delays few callers.
+_PROBE_SHARE = 0.25
+_MIN_PROBE_INTERVAL_S = 0.1
+_MAX_PROBE_INTERVAL_S = 5.0
 
 
 class Server(Protocol):
@@ -44,7 +51,8 @@
         Length of the first ejection in seconds; each consecutive one lasts twice as long, up to
         the maximum.
     max_ejected_share : float
-        Largest share of a pool's live servers that may be ejected at the same time.
+        Largest share of a pool's live servers that may be avoided at the same time, because they
+        are ejected or silent.
     """
 
     failures: int = 5
@@ -55,12 +63,30 @@
 
 @attrs.define(kw_only=True)
 class _Record:
-    """Running calls, failures and ejections of one server, as seen by this node."""
+    """Running calls, failures, ejections and silence of one server, as seen by this node.
+
+    Attributes
+    ----------
+    answered_s : float
+        Time of the last answer, kept only as long as the record.
+    silent_since_s : float or None
+        Start of the call that showed the silence, or None if the server is not silent.
+    probe_s : float
+        Time from which a silent server may be chosen again.
+    """
 
     running: int = 0
     failures: int = 0
     ejections: int = 0
     ejected_until_s: float = 0.0
+    answered_s: float = attrs.field(default=-math.inf, eq=False)
+    silent_since_s: float | None = None
+    probe_s: float = 0.0
+
+    @property
+    def avoided_until_s(self) -> float:
+        """Time until which the server is chosen only if there is no other."""
+        return max(self.ejected_until_s, self.probe_s)
 
 
 _EMPTY_RECORD = _Record()
@@ -83,6 +109,10 @@
     Each node only takes its own calls into account. Ejection times have jitter, so that the nodes
     do not return to a server at the same time. The first call after an ejection decides: a failure
     ejects the server again, a success resets its record.
+
+    A silent server may be sound, so it is avoided only for an interval that grows with its silence.
+    The next call to it starts another interval. An answer, also to an earlier call, ends the
+    silence.
     """
 
     def __init__(
@@ -98,19 +128,37 @@
     ) -> str | None:
         """Return the key of the server for a new call, or None if no untried server is left.
 
-        Servers that take no new work are never chosen, ejected servers only if there is no other.
+        Servers that take no new work are never chosen, ejected and silent ones only if there is no
+        other.
         """
         live = [server for server in servers if server.accepts_new_work]
         untried = [server for server in live if server.key not in tried]
-        ejected = self._ejected_keys(live)
-        usable = [server for server in untried if server.key not in ejected] or untried
+        avoided = self._avoided_keys(live)
+        usable = [server for server in untried if server.key not in avoided] or untried
         if not usable:
             return None
         return self._least_busy(self._prefer_local(usable)).key
 
     def start_call(self, key: str) -> None:
-        """Record the start of a call."""
-        self._get_or_add_record(key).running += 1
+        """Record the start of a call; at a silent server it is the only one for an interval."""
+        record = self._get_or_add_record(key)
+        record.running += 1
+        self._delay_probe(record)
+
+    def record_silence(self, key: str, *, since_s: float) -> None:
+        """Record that a call is overdue that was sent at `since_s`.
+
+        The server counts as silent if it has answered no call since then.
+        """
+        record = self._get_or_add_record(key)
+        if record.answered_s > since_s:
+            return
+        if record.silent_since_s is None:
+            record.silent_since_s = since_s
+            logger.bind(step="servers", peer=key, silent_s=round(now_s() - since_s, 3)).info(
+                "backend server silent; others are preferred"
+            )
+        self._delay_probe(record)
 
     def end_call(self, key: str, *, is_failure: bool | None) -> None:
         """Record the end of a call; `is_failure` is None if it says nothing about the server."""
@@ -119,12 +167,31 @@
         if is_failure:
             self._record_failure(record)
         elif is_failure is False:
-            record.failures = 0
-            record.ejections = 0
-            record.ejected_until_s = 0.0
+            self._record_answer(key, record)
         if record == _Record():
             del self._records[key]
 
+    def _record_answer(self, key: str, record: _Record) -> None:
+        record.failures = 0
+        record.ejections = 0
+        record.ejected_until_s = 0.0
+        record.answered_s = now_s()
+        if record.silent_since_s is not None:
+            silent_s = round(now_s() - record.silent_since_s, 3)
+            logger.bind(step="servers", peer=key, silent_s=silent_s).info(
+                "backend server answers again"
+            )
+        record.silent_since_s = None
+        record.probe_s = 0.0
+
+    def _delay_probe(self, record: _Record) -> None:
+        """Avoid a silent server for another interval."""
+        if record.silent_since_s is None:
+            return
+        share_s = _PROBE_SHARE * (now_s() - record.silent_since_s)
+        interval_s = min(max(share_s, _MIN_PROBE_INTERVAL_S), _MAX_PROBE_INTERVAL_S)
+        record.probe_s = now_s() + interval_s
+
     def _record_failure(self, record: _Record) -> None:
         record.failures += 1
         if record.failures >= self._rule.failures and record.ejected_until_s <= now_s():
@@ -137,17 +204,16 @@
         record.ejections += 1
         record.failures = self._rule.failures - 1
 
-    def _ejected_keys(self, live: Sequence[Server]) -> set[str]:
-        """Return the keys of the ejected servers.
+    def _avoided_keys(self, live: Sequence[Server]) -> set[str]:
+        """Return the keys of the servers that are ejected or silent.
 
-        Above the maximum share, only those whose ejections end last are returned.
+        Above the maximum share, only those that are to be avoided longest are returned.
         """
         now = now_s()
-        ejected_keys = [
-            server.key for server in live if self._peek_record(server.key).ejected_until_s > now
-        ]
-        ejected_keys.sort(key=lambda key: self._peek_record(key).ejected_until_s, reverse=True)
-        return set(ejected_keys[: int(len(live) * self._rule.max_ejected_share)])
+        until_s = {server.key: self._peek_record(server.key).avoided_until_s for server in live}
+        keys = [key for key in until_s if until_s[key] > now]
+        keys.sort(key=until_s.__getitem__, reverse=True)
+        return set(keys[: int(len(live) * self._rule.max_ejected_share)])
 
     def _prefer_local(self, servers: Sequence[Server]) -> Sequence[Server]:
         """Return the local servers, or the remote ones if all local ones are much busier."""
@@ -177,6 +243,6 @@
     def _get_or_add_record(self, key: str) -> _Record:
         """Return the record of a server, created if missing.
 
-        `end_call` drops the record of an idle server without failures.
+        `end_call` drops the record of an idle server that neither fails nor is silent.
         """
         return self._records.setdefault(key, _Record())
