Plain calls: an overdue call goes on beside its repeat

What callers saw: an idempotent call whose server was silent for 0.9 of the latency goal was cancelled there. If the retry budget, maxAttempts or the list of servers left no other, or if the second server failed or refused, the caller got 502 at once, although the first server would have answered before the deadline. If the first went on shortly after, its answer was lost and the caller waited for the second.

Cause: silence was taken for a failure of the attempt, and an attempt ended before another had begun.

Evidence, on the code before: with a server that answers after 0.3 of 0.6 s a 502 after 0.09 s where no other server or no budget is left, and where the second refuses, is full, paused, another server or loses the call; a 503 of the second in place of the good answer of the first; a 502 in place of the first's own 500; an answer after 0.39 s in place of 0.2 s (13 failures in test_plain_forwarder.py and test_plain_faults.py). The property test's smallest case was one server and no answer: refused at 0.09 s while the deadline was at 0.6 s. Tests of a caller that leaves and of large answers passed before too; they guard the new code.

Why the fix works: all calls of a request run side by side until one has a good answer, which goes to the caller and cancels the others. A failure status is kept and used only if nothing better comes. Nothing of an answer is passed on before it is chosen, so two large ones can't be mixed. Repeats are charged as before; calls that are running count against maxAttempts. What is overdue marks its server silent, and the calls' deadline is still the caller's.

--- a/flamingoshelf/gateway/_plain_forwarder.py
+++ b/flamingoshelf/gateway/_plain_forwarder.py
@@ -2,57 +2,47 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
-import attrs
 from loguru import logger
 
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
 from flamingoshelf.gateway._admission import AdmittedRequest
 from flamingoshelf.gateway._backend_client import (
     BackendClient,
-    BackendResponse,
     NotRunError,
     ServerPausedError,
     WrongInstanceError,
 )
 from flamingoshelf.gateway._crash_detector import CrashDetector
+from flamingoshelf.gateway._plain_attempt import PlainAttempt
+from flamingoshelf.gateway._plain_state import PlainState, final_refusal
 from flamingoshelf.gateway._target_selector import TargetSelector
 from flamingoshelf.gateway._wire import BackendCall
-from flamingoshelf.http1 import Exchange, ResponseHead
+from flamingoshelf.http1 import Exchange
 from flamingoshelf.placement import PlainCallMeter
-from flamingoshelf.refusals import Refusal, RefusalReason, RetryReason
+from flamingoshelf.refusals import Refusal, RetryReason
 from flamingoshelf.retries import RetryBudget
-from flamingoshelf.routing import BackendInstance, CallKind, ServerSelector
+from flamingoshelf.routing import BackendInstance, ServerSelector
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import now_s
 
+if TYPE_CHECKING:
+    from loguru import Logger
+
 __all__ = ["PlainForwarder"]
 
-_MAX_BUFFERED_BYTES = 256 * 1024  # larger responses are streamed to the caller as they arrive
-_NO_SERVER_RETRY_AFTER_S = 0.3  # a restarted server is listed again after about 1 s
-_REJECTED_RETRY_AFTER_S = 0.1  # a server's queue empties within a few calls of 20 ms
 _MIN_REMAINING_S = 0.005  # too short for a server to do any work
-# An idempotent call without an answer after this share of its latency goal is sent to another
-# server: if the first server is lost, the call would miss its goal otherwise.
-_ATTEMPT_GOAL_SHARE = 0.9
-_FAILURE_STATUSES = frozenset({500, 502, 503, 504})
-
-
-@attrs.frozen(kw_only=True)
-class _BufferedResponse:
-    """A complete response of a server."""
-
-    head: ResponseHead
-    body: bytes
-
-    @property
-    def is_failure(self) -> bool:
-        """Whether the status is a server failure that another server may not have."""
-        return self.head.status in _FAILURE_STATUSES
+# A call without an answer after this share of its latency goal is overdue. Another server is called
+# too: if the first one is lost, the call would miss its goal otherwise.
+_OVERDUE_GOAL_SHARE = 0.9
 
 
 class PlainForwarder:
-    """Sends a call to one server of its service, and retries it at others where that is safe.
+    """Sends a call to one server of its service, and to others where that is safe.
+
+    Another server is called if one gives no good answer, or if the call is overdue. An overdue call
+    goes on beside the new one, since its server may be sound; the first good answer counts.
 
     Parameters
     ----------
@@ -103,58 +93,108 @@
                 return refusal
         service = self._targets.choose_service(request.route)
         self._budget(service).record_request()
-        state = _RequestState(request=request, service=service)
-        while True:
-            instance = self._choose_server(state)
-            if instance is None:
-                return self._finish(exchange, state)
-            if await self._attempt(exchange, state, instance):
+        state = PlainState(exchange=exchange, request=request, service=service)
+        try:
+            return await self._answer(state)
+        finally:
+            for attempt in state.running:  # the caller has left
+                self._end(attempt, is_failure=None)
+            for attempt in state.attempts:
+                attempt.cancel()
+            for attempt in state.attempts:
+                await attempt.close()
+
+    async def _answer(self, state: PlainState) -> Refusal | None:
+        """Start calls and wait for them until one has a good answer or none is left."""
+        self._start_attempt(state)
+        while running := state.running:
+            until_s = state.request.deadline_s
+            pending = [a for a in running if not a.is_overdue and a.overdue_s < until_s]
+            next_overdue = min(pending, key=lambda attempt: attempt.overdue_s, default=None)
+            if next_overdue is not None:
+                until_s = next_overdue.overdue_s
+            done, _ = await asyncio.wait(
+                [attempt.task for attempt in running],
+                timeout=max(0.0, until_s - now_s()),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            ended = [attempt for attempt in running if attempt.task in done]
+            good = [attempt for attempt in ended if self._has_good_answer(state, attempt)]
+            if good:
+                await self._relay(state, good[0])
                 return None
-            if not self._may_retry(state):
-                return self._finish(exchange, state)
+            if ended:
+                self._retry(state, ended)
+            elif next_overdue is not None:
+                self._hedge(state, next_overdue)
+            else:
+                self._time_out(state)
+        if state.failure is not None:
+            await self._relay(state, state.failure)
+            return None
+        return final_refusal(state)
+
+    def _start_attempt(self, state: PlainState) -> str:
+        """Call another server; return the reason if that is not possible, else an empty string."""
+        route = state.request.route
+        if state.may_have_run and not route.may_repeat:
+            return "it may not be repeated"
+        if state.may_have_run and state.may_have_run >= route.max_attempts:
+            return "no attempt is left"
+        instance = self._choose_server(state)
+        if instance is None:
+            return "no other server"
+        if state.remaining_s < _MIN_REMAINING_S:
+            state.is_out_of_time = True
+            return "no time is left"
+        if state.was_sent and not self._spend_retry(state):
+            return "the retry budget is spent"
+        call = BackendCall(
+            instance=instance,
+            workspace=state.request.workspace_name,
+            remaining_s=state.remaining_s,
+        )
+        attempt = PlainAttempt(
+            client=self._client,
+            request=state.request,
+            call=call,
+            overdue_after_s=route.latency_goal_s * _OVERDUE_GOAL_SHARE,
+        )
+        state.attempts.append(attempt)
+        state.exchange.backend_server = attempt.key
+        self._selector.start_call(attempt.key)
+        return ""
 
-    def _choose_server(self, state: "_RequestState") -> BackendInstance | None:
+    def _choose_server(self, state: PlainState) -> BackendInstance | None:
         servers = self._targets.instances(state.service)
         pauses = self._targets.pauses(state.service)
         if servers and len(pauses) == len(servers):
             state.pause_s = min(pauses.values())
         servers = [server for server in servers if server.key not in pauses]
-        key = self._selector.choose(servers, tried=frozenset(state.tried))
+        key = self._selector.choose(servers, tried=state.tried)
         return next((server for server in servers if server.key == key), None)
 
-    async def _attempt(
-        self, exchange: Exchange, state: "_RequestState", instance: BackendInstance
-    ) -> bool:
-        """Send the call to one server; return whether the caller was answered."""
-        state.tried.add(instance.key)
-        remaining_s = state.request.deadline_s - now_s()
-        if remaining_s < _MIN_REMAINING_S:
-            state.is_out_of_time = True
+    def _spend_retry(self, state: PlainState) -> bool:
+        if not self._budget(state.service).try_spend():
             return False
-        log = logger.bind(
-            request_id=state.request.request_id, step="forward", peer=instance.key, sent=state.sent
-        )
-        started_s = now_s()
-        self._selector.start_call(instance.key)
-        exchange.backend_server = instance.key
-        is_failure: bool | None = None
+        self._metrics.count_retry(RetryReason.SERVICE_FAILED)
+        return True
+
+    def _has_good_answer(self, state: PlainState, attempt: PlainAttempt) -> bool:
+        """Return whether a call has a good answer; record how it ended if not."""
+        log = self._log(state, attempt)
+        is_failure: bool | None = True
         try:
-            answer = await self._call(exchange, state, instance, remaining_s)
-            if answer is None:
-                is_failure = False
+            answer = attempt.task.result()
+            if answer.rest is None:
+                self._crash_detector.record_success(state.request)
+            if not answer.is_failure:
                 return True
-            is_failure = answer.is_failure
-            self._crash_detector.record_success(state.request)
-            if answer.is_failure and self._may_retry_failure(state):
-                state.failure, state.failed_server = answer, instance.key
-                state.is_retry_charged = True
-                log.info("status {}; another server is tried", answer.head.status)
-                return False
-            exchange.respond(answer.head, answer.body)
-            return True
+            state.sent += 1
+            state.failure = attempt
         except WrongInstanceError as error:
             is_failure = None
-            self._targets.mark_replaced(instance)
+            self._targets.mark_replaced(attempt.instance)
             state.last_error = error
             log.info("call not run: {}", error.message)
         except ServerPausedError as error:
@@ -163,199 +203,86 @@
             state.rejections += 1
             log.info("call not run: {}", error.message)
         except NotRunError as error:
-            is_failure = True
             state.last_error = error
             state.rejections += 1
             log.info("call not run: {}", error.message)
         except PeerUnreachableError as error:
-            is_failure = True
             state.last_error = error
             log.info("call not sent: {}", error.message)
         except OutcomeUnknownError as error:
-            is_failure = True
             state.sent += 1
             state.last_error = error
             log.warning("outcome unknown: {}", error.message)
-            self._crash_detector.record_lost_run(state.request, instance)
-            if exchange.is_started:
-                exchange.abort()
-                return True
-        except TimeoutError:
-            state.sent += 1
-            state.is_out_of_time = state.request.deadline_s - now_s() < _MIN_REMAINING_S
-            log.warning(
-                "call timed out {:.3f} s after the request arrived",
-                now_s() - state.request.arrived_s,
-            )
-            if exchange.is_started:
-                exchange.abort()
-                return True
-            self._selector.record_silence(instance.key, since_s=started_s)
-        finally:
-            self._selector.end_call(instance.key, is_failure=is_failure)
+            self._crash_detector.record_lost_run(state.request, attempt.instance)
+        self._end(attempt, is_failure=is_failure)
         return False
 
-    async def _call(
-        self,
-        exchange: Exchange,
-        state: "_RequestState",
-        instance: BackendInstance,
-        remaining_s: float,
-    ) -> _BufferedResponse | None:
-        """Return the buffered response, or None if it was streamed to the caller."""
-        call = BackendCall(
-            instance=instance,
-            workspace=state.request.workspace_name,
-            remaining_s=remaining_s,
-        )
-        async with asyncio.timeout(self._attempt_timeout_s(state, remaining_s)) as timeout:
-            async with self._client.send(state.request, call) as response:
-                if response.head.is_success and not response.is_signed:
-                    raise OutcomeUnknownError("no signature", step="answer", peer=instance.key)
-                return await self._read_body(exchange, state, response, timeout)
-
-    async def _read_body(
-        self,
-        exchange: Exchange,
-        state: "_RequestState",
-        response: BackendResponse,
-        timeout: asyncio.Timeout,
-    ) -> _BufferedResponse | None:
-        """Buffer the body; once it exceeds the buffer, stream it to the caller and return None."""
-        parts: list[bytes] = []
-        size = 0
-        while part := await response.read():
-            size += len(part)
-            if exchange.is_started:
-                await exchange.write(part)
-                continue
-            parts.append(part)
-            if size > _MAX_BUFFERED_BYTES:
-                timeout.reschedule(state.request.deadline_s)
-                exchange.start_response(response.head)
-                await exchange.write(b"".join(parts))
-        if not exchange.is_started:
-            return _BufferedResponse(head=response.head, body=b"".join(parts))
-        exchange.end()
-        return None
-
-    def _attempt_timeout_s(self, state: "_RequestState", remaining_s: float) -> float:
-        """Return the seconds to wait for one server."""
-        route = state.request.route
-        if route.kind is not CallKind.IDEMPOTENT or state.sent + 1 >= route.max_attempts:
-            return remaining_s
-        return min(remaining_s, route.latency_goal_s * _ATTEMPT_GOAL_SHARE)
-
-    def _may_retry_failure(self, state: "_RequestState") -> bool:
-        """Count a failure response; return whether to retry it at another server."""
-        state.sent += 1
-        return (
-            state.request.route.may_repeat
-            and state.sent < state.request.route.max_attempts
-            and self._choose_server(state) is not None
-            and self._spend_retry(state, RetryReason.SERVICE_FAILED)
-        )
-
-    def _may_retry(self, state: "_RequestState") -> bool:
-        """Return whether to try another server; only sent attempts cost a retry of the budget."""
-        if state.is_out_of_time:
-            return False
-        if state.is_retry_charged:
-            state.is_retry_charged = False
-            return True
-        if state.sent and not state.request.route.may_repeat:
-            return False
-        if state.sent >= state.request.route.max_attempts:
-            return False
-        error = state.last_error
-        was_held_back = isinstance(error, ServerPausedError) and not error.was_sent
-        was_sent = state.sent > 0 or (isinstance(error, NotRunError) and not was_held_back)
-        return not was_sent or self._spend_retry(state, RetryReason.SERVICE_FAILED)
-
-    def _spend_retry(self, state: "_RequestState", reason: RetryReason) -> bool:
-        if not self._budget(state.service).try_spend():
-            return False
-        self._metrics.count_retry(reason)
-        return True
-
-    def _finish(self, exchange: Exchange, state: "_RequestState") -> Refusal | None:
-        """Answer with a server's failure response if there is one, else return a refusal."""
-        if state.failure is not None:
-            exchange.backend_server = state.failed_server
-            exchange.respond(state.failure.head, state.failure.body)
-            return None
-        if state.sent:
-            return _no_answer_refusal(state)
-        if state.is_out_of_time:
-            return _not_run_refusal(
-                RefusalReason.DEADLINE_UNREACHABLE, "There is no time left.", None
-            )
-        if state.pause_s is not None:
-            detail = "All servers have asked for a pause."
-            return _not_run_refusal(RefusalReason.QUEUE_FULL, detail, state.pause_s)
-        if state.rejections:
-            detail = "The servers are full."
-            return _not_run_refusal(RefusalReason.QUEUE_FULL, detail, _REJECTED_RETRY_AFTER_S)
-        detail = "No server of the service can be reached."
-        return _not_run_refusal(RefusalReason.NO_BACKEND, detail, _NO_SERVER_RETRY_AFTER_S)
+    def _retry(self, state: PlainState, ended: list[PlainAttempt]) -> None:
+        """Call another server after calls have ended without a good answer."""
+        self._start_attempt(state)
+        if state.failure in ended and state.running:
+            status = state.failure.task.result().head.status
+            self._log(state, state.failure).info("status {}; another server is tried", status)
 
+    def _hedge(self, state: PlainState, attempt: PlainAttempt) -> None:
+        """Call another server beside an overdue call."""
+        attempt.is_overdue = True
+        self._selector.record_silence(attempt.key, since_s=attempt.started_s)
+        obstacle = self._start_attempt(state)
+        log = self._log(state, attempt).bind(waited_s=round(now_s() - attempt.started_s, 3))
+        if obstacle:
+            log.info("call overdue; no other server is called: {}", obstacle)
+        else:
+            log.info("call overdue; another server is called too")
 
-@attrs.define(kw_only=True)
-class _RequestState:
-    """Progress of one request over all attempts.
-
-    Attributes
-    ----------
-    tried : set of str
-        Keys of the servers chosen so far.
-    sent : int
-        Number of servers that may have run the request.
-    rejections : int
-        Number of servers that refused the request without running it.
-    is_out_of_time : bool
-        Whether too little time is left for another attempt.
-    failure : _BufferedResponse or None
-        Failure response that the caller gets if no other server answers.
-    failed_server : str
-        Key of the server that sent the failure response.
-    is_retry_charged : bool
-        Whether the next attempt was charged to the budget already.
-    last_error : Exception or None
-        Last error of an attempt, timeouts excluded.
-    pause_s : float or None
-        Seconds until the first server takes requests again, if all have asked for a pause.
-    """
-
-    request: AdmittedRequest
-    service: str
-    tried: set[str] = attrs.field(factory=set)
-    sent: int = 0
-    rejections: int = 0
-    is_out_of_time: bool = False
-    failure: _BufferedResponse | None = None
-    failed_server: str = ""
-    is_retry_charged: bool = False
-    last_error: Exception | None = None
-    pause_s: float | None = None
+    def _time_out(self, state: PlainState) -> None:
+        """End all calls at the deadline."""
+        state.is_out_of_time = True
+        for attempt in state.running:
+            self._selector.record_silence(attempt.key, since_s=attempt.started_s)
+            self._log_timeout(state, attempt)
+            state.sent += 1
+            self._end(attempt, is_failure=None)
 
+    async def _relay(self, state: PlainState, attempt: PlainAttempt) -> None:
+        """Pass an answer on to the caller, and cancel the other calls."""
+        for other in state.running:
+            if other is not attempt:
+                self._log(state, other).bind(step="cancel", answered_by=attempt.key).info(
+                    "call cancelled; another server has answered"
+                )
+                other.cancel()
+                self._end(other, is_failure=None)
+        state.exchange.backend_server = attempt.key
+        is_failure: bool | None = None
+        try:
+            async with asyncio.timeout_at(state.request.deadline_s):
+                await attempt.relay(state.exchange)
+            is_failure = False
+        except OutcomeUnknownError as error:
+            is_failure = True
+            self._log(state, attempt).warning("outcome unknown: {}", error.message)
+            self._crash_detector.record_lost_run(state.request, attempt.instance)
+            state.exchange.abort()
+        except TimeoutError:
+            self._log_timeout(state, attempt)
+            state.exchange.abort()
+        finally:
+            self._end(attempt, is_failure=is_failure)
 
-def _no_answer_refusal(state: _RequestState) -> Refusal:
-    is_late = state.is_out_of_time
-    return Refusal(
-        reason=RefusalReason.BACKEND_FAILED,
-        status=504 if is_late else 502,
-        detail="The service gave no answer in time." if is_late else "The service gave no answer.",
-        not_run=False,
-        step="forward",
-    )
+    def _end(self, attempt: PlainAttempt, *, is_failure: bool | None) -> None:
+        """Record the outcome of a call at the selector, unless that was done before."""
+        if not attempt.is_ended:
+            attempt.is_ended = True
+            self._selector.end_call(attempt.key, is_failure=is_failure)
 
+    def _log_timeout(self, state: PlainState, attempt: PlainAttempt) -> None:
+        self._log(state, attempt).warning(
+            "call timed out {:.3f} s after the request arrived",
+            now_s() - state.request.arrived_s,
+        )
 
-def _not_run_refusal(reason: RefusalReason, detail: str, retry_after_s: float | None) -> Refusal:
-    return Refusal(
-        reason=reason,
-        status=503,
-        detail=detail,
-        not_run=True,
-        retry_after_s=retry_after_s,
-        step="forward",
-    )
+    def _log(self, state: PlainState, attempt: PlainAttempt) -> "Logger":
+        return logger.bind(
+            request_id=state.request.request_id, step="forward", peer=attempt.key, sent=state.sent
+        )
--- a/flamingoshelf/gateway/tests/test_plain_faults.py
+++ b/flamingoshelf/gateway/tests/test_plain_faults.py
@@ -1,16 +1,46 @@
-"""Plain calls to servers that fall silent, with their connections open, and then go on."""
+"""Plain calls to servers that fall silent, with their connections open, or fail in other ways."""
 
 import asyncio
 import random
 from contextlib import asynccontextmanager
 
+import attrs
+import looptime
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
-from flamingoshelf.gateway import PlainForwarder
-from flamingoshelf.gateway.tests.conftest import Answer, FakeResponse, server
+from flamingoshelf.gateway import (
+    ActiveConfiguration,
+    AdmittedRequest,
+    CallerRequest,
+    PlainForwarder,
+    TargetSelector,
+)
+from flamingoshelf.gateway.tests.conftest import (
+    Answer,
+    FakeClient,
+    FakeCrashDetector,
+    FakeOutput,
+    FakeResponse,
+    lost,
+    not_run,
+    refused,
+    route,
+    server,
+)
+from flamingoshelf.http1 import Exchange, Headers, RequestHead
 from flamingoshelf.placement import PlainCallMeter
 from flamingoshelf.retries import RetryBounds, RetryBudget
-from flamingoshelf.routing import CallKind, EjectionRule, ServerSelector
+from flamingoshelf.routing import (
+    CallKind,
+    EjectionRule,
+    GatewayConfiguration,
+    InstanceDirectory,
+    ServerNotices,
+    ServerSelector,
+)
+from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import now_s
 
 WORK_S = 0.01
@@ -106,3 +136,143 @@
     answers = await run_load(servers, seconds=30.0, kinds=kinds)
     waits = [wait_s for started_s, wait_s, _ in answers if started_s >= 1.0 + GOAL_S]
     assert sum(wait_s > 0.9 * GOAL_S for wait_s in waits) < 0.01 * len(waits)
+
+
+TIMEOUT_S = 0.6
+LARGE_BYTES = 300_000  # more than the forwarder buffers
+
+
+class TimedClient(FakeClient):
+    """Fake servers with the time of each call."""
+
+    def __init__(self):
+        super().__init__()
+        self.started_s = {}
+
+    def send(self, request, call, *, fresh=False):
+        assert call.instance.key not in self.started_s, "a server is called twice"
+        self.started_s[call.instance.key] = now_s()
+        return super().send(request, call)
+
+
+@attrs.frozen(kw_only=True)
+class Case:
+    """Servers with what they do, and the request.
+
+    Attributes
+    ----------
+    servers : tuple
+        Pair of outcome and delay in seconds of each server.
+    leaves_s : float or None
+        Time at which the caller leaves, or None if it stays.
+    """
+
+    servers: tuple
+    kind: CallKind
+    max_attempts: int
+    has_budget: bool
+    leaves_s: float | None
+
+    def answer(self, key):
+        outcome, delay_s = self.servers["abc".index(key)]
+        body = key.encode()
+        return {
+            "good": Answer(body=body),
+            "large": Answer(body=[body * LARGE_BYTES, body]),
+            "failure": Answer(status=503, body=body),
+            "large failure": Answer(status=500, body=[body * LARGE_BYTES, body]),
+            "lost": lost(),
+            "refused": refused(),
+            "not run": not_run(),
+        }[outcome], delay_s
+
+    def outcome(self, key):
+        return self.servers["abc".index(key)][0]
+
+
+OUTCOMES = ["good", "good", "large", "failure", "large failure", "lost", "refused", "not run"]
+DELAYS_S = st.one_of(
+    st.just(0.01), st.just(60.0), st.integers(0, 70).map(lambda n: n / 100 + 0.003)
+)
+CASES = st.builds(
+    Case,
+    servers=st.lists(st.tuples(st.sampled_from(OUTCOMES), DELAYS_S), min_size=1, max_size=3).map(
+        tuple
+    ),
+    kind=st.sampled_from([CallKind.IDEMPOTENT, CallKind.IDEMPOTENT, CallKind.NON_IDEMPOTENT]),
+    max_attempts=st.integers(1, 3),
+    has_budget=st.sampled_from([True, True, False]),
+    leaves_s=st.sampled_from([None, None, None, 0.05, 0.25, 0.45]),
+)
+
+
+async def play(case):
+    """Forward one request; return the client, the selector, what the caller got and when."""
+    keys = "abc"[: len(case.servers)]
+    client = TimedClient()
+    for key in keys:
+        answer, delay_s = case.answer(key)
+        client.queue_answers(key, attrs.evolve(answer, after_s=delay_s))
+    chosen = route(case.kind, max_attempts=case.max_attempts, timeout_s=TIMEOUT_S)
+    active = ActiveConfiguration()
+    active.adopt(GatewayConfiguration(version=1, routes=(chosen,), services={}, workspaces={}))
+    notices = ServerNotices(drain_s=lambda: 2.0)
+    directory = InstanceDirectory(notices=notices)
+    directory.replace({key: server(key) for key in keys}, 1)
+    targets = TargetSelector(
+        configuration=active, directory=directory, random_source=random.Random(1), notices=notices
+    )
+    forwarder = make_forwarder(client, targets, FakeCrashDetector(), Metrics(node_name="n"))
+    while not case.has_budget and forwarder._budget("s").try_spend():
+        pass
+    head = RequestHead(method="POST", target="/r/1", headers=Headers([("Host", "h")]))
+    request = AdmittedRequest(
+        head=head,
+        caller=CallerRequest(request_id="q1"),
+        route=chosen,
+        workspace=None,
+        configuration=active.current,
+        deadline_s=now_s() + TIMEOUT_S,
+        arrived_s=now_s(),
+        body=b"body",
+    )
+    output = FakeOutput()
+    exchange = Exchange(head=head, output=output, arrived_s=now_s())
+    task = asyncio.create_task(forwarder.forward(exchange, request))
+    await asyncio.wait([task], timeout=case.leaves_s)
+    has_left = task.cancel()
+    await asyncio.wait([task])
+    assert asyncio.all_tasks() == {asyncio.current_task()}, "a call goes on"
+    assert all(record.running == 0 for record in forwarder._selector._records.values())
+    return client, output, None if has_left else task.result(), now_s(), has_left
+
+
+@settings(derandomize=True, deadline=None, max_examples=600)
+@given(case=CASES)
+def test_caller_gets_the_first_good_answer_of_any_called_server(case):
+    """Guards against answers given up for a silence, and against calls beyond the allowed ones."""
+    loop = looptime.new_event_loop(start=0)
+    try:
+        client, output, refusal, end_s, has_left = loop.run_until_complete(play(case))
+    finally:
+        loop.close()
+    called = client.called_servers()
+    ran = [key for key in called if case.outcome(key) not in ("refused", "not run")]
+    assert len(ran) <= (case.max_attempts if case.kind is CallKind.IDEMPOTENT else 1)
+    if has_left:
+        return
+    done_s = {key: client.started_s[key] + case.answer(key)[1] for key in called}
+    good = [k for k in called if case.outcome(k) in ("good", "large") and done_s[k] < TIMEOUT_S]
+    if good:
+        first = min(good, key=lambda key: done_s[key])
+        size = LARGE_BYTES + 1 if case.outcome(first) == "large" else 1
+        assert output.is_complete and output.head.status == 200
+        assert output.body == first.encode() * size
+        assert end_s == pytest.approx(done_s[first], abs=0.001)
+        return
+    assert all(done_s[key] <= end_s + 0.001 for key in called) or end_s >= TIMEOUT_S - 0.001
+    if any("failure" in case.outcome(key) and done_s[key] < TIMEOUT_S for key in called):
+        assert refusal is None and output.head.status in (500, 503)
+    else:
+        assert refusal is not None and output.head is None
+        assert not (refusal.not_run and ran)
--- a/flamingoshelf/gateway/tests/test_plain_forwarder.py
+++ b/flamingoshelf/gateway/tests/test_plain_forwarder.py
@@ -269,6 +269,111 @@
     assert client.called_servers() == ["a"]
 
 
+# Calls to a server that is silent for longer than a second call waits (0.09 s with the goal of
+# 0.1 s), and answers before the deadline (0.6 s).
+
+
+@pytest.mark.parametrize("servers", [1, 2])
+async def test_silent_server_answers_although_no_second_call_is_possible(
+    forward, client, budget, servers
+):
+    """Guards against a 502 before the deadline when no server or no retry of the budget is left."""
+    while servers > 1 and budget.try_spend():
+        pass
+    client.queue_answers("a", Answer(after_s=0.3, body=b"late"))
+    refusal, output = await forward(SAFE, servers=servers)
+    assert refusal is None and output.body == b"late"
+    assert client.called_servers() == ["a"] and client.cancelled == []
+
+
+@pytest.mark.parametrize("second", [refused, not_run, lost, paused, other_instance])
+async def test_silent_server_answers_after_the_second_call_failed(forward, client, second):
+    """Guards against a 502 before the deadline when the second server gives no answer."""
+    client.queue_answers("a", Answer(after_s=0.3, body=b"late"))
+    client.queue_answers("b", second(5.0) if second is paused else second())
+    refusal, output = await forward(SAFE)
+    assert refusal is None and output.body == b"late"
+
+
+async def test_good_answer_of_the_silent_server_comes_before_a_failure_status(forward, client):
+    """Guards against a failure status that the caller gets although a good answer follows."""
+    client.queue_answers("a", Answer(after_s=0.3, body=b"late"))
+    client.queue_answers("b", Answer(status=503))
+    refusal, output = await forward(SAFE)
+    assert refusal is None and (output.head.status, output.body) == (200, b"late")
+
+
+async def test_failure_status_of_the_silent_server_is_kept(forward, client):
+    """Guards against a 502 in place of a server's own failure."""
+    client.queue_answers("a", Answer(after_s=0.2, status=500, body=b"failed"))
+    client.queue_answers("b", lost(after_s=0.3))
+    refusal, output = await forward(SAFE)
+    assert refusal is None and (output.head.status, output.body) == (500, b"failed")
+
+
+async def test_first_good_answer_wins_and_the_other_call_is_cancelled_at_once(forward, client):
+    """Guards against a later answer where the silent server goes on before the second is done."""
+    client.queue_answers("a", Answer(after_s=0.2, body=b"first"))
+    client.queue_answers("b", Answer(after_s=0.3, body=b"second"))
+    started_s = asyncio.get_running_loop().time()
+    _, output = await forward(SAFE)
+    assert asyncio.get_running_loop().time() - started_s == pytest.approx(0.2, abs=0.01)
+    assert output.body == b"first" and client.cancelled == ["b"]
+
+
+async def test_third_server_is_called_when_two_are_silent(forward, client):
+    """Guards against a hedge that stops at two servers, and one that closes the earlier calls."""
+    for name, after_s in (("a", 0.35), ("b", 60), ("c", 60)):
+        client.queue_answers(name, Answer(after_s=after_s, body=name.encode()))
+    _, output = await forward(SAFE, servers=3, max_attempts=3)
+    assert len(client.calls) == 3
+    assert output.body == b"a" and len(client.cancelled) == 2
+
+
+async def test_large_answers_of_two_servers_are_not_mixed(forward, client):
+    """Guards against parts of two answers in one response."""
+    for name, after_s in (("a", 0.2), ("b", 0.1)):
+        body = [name.encode() * 300_000, name.encode() * 300_000, b"end"]
+        client.queue_answers(name, Answer(after_s=after_s, body=body, pause_s=0.05))
+    _, output = await forward(SAFE)
+    assert output.is_complete and output.head.status == 200
+    assert output.body in (b"a" * 600_000 + b"end", b"b" * 600_000 + b"end")
+
+
+async def test_other_call_is_cancelled_before_a_large_answer_is_streamed(forward, client):
+    """Guards against a call that occupies its server while another answer is streamed."""
+    client.queue_answers("a", Answer(after_s=60))
+    client.queue_answers("b", Answer(after_s=0.1, body=[bytes(300_000), b"end"], pause_s=0.3))
+    task = asyncio.create_task(forward(SAFE))
+    await asyncio.sleep(0.25)
+    assert client.cancelled == ["a"] and not task.done()
+    _, output = await task
+    assert output.is_complete and len(output.body) == 300_003
+
+
+async def test_no_answer_of_any_server_is_told_at_the_deadline(forward, client):
+    """Guards against a 502 that comes before the time to wait is over."""
+    client.queue_answers("a", Answer(after_s=60))
+    client.queue_answers("b", lost())
+    started_s = asyncio.get_running_loop().time()
+    refusal, _ = await forward(SAFE)
+    assert asyncio.get_running_loop().time() - started_s == pytest.approx(0.6, abs=0.01)
+    assert (refusal.status, refusal.not_run) == (504, False)
+
+
+@pytest.mark.parametrize("body", [b"late", [bytes(300_000)] * 3])
+async def test_caller_that_leaves_cancels_all_calls(forward, client, selector, body):
+    """Guards against calls that run on, or count as running, for a caller that has left."""
+    client.queue_answers("a", Answer(after_s=60))
+    client.queue_answers("b", Answer(after_s=0.2, body=body, pause_s=60))
+    task = asyncio.create_task(forward(SAFE))
+    await asyncio.sleep(0.15 if body == b"late" else 0.35)
+    task.cancel()
+    await asyncio.wait([task])
+    assert task.cancelled() and "a" in client.cancelled
+    assert all(record.running == 0 for record in selector._records.values())
+
+
 async def test_silence_before_the_deadline_does_not_eject_a_server(forward, client):
     """Guards against seconds without a sound server that was silent for one."""
     client.queue_answers("a", *(Answer(after_s=60) for _ in range(6)))
