Plain calls: a server without a free connection isn't taken for a failing one

What callers saw: when a server was silent for a second and this node's few connections to it were held by open calls, the server was left out for about 5 s, and farther ones answered instead.

Cause: the node's own limit of connections raised the same error as a server that can't be reached, which counts as a failure; five in a row eject.

Why the fix works: the pool raises an error of its own, a kind of PeerUnreachableError, so that all others handle it as before; the forwarder records no outcome for the server.

--- a/flamingoshelf/gateway/_plain_forwarder.py
+++ b/flamingoshelf/gateway/_plain_forwarder.py
@@ -19,7 +19,7 @@
 from flamingoshelf.gateway._plain_state import PlainState, final_refusal
 from flamingoshelf.gateway._target_selector import TargetSelector
 from flamingoshelf.gateway._wire import BackendCall
-from flamingoshelf.http1 import Exchange
+from flamingoshelf.http1 import Exchange, NoFreeConnectionError
 from flamingoshelf.placement import PlainCallMeter
 from flamingoshelf.refusals import Refusal, RetryReason
 from flamingoshelf.retries import RetryBudget
@@ -206,6 +206,10 @@
             state.last_error = error
             state.rejections += 1
             log.info("call not run: {}", error.message)
+        except NoFreeConnectionError as error:
+            is_failure = None  # this node's limit says nothing about the server's health
+            state.last_error = error
+            log.info("call not sent: {}", error.message)
         except PeerUnreachableError as error:
             state.last_error = error
             log.info("call not sent: {}", error.message)
--- a/flamingoshelf/gateway/tests/test_backend_client.py
+++ b/flamingoshelf/gateway/tests/test_backend_client.py
@@ -14,7 +14,7 @@
     WrongInstanceError,
 )
 from flamingoshelf.gateway.tests.conftest import server
-from flamingoshelf.http1 import ConnectionPool, Headers, RequestHead
+from flamingoshelf.http1 import ConnectionPool, Headers, NoFreeConnectionError, RequestHead
 
 
 class Wire:
@@ -190,3 +190,13 @@
     assert bodies == [None]
     with pytest.raises(OutcomeUnknownError, match="bytes"):
         await ask(head, endless=b"x" * 65_536, call=True)
+
+
+async def test_limit_of_connections_is_told_apart_from_an_unreachable_server(notices, new_request):
+    """Guards against a server that is ejected because this node may open no connection to it."""
+    pool = ConnectionPool(max_connections=lambda key: 0)
+    client = BackendClient(pool=pool, wire=Wire(), notices=notices)
+    call = BackendCall(instance=server("x"), workspace=None, remaining_s=1.0)
+    with pytest.raises(NoFreeConnectionError):
+        async with client.send(new_request(), call):
+            pass
--- a/flamingoshelf/gateway/tests/test_plain_faults.py
+++ b/flamingoshelf/gateway/tests/test_plain_faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from contextlib import asynccontextmanager
 
 import attrs
@@ -29,7 +30,7 @@
     route,
     server,
 )
-from flamingoshelf.http1 import Exchange, Headers, RequestHead
+from flamingoshelf.http1 import Exchange, Headers, NoFreeConnectionError, RequestHead
 from flamingoshelf.placement import PlainCallMeter
 from flamingoshelf.retries import RetryBounds, RetryBudget
 from flamingoshelf.routing import (
@@ -51,22 +52,31 @@
 class SilentServers:
     """Servers that answer after `WORK_S`, but not while they are silent.
 
-    `silences` holds start and end of each server's silence by its key.
+    `silences` holds start and end of each server's silence by its key, `max_connections` how many
+    calls run at a server at a time.
     """
 
-    def __init__(self, **silences):
+    def __init__(self, *, max_connections=100, **silences):
         self.silences = silences
+        self.max_connections = max_connections
         self.calls = []  # server and time of each call
+        self.running: Counter[str] = Counter()
 
     @asynccontextmanager
     async def send(self, request, call, *, fresh=False):
         key = call.instance.key
+        if self.running[key] >= self.max_connections:
+            raise NoFreeConnectionError("all connections are in use", step="connect", peer=key)
         self.calls.append((key, now_s()))
-        await asyncio.sleep(WORK_S)
-        start_s, end_s = self.silences.get(key, (0.0, 0.0))
-        if start_s <= now_s() < end_s:
-            await asyncio.sleep(end_s - now_s())
-        yield FakeResponse(Answer(), [b"ok"])
+        self.running[key] += 1
+        try:
+            await asyncio.sleep(WORK_S)
+            start_s, end_s = self.silences.get(key, (0.0, 0.0))
+            if start_s <= now_s() < end_s:
+                await asyncio.sleep(end_s - now_s())
+            yield FakeResponse(Answer(), [b"ok"])
+        finally:
+            self.running[key] -= 1
 
     def share_of(self, key, start_s, end_s):
         """Return the share of the calls in a time window that went to one server."""
@@ -99,8 +109,8 @@
         await forwarder.forward(exchange, request)
         return started_s, now_s() - started_s, output.body
 
-    async def run(client, *, seconds, kinds):
-        list_servers(*(server(name) for name in "abc"))
+    async def run(client, *, seconds, kinds, far=""):
+        list_servers(*(server(n, data_centre="far" if n in far else "a") for n in "abc"))
         forwarder = make_forwarder(client, targets, crash_detector, metrics)
         tasks = []
         for number in range(round(seconds / CALL_INTERVAL_S)):
@@ -128,6 +138,15 @@
     assert servers.share_of("a", 2.5, 4.0) > 0.2
 
 
+@pytest.mark.looptime
+async def test_silent_server_without_a_free_connection_is_used_again_soon(run_load):
+    """Guards against this node's own limit of connections that is taken for a server's failure."""
+    servers = SilentServers(a=(1.0, 2.0), max_connections=3)
+    answers = await run_load(servers, seconds=4.0, kinds=[CallKind.IDEMPOTENT], far="bc")
+    assert all(body == b"ok" for _, _, body in answers)
+    assert servers.share_of("a", 2.5, 4.0) > 0.5
+
+
 @pytest.mark.looptime
 @pytest.mark.parametrize("kinds", KINDS)
 async def test_silent_server_delays_few_callers(run_load, kinds):
--- a/flamingoshelf/http1/__init__.py
+++ b/flamingoshelf/http1/__init__.py
@@ -8,7 +8,7 @@
 from flamingoshelf.http1._client import BackendConnection
 from flamingoshelf.http1._exchange import BodyTooLargeError, Exchange
 from flamingoshelf.http1._heads import Headers, RequestHead, ResponseHead
-from flamingoshelf.http1._pool import ConnectionPool, PooledCall
+from flamingoshelf.http1._pool import ConnectionPool, NoFreeConnectionError, PooledCall
 from flamingoshelf.http1._server import ConnectionLimits, HttpServer
 
 __all__ = [
@@ -19,6 +19,7 @@
     "Exchange",
     "Headers",
     "HttpServer",
+    "NoFreeConnectionError",
     "PooledCall",
     "RequestHead",
     "ResponseHead",
--- a/flamingoshelf/http1/_pool.py
+++ b/flamingoshelf/http1/_pool.py
@@ -12,7 +12,7 @@
 from flamingoshelf.http1._heads import RequestHead
 from flamingoshelf.utils import TaskGroup
 
-__all__ = ["ConnectionPool", "PooledCall"]
+__all__ = ["ConnectionPool", "NoFreeConnectionError", "PooledCall"]
 
 _CONNECT_TIMEOUT_S = 0.4  # connecting within a region takes a few milliseconds
 _SWEEP_INTERVAL_S = 1.0  # idle connections are closed at most this long after they expire
@@ -20,6 +20,10 @@
 _MAX_IDLE_CONNECTIONS_PER_SERVER = 16  # more than a node uses at one server at a time
 
 
+class NoFreeConnectionError(PeerUnreachableError):
+    """This node holds as many connections to the server as it may; nothing was sent."""
+
+
 class PooledCall:
     """One request on a connection of a pool, for use with ``async with``.
 
@@ -111,7 +115,7 @@
             Nothing was written.
         """
         if self.in_use(key) >= self._max_connections(key):
-            raise PeerUnreachableError("all connections are in use", step="connect", peer=address)
+            raise NoFreeConnectionError("all connections are in use", step="connect", peer=address)
         self._in_use[key] = self.in_use(key) + 1
         try:
             connection = None if fresh else self._pop_idle(key)
