Lab: servers that fall silent for a moment and go on where they were

A stand-in is frozen for a time: running streams, calls, prefills and changes of the role stand still, new connections are accepted and not answered, reports, probes and orders neither, nothing is fetched from it, and a caller that leaves is noticed only afterwards. Then all goes on at once and no run is lost. The fault `silent` stays as it was: it never answers again, and streams that run are not affected by it.

--- a/lab/gateway/_records.py
+++ b/lab/gateway/_records.py
@@ -1,10 +1,12 @@
 """What stand-ins of backend servers record, and the faults that they are given."""
 
+import asyncio
+
 import attrs
 
 from flamingoshelf.http1 import Headers
 
-__all__ = ["Run", "RunLog", "ServerFaults"]
+__all__ = ["Run", "RunLog", "ServerFaults", "Silence"]
 
 
 @attrs.define(kw_only=True)
@@ -50,7 +52,7 @@
     cut : float
         Fraction of answers whose connection is reset in the middle.
     silent : bool
-        No request is answered.
+        No request that arrives is answered, also later. See `Silence` for one that passes.
     errors : float
         Fraction of requests that are answered with status 500.
     pause_s : float
@@ -65,3 +67,37 @@
     silent: bool = False
     errors: float = 0.0
     pause_s: float = 0.0
+
+
+class Silence:
+    """State of a server that does nothing for a time and then goes on where it was.
+
+    All its connections stay open, as those of a process that is stopped and continued.
+    """
+
+    def __init__(self) -> None:
+        self._over = asyncio.Event()
+        self._over.set()
+
+    async def last(self, seconds: float) -> None:
+        """Be silent for a time."""
+        self._over.clear()
+        await asyncio.sleep(seconds)
+        self.end()
+
+    def end(self) -> None:
+        """Let everything go on at once."""
+        self._over.set()
+
+    async def wait(self) -> None:
+        """Wait until the silence is over."""
+        await self._over.wait()
+
+    async def sleep(self, seconds: float) -> None:
+        """Sleep, at least until the silence is over; only then a cancellation is noticed."""
+        try:
+            await asyncio.sleep(seconds)
+            await self._over.wait()
+        except asyncio.CancelledError:
+            await self._over.wait()
+            raise
--- a/lab/gateway/_servers.py
+++ b/lab/gateway/_servers.py
@@ -9,7 +9,7 @@
 
 from flamingoshelf.http1 import Exchange, Headers, HttpServer, ResponseHead
 from flamingoshelf.utils import TaskGroup, now_s
-from lab.gateway._records import Run, RunLog, ServerFaults
+from lab.gateway._records import Run, RunLog, ServerFaults, Silence
 
 __all__ = ["EngineStandIn", "PlainStandIn"]
 
@@ -31,6 +31,7 @@
         self.log = log
         self.random = random_source
         self.faults = ServerFaults()
+        self.silence = Silence()
         self.state = "ready"
         self.is_leaving = False  # stated in all answers
         self.started_ms = 1_700_000_000_000
@@ -43,8 +44,17 @@
 
     async def stop(self) -> None:
         """Stop immediately, as in a crash."""
-        await self.tasks.stop()
         await self._server.stop()
+        self.silence.end()
+        await self.tasks.stop()
+
+    async def freeze(self, seconds: float) -> None:
+        """Fall silent for a time with all connections open; then go on where it was.
+
+        Running streams, calls and prefills stand still, and new connections are accepted but not
+        answered. Nothing is lost.
+        """
+        await self.silence.last(seconds)
 
     def entry(self) -> dict[str, object]:
         """Return the server's registration, as it is written to the store."""
@@ -64,6 +74,13 @@
         body = await exchange.read_body(limit=_MAX_BODY_BYTES)
         if self.faults.silent:
             await asyncio.sleep(3600)
+        try:
+            await self.silence.wait()
+        except asyncio.CancelledError:
+            # The request was received, and a silent server doesn't notice that its caller left: it
+            # begins afterwards, and ends when it first waits.
+            await self.silence.wait()
+            cast(asyncio.Task[None], asyncio.current_task()).cancel()
         expected = exchange.head.headers.get("Expect-Instance")
         if expected is not None and expected != self.instance_id:
             self._respond(exchange, 421, b"", ("Instance-Id", self.instance_id))
@@ -129,7 +146,7 @@
             return
         self.log.runs.append(run)
         try:
-            await asyncio.sleep(self.work_s)
+            await self.silence.sleep(self.work_s)
         except asyncio.CancelledError:
             run.ended = "left"
             raise
@@ -157,7 +174,7 @@
         self, exchange: Exchange, content: bytes, headers: Sequence[tuple[str, str]]
     ) -> None:
         """Send the answer again, late, on the connection that may be in use again by then."""
-        await asyncio.sleep(self.random.uniform(0.0, 0.02))
+        await self.silence.sleep(self.random.uniform(0.0, 0.02))
         lines = [
             "HTTP/1.1 200 OK",
             f"Content-Length: {len(content)}",
@@ -277,7 +294,7 @@
             self._respond(exchange, 202, b"")
 
     async def _change_role(self, role: str) -> None:
-        await asyncio.sleep(self.role_change_s)
+        await self.silence.sleep(self.role_change_s)
         self.role = role
         self.is_changing = False
 
@@ -289,7 +306,7 @@
         if run is None:
             return
         self.log.prefills.append(run)
-        await asyncio.sleep(self.prefill_s)
+        await self.silence.sleep(self.prefill_s)
         if self._draw_fault(self.faults.reset_after):
             exchange.abort()
             return
@@ -304,6 +321,10 @@
             return
         prompt_tokens, output_tokens = _token_counts(run.headers)
         source = run.headers.get("Kv-Source") or ""
+        peer = self._peers(source.partition("/")[0])
+        if peer is not None:
+            await peer.silence.wait()  # a KV cache can't be fetched from a silent engine
+            await self.silence.sleep(0)
         if self.role != "decode" or self.is_changing or not self._fetch_kv(source, prompt_tokens):
             self._respond(exchange, 503, b"", ("Not-Run", "1"), ("Request-Id", run.request_id))
             return
@@ -345,7 +366,7 @@
             self.random.randint(first_event, events) if self._draw_fault(self.faults.cut) else None
         )
         for number in range(first_event, events + 1):
-            await asyncio.sleep(self.s_per_event)
+            await self.silence.sleep(self.s_per_event)
             event = f"id: {number}\ndata: {run.request_id} {number}\n\n".encode()
             if number == cut_at_event:
                 run.ended = "cut"
--- a/lab/tests/test_gateway_site.py
+++ b/lab/tests/test_gateway_site.py
@@ -6,7 +6,6 @@
 import pytest
 
 from flamingoshelf.http1 import BackendConnection
-from lab.gateway import GatewaySite
 from lab.gateway._records import ServerFaults
 from lab.gateway._site import BOOKINGS, KEY, NOTES, RESUMABLE, STOCK, WORKSPACE
 from lab.processes import wait_until_listening
@@ -14,21 +13,6 @@
 pytestmark = pytest.mark.processes
 
 
-@pytest.fixture
-async def new_site(tmp_path):
-    sites = []
-
-    async def start(**sizes):
-        site = GatewaySite(folder=tmp_path, **sizes)
-        sites.append(site)
-        await site.start()
-        return site
-
-    yield start
-    for site in sites:
-        await site.stop()
-
-
 async def wait_until(condition, *, timeout_s=5.0):
     async with asyncio.timeout(timeout_s):
         while not condition():
