Reproduce a stream that is aborted because its engine paused for 1.3 s

A node as a process, two decode engines, one filled by a long stream. The other falls silent for 1.3 s in the middle of a stream that may be resumed, once without and once beside two changes of the configuration (route added, limits changed, weights).

The node's log of one run, without the changes; the engine was silent from about 24.13 to 25.43:

The run is closed after 1.2 s, before another turn is granted. The engine is up again 0.1 s later, but the request avoids engines that failed it once, so it waits for the full one and is aborted. The changes of the configuration alter nothing.

--- a/lab/tests/test_silent_servers.py
+++ b/lab/tests/test_silent_servers.py
@@ -1,10 +1,13 @@
 """Whole nodes, and servers that fall silent for a moment and go on where they were."""
 
 import asyncio
+import copy
 
 import pytest
 
-from lab.tests.test_gateway_site import wait_until
+from lab.gateway import EngineStandIn
+from lab.gateway._site import HOST, NOTES, RESUMABLE
+from lab.tests.test_gateway_site import wait_for_initial_roles, wait_until
 
 pytestmark = [pytest.mark.processes, pytest.mark.timeout(30)]
 
@@ -31,3 +34,58 @@
     assert (await report).status == 200 and (await booking).is_complete
     assert [run.ended for run in site.log.runs if run.target == "/a"] == ["whole", "left"]
     assert sorted(run.ended for run in site.log.runs if run.target == "/b") == ["left", "whole"]
+
+
+async def start_two_streams(site):
+    """Fill the memory of one decode engine; return a resumable stream and its engine, the other."""
+    await wait_for_initial_roles(site)
+    address = site.node_addresses[0]
+    filling = asyncio.ensure_future(site.caller.call(address, f"{NOTES}1", tokens=(2000, 3200)))
+    await wait_until(lambda: site.log.runs)
+    running = asyncio.ensure_future(
+        site.caller.call(address, f"{RESUMABLE}1", tokens=(500, 800), deadline_ms=3500)
+    )
+    await wait_until(lambda: len(site.log.runs) == 2)
+    full, silent = (run.server for run in site.log.runs)
+    assert full != silent
+    await asyncio.sleep(0.3)
+    return filling, running, next(e for e in site.engines if e.instance_id == silent)
+
+
+def logs_of(site):
+    return "\n".join(node.log for node in site.nodes)
+
+
+# A stream whose engine only paused was aborted because no other engine had room to resume it.
+async def test_stream_of_a_silent_engine_goes_on_if_the_other_engine_is_full(new_site, monkeypatch):
+    monkeypatch.setattr(EngineStandIn, "kv_capacity_tokens", 4100)
+    site = await new_site(node_count=1)
+    filling, running, engine = await start_two_streams(site)
+    await engine.freeze(1.3)
+    answer = await running
+    assert answer.is_complete, (len(answer.events), answer.failure, logs_of(site))
+    assert answer.events == list(range(1, 101))
+    assert (await filling).is_complete
+
+
+# The same abort beside changes of the configuration, which are no reason for it either.
+async def test_stream_of_a_silent_engine_goes_on_beside_changes_of_the_configuration(
+    new_site, monkeypatch
+):
+    monkeypatch.setattr(EngineStandIn, "kv_capacity_tokens", 4100)
+    site = await new_site(node_count=1)
+    filling, running, engine = await start_two_streams(site)
+    silence = asyncio.ensure_future(engine.freeze(1.3))
+    await asyncio.sleep(0.3)
+    document = copy.deepcopy(site.store.objects("config")["main"])
+    added = {**document["routes"][0], "name": "added", "pathPrefix": "/added/", "host": HOST}
+    limits = {**document["limits"], "idleTimeoutMs": 700, "headerTimeoutMs": 300}
+    site.configure(routes=[*document["routes"], added], limits=limits)
+    await asyncio.sleep(0.4)
+    split = [{"service": "writers", "weight": 0.5}, {"service": "writers", "weight": 2}]
+    site.configure(routes=[{**route, "backends": split} for route in document["routes"][:2]])
+    await silence
+    answer = await running
+    assert answer.is_complete, (len(answer.events), answer.failure, logs_of(site))
+    assert answer.events == list(range(1, 101))
+    assert (await filling).is_complete
