Reproduce look-ups that get 502 while their servers pause for 1 s

Both servers of a plain service are silent for 1.0 s; 160 calls with a deadline of 5 s come within 0.8 s at two nodes.

Log of one node: 46 answered, 69 "call timed out", 34 refused. A look-up is taken from its server after 0.9 of its latency goal (0.18 s) and tried at the other, which costs a retry of the budget. When it is spent, the call has already been taken from its server, and the caller gets 502 about 4.8 s before its deadline, though its server would have answered within the second.

--- a/lab/tests/test_silent_servers.py
+++ b/lab/tests/test_silent_servers.py
@@ -6,7 +6,7 @@
 import pytest
 
 from lab.gateway import EngineStandIn
-from lab.gateway._site import HOST, NOTES, RESUMABLE
+from lab.gateway._site import BOOKINGS, HOST, NOTES, RESUMABLE, STOCK
 from lab.tests.test_gateway_site import wait_for_initial_roles, wait_until
 
 pytestmark = [pytest.mark.processes, pytest.mark.timeout(30)]
@@ -89,3 +89,23 @@
     assert answer.is_complete, (len(answer.events), answer.failure, logs_of(site))
     assert answer.events == list(range(1, 101))
     assert (await filling).is_complete
+
+
+# A short silence of all servers of a plain service ended calls with 502 that had time to wait.
+@pytest.mark.parametrize("path", [BOOKINGS, STOCK], ids=["bookings", "stock"])
+async def test_calls_are_answered_after_a_silence_of_all_servers(new_site, path):
+    site = await new_site(plain_count=2)
+    method = "GET" if path == STOCK else "POST"
+    silences = [asyncio.ensure_future(server.freeze(1.0)) for server in site.plain]
+    await asyncio.sleep(0.05)
+    calls = []
+    for number in range(160):
+        address = site.node_addresses[number % 2]
+        calls.append(
+            asyncio.ensure_future(site.caller.call(address, f"{path}{number}", method=method))
+        )
+        await asyncio.sleep(0.005)
+    answers = await asyncio.gather(*calls)
+    await asyncio.gather(*silences)
+    failed = [answer for answer in answers if answer.status != 200 or not answer.is_complete]
+    assert not failed, (failed[0], logs_of(site))
