Reproduce streams that are turned away long after their prefill engines paused

Both prefill engines are silent for 1.0 s, four streams come at two nodes.

status=503 "The engines of writers are full for longer than the request can wait." after_s 3.336

Log of one run, silence from 45.79 to 46.79:

A request avoids every engine that failed it, for good. With both prefill engines on that list it can't be placed any more, waits beside idle engines and is refused shortly before its caller leaves.

--- a/lab/tests/test_silent_servers.py
+++ b/lab/tests/test_silent_servers.py
@@ -109,3 +109,27 @@
     await asyncio.gather(*silences)
     failed = [answer for answer in answers if answer.status != 200 or not answer.is_complete]
     assert not failed, (failed[0], logs_of(site))
+
+
+# Requests were turned away when all prefill engines paused, though their callers would have waited.
+@pytest.mark.parametrize("path", [NOTES, RESUMABLE], ids=["notes", "drafts"])
+async def test_streams_are_served_after_a_silence_of_all_prefill_engines(new_site, path):
+    site = await new_site(prefill_count=2, decode_count=2)
+    await wait_for_initial_roles(site)
+    for address in site.node_addresses:  # the usual time of a prefill is known
+        assert (await site.caller.call(address, f"{path}0", tokens=(500, 80))).is_complete
+    silences = [
+        asyncio.ensure_future(engine.freeze(1.0))
+        for engine in site.engines
+        if engine.role == "prefill"
+    ]
+    await asyncio.sleep(0.05)
+    answers = await asyncio.gather(
+        *(
+            site.caller.call(site.node_addresses[number % 2], f"{path}{number}", tokens=(500, 160))
+            for number in range(4)
+        )
+    )
+    await asyncio.gather(*silences)
+    failed = [answer for answer in answers if answer.status != 200 or not answer.is_complete]
+    assert not failed, (failed[0], logs_of(site))
