Reproduce a request that a planned stop ends with neither answer nor refusal

Found by the soak with silent servers. One node, stopped; 1.0 s later a stream arrives while both prefill engines are silent for 1.0 s.

Answer(status=0, body=b'', is_complete=False, failure="OutcomeUnknownError('the server closed the connection before its answer')")

The request avoids both engines for good, though they go on 1.0 s after its arrival, and waits unplaced beside idle engines. Where it would be refused 3.3 s after its arrival, the end of the grace period comes first and aborts its connection. Two log lines say otherwise: that the caller left, and that nothing was cut.

--- a/lab/tests/test_silent_servers.py
+++ b/lab/tests/test_silent_servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import copy
+import signal
 
 import pytest
 
@@ -133,3 +134,22 @@
     await asyncio.gather(*silences)
     failed = [answer for answer in answers if answer.status != 200 or not answer.is_complete]
     assert not failed, (failed[0], logs_of(site))
+
+
+# A node that stopped cut off a request that still waited, with neither an answer nor a refusal.
+async def test_request_that_waits_until_the_end_of_a_planned_stop_is_refused(new_site):
+    site = await new_site(prefill_count=2, decode_count=2, node_count=1)
+    await wait_for_initial_roles(site)
+    address, node = site.node_addresses[0], site.nodes[0]
+    assert (await site.caller.call(address, f"{RESUMABLE}0", tokens=(500, 80))).is_complete
+    node.send(signal.SIGTERM)
+    await asyncio.sleep(1.0)
+    silences = [
+        asyncio.ensure_future(engine.freeze(1.0))
+        for engine in site.engines
+        if engine.role == "prefill"
+    ]
+    answer = await site.caller.call(address, f"{RESUMABLE}1", tokens=(500, 80))
+    await asyncio.gather(*silences)
+    assert answer.is_complete, (answer, logs_of(site))
+    assert answer.status in (200, 503)
