Soak: silent servers, and a check that none of their requests is lost

Nothing tried short silences, and no check asked whether a request was answered at all.

Fault silence_server: 0.3 to 1.5 s, at least 0.5 s apart for each server, one beside each change of the configuration and others with the same mean gap. Changes of the configuration alter weights, a priority, limits and an added route now; before, only the version changed. Four more callers keep their connections for as long as a node does.

LOST judges each request that was wholly sent, by what its caller saw: it needs a complete answer, a 429 or a 503. Excuses, each a predicate: the own node was killed, paused or cut off meanwhile; it had to end in the middle of an answer; another fault of a server of the service overlapped; a silence ended less than 1.5 s before the deadline that the request reached. Changes, other nodes, the store, and a stop by itself excuse nothing.

--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -11,6 +11,7 @@
 from lab.booking import build_booking_app
 from lab.demo import DemoOptions, run_demo
 from lab.engine import EngineOptions, build_engine_app
+from lab.faults import SILENCE_KINDS, FaultKind
 from lab.platform import build_platform_app
 from lab.records import Recorder
 from lab.scenarios import SCENARIOS
@@ -57,6 +58,7 @@
         duration_s=options.duration,
         load=options.load,
         mean_gap_s=options.gap,
+        gateway_kinds=SILENCE_KINDS if options.silences else tuple(FaultKind),
     )
     options.folder.mkdir(parents=True, exist_ok=True)
     if options.gateway:
@@ -81,6 +83,11 @@
     soak = programs.add_parser("soak", help="load and faults from a seed, and a checker")
     soak.add_argument("--scenario", choices=sorted(SCENARIOS), default="himal")
     soak.add_argument("--gateway", action="store_true", help="nodes as on the users' platform")
+    soak.add_argument(
+        "--silences",
+        action="store_true",
+        help="with --gateway: only silent servers, changes of the configuration, planned stops",
+    )
     soak.add_argument("--duration", type=float, default=120.0, help="seconds of load")
     soak.add_argument("--load", type=float, default=0.6, help="part of the site's capacity")
     soak.add_argument("--gap", type=float, default=3.0, help="mean seconds between faults")
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-__all__ = ["BASE_KINDS", "Fault", "FaultKind", "draw_faults"]
+__all__ = ["BASE_KINDS", "SILENCE_KINDS", "Fault", "FaultKind", "draw_faults"]
 
 
 class FaultKind(StrEnum):
@@ -27,10 +27,17 @@
     RESTORE_STORE = "restore_store"
     LEAVE_SERVER = "leave_server"
     PAUSE_SERVER = "pause_server"
+    SILENCE_SERVER = "silence_server"
 
 
 # Kinds that were drawn first; seeds that failed with them stay as they were.
 BASE_KINDS = tuple(FaultKind)[:12]
+# Silences beside planned work alone: requests that are lost then have no other cause.
+SILENCE_KINDS = (
+    FaultKind.SILENCE_SERVER,
+    *[FaultKind.CHANGE_OBJECTS] * 4,
+    FaultKind.STOP_NODE,
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -64,7 +71,9 @@
 ) -> list[Fault]:
     """Return the faults of a run, ordered by start time.
 
-    Every kind occurs once before any kind is repeated.
+    Every kind occurs once before any kind is repeated. Silences are drawn apart from the others, so
+    that seeds of before draw those as they did: one beside each change of the configuration, and
+    others with the same mean gap.
 
     Examples
     --------
@@ -79,7 +88,7 @@
     start_s = source.expovariate(1 / mean_gap_s)
     while start_s < duration_s:
         if not undrawn:
-            undrawn = list(kinds)
+            undrawn = [kind for kind in kinds if kind is not FaultKind.SILENCE_SERVER]
             source.shuffle(undrawn)
         faults.append(
             Fault(
@@ -90,4 +99,31 @@
             )
         )
         start_s += source.expovariate(1 / mean_gap_s)
+    if FaultKind.SILENCE_SERVER in kinds:
+        faults += _draw_silences(faults, seed=seed, duration_s=duration_s, mean_gap_s=mean_gap_s)
+        faults.sort(key=lambda fault: fault.start_s)
     return faults
+
+
+def _draw_silences(
+    faults: Sequence[Fault], *, seed: int, duration_s: float, mean_gap_s: float
+) -> list[Fault]:
+    source = random.Random(f"silences of {seed}")
+    starts_s = [
+        max(0.0, fault.start_s + source.uniform(-0.8, 0.3))
+        for fault in faults
+        if fault.kind is FaultKind.CHANGE_OBJECTS
+    ]
+    start_s = source.expovariate(1 / mean_gap_s)
+    while start_s < duration_s:
+        starts_s.append(start_s)
+        start_s += source.expovariate(1 / mean_gap_s)
+    return [
+        Fault(
+            start_s=start_s,
+            duration_s=source.uniform(0.3, 1.5),
+            kind=FaultKind.SILENCE_SERVER,
+            victim=source.random(),
+        )
+        for start_s in starts_s
+    ]
--- a/lab/gateway/_caller.py
+++ b/lab/gateway/_caller.py
@@ -8,6 +8,7 @@
 
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
 from flamingoshelf.http1 import BackendConnection, Headers, RequestHead
+from flamingoshelf.utils import now_s
 
 __all__ = ["Answer", "Caller"]
 
@@ -32,6 +33,8 @@
         Whether the response was received to its regular end.
     failure : str
         Error because of which the response is incomplete, or an empty string.
+    sent_s : float
+        Event loop time at which the request was wholly sent, or 0.
     """
 
     request_id: str
@@ -40,6 +43,7 @@
     body: bytes = b""
     is_complete: bool = False
     failure: str = ""
+    sent_s: float = 0.0
 
     @property
     def events(self) -> list[int]:
@@ -94,6 +98,7 @@
                 if connection is None:
                     connection = await BackendConnection.open(address, timeout_s=1.0)
                 connection.send(head, body)
+                answer.sent_s = now_s()
                 response = await connection.read_head()
                 answer.status, answer.headers = response.status, response.headers
                 while part := await connection.read():
--- a/lab/gateway/_site.py
+++ b/lab/gateway/_site.py
@@ -104,7 +104,11 @@
     def configure(self, **changes: Any) -> None:
         """Write the next version of the configuration; `changes` replace top-level fields."""
         self.version += 3
-        self.store.put("config", "main", {**_configuration(self.version), **changes})
+        self.store.put("config", "main", {**self.configuration(), **changes})
+
+    def configuration(self) -> dict[str, Any]:
+        """Return the configuration as it is without changes."""
+        return _configuration(self.version)
 
     async def wait_until_ready(self, address: str) -> None:
         """Wait until the node with the readiness address `address` reports ready."""
--- a/lab/gateway/_soak.py
+++ b/lab/gateway/_soak.py
@@ -9,11 +9,12 @@
 from collections.abc import Awaitable, Sequence
 from pathlib import Path
 
-import attrs
-
-from flamingoshelf.utils import TaskGroup
+from flamingoshelf.exceptions import PeerUnreachableError
+from flamingoshelf.http1 import BackendConnection
+from flamingoshelf.utils import TaskGroup, now_s
 from lab.faults import Fault, FaultKind
 from lab.gateway._caller import Answer
+from lab.gateway._lost import NODE_FAULTS, SERVER_FAULTS, Call, Disruption, find_lost
 from lab.gateway._records import ServerFaults
 from lab.gateway._servers import EngineStandIn, PlainStandIn
 from lab.gateway._site import BOOKINGS, KEY, NOTES, RESUMABLE, STOCK, GatewaySite
@@ -23,13 +24,18 @@
 __all__ = ["run_gateway_faults"]
 
 _CALLER_COUNT = 6
+_KEEPING_CALLER_COUNT = 4  # keep their connections over changes and planned stops
 _CALL_INTERVAL_S = 0.05  # between two calls of a caller
+_DEADLINE_MS = 5000
+_PATHS = (NOTES, RESUMABLE, BOOKINGS, STOCK)
 _EVENTS_PER_STREAM = 20  # 0.2 s of an engine's time
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 _CHUNK_DELAY_S = 0.2  # of each chunk; heartbeats between nodes then exceed their timeout
 _RECOVERY_LIMIT_S = 15.0  # the platform requires that calls are served again within this time
 _STOP_LIMIT_S = 6.0  # for a planned stop: the grace period of 4 s and the time of a start
 _RESTORE_OUTAGE_S = 0.5
+_REST_S = 0.5  # at least, between two silences of a server
+_SKIPPED_S = 0.02  # a fault that ended so soon was skipped for the sake of another one
 _PAUSE_STATED_S = 0.3  # time in which a server turns requests away and asks for a pause
 _SERVER_FAULTS = (
     ServerFaults(reset_before=0.5),
@@ -41,27 +47,28 @@
 )
 
 
-@attrs.frozen(kw_only=True)
-class _Call:
-    path: str
-    answer: Answer
-
-
 class _GatewayRun:
     def __init__(self, site: GatewaySite, *, seed: int) -> None:
         self._site = site
         self._random = random.Random(seed)
-        self._calls: list[_Call] = []
+        self._calls: list[Call] = []
+        self._disruptions: list[Disruption] = []
+        self._changes = random.Random(seed)
         self._faults: Sequence[Fault] = ()
         self._restarting: set[str] = set()  # nodes and servers that a fault restarts
         self._tasks = TaskGroup(owner="gateway_soak")
         self.breaches: list[str] = []
+        self.judged = 0  # requests that met a silence and had to be answered
 
     async def run(self, faults: Sequence[Fault], duration_s: float) -> None:
         """Load the site while faults are injected, then check; faults may overlap."""
         self._faults = faults
         callers = [
-            self._tasks.start(self._send_calls(n), name="caller") for n in range(_CALLER_COUNT)
+            self._tasks.start(self._send_calls(), name="caller") for _ in range(_CALLER_COUNT)
+        ]
+        callers += [
+            self._tasks.start(self._send_calls_on_kept_connections(), name="keeping caller")
+            for _ in range(_KEEPING_CALLER_COUNT)
         ]
         loop = asyncio.get_running_loop()
         started_s = loop.time()
@@ -76,24 +83,65 @@
         await self._tasks.stop()
         self._check_records()
 
-    async def _send_calls(self, number: int) -> None:
+    async def _send_calls(self) -> None:
         while True:
             address = self._random.choice(self._site.node_addresses)
-            await self._call(address, self._random.choice((NOTES, RESUMABLE, BOOKINGS, STOCK)))
+            await self._call(address, self._random.choice(_PATHS))
             await asyncio.sleep(_CALL_INTERVAL_S)
 
-    async def _call(self, address: str, path: str) -> Answer:
+    async def _send_calls_on_kept_connections(self) -> None:
+        """Use a connection for as long as its node keeps it open, then open the next one."""
+        while True:
+            address = self._random.choice(self._site.node_addresses)
+            try:
+                connection = await BackendConnection.open(address, timeout_s=1.0)
+            except PeerUnreachableError:
+                await asyncio.sleep(_CALL_INTERVAL_S)
+                continue
+            while connection.is_reusable:
+                await self._call(address, self._random.choice(_PATHS), connection)
+                await asyncio.sleep(_CALL_INTERVAL_S)
+            connection.close()
+
+    async def _call(
+        self, address: str, path: str, connection: BackendConnection | None = None
+    ) -> Answer:
         is_stream = path in (NOTES, RESUMABLE)
         answer = await self._site.caller.call(
             address,
             f"{path}{self._random.randrange(1000)}",
             method="GET" if path == STOCK else "POST",
+            deadline_ms=_DEADLINE_MS,
             tokens=(500, 8 * _EVENTS_PER_STREAM) if is_stream else None,
+            connection=connection,
+        )
+        call = Call(
+            path=path,
+            service=(self._site.engines if is_stream else self._site.plain)[0].service,
+            node=address,
+            sent_s=answer.sent_s,
+            deadline_s=answer.sent_s + _DEADLINE_MS / 1000,
+            ended_s=now_s(),
+            answer=answer,
         )
-        self._calls.append(_Call(path=path, answer=answer))
+        self._calls.append(call)
         return answer
 
     async def _inject(self, fault: Fault) -> None:
+        """Inject a fault, and record when it really began and ended."""
+        target = ""
+        if fault.kind in (*NODE_FAULTS, FaultKind.STOP_NODE):
+            target = self._site.node_addresses[int(fault.victim * len(self._site.nodes))]
+        elif fault.kind in (*SERVER_FAULTS, FaultKind.SILENCE_SERVER):
+            target = self._pick_server(fault).service
+        start_s = now_s()
+        await self._apply(fault)
+        if now_s() - start_s > _SKIPPED_S:
+            self._disruptions.append(
+                Disruption(kind=fault.kind, target=target, start_s=start_s, end_s=now_s())
+            )
+
+    async def _apply(self, fault: Fault) -> None:
         number = int(fault.victim * len(self._site.nodes))
         node = self._site.nodes[number]
         match fault.kind:
@@ -115,7 +163,7 @@
                 await self._disturb_store(fault)
             case FaultKind.CHANGE_OBJECTS:
                 for _ in range(3):
-                    self._site.configure()
+                    self._site.configure(**self._change_configuration())
                     await asyncio.sleep(0.1)
             case FaultKind.KILL_ENGINE:
                 server = self._pick_server(fault)
@@ -130,6 +178,8 @@
                 server.faults = faults
                 await asyncio.sleep(fault.duration_s)
                 server.faults = ServerFaults()
+            case FaultKind.SILENCE_SERVER:
+                await self._silence(self._pick_server(fault), fault.duration_s)
             case FaultKind.RESTORE_STORE:
                 await self._restore_store(fault.duration_s)
             case FaultKind.LEAVE_SERVER:
@@ -143,6 +193,24 @@
                 await asyncio.sleep(_PAUSE_STATED_S)
                 server.faults = ServerFaults()
 
+    def _change_configuration(self) -> dict[str, object]:
+        """Return other routes, weights and limits, which serve all requests as before."""
+        document = self._site.configuration()
+        routes = document["routes"]
+        split = [
+            {"service": routes[0]["service"], "weight": self._changes.randint(1, 5)}
+            for _ in range(2)
+        ]
+        changed = {**routes[0], "backends": split, "priority": self._changes.randint(1, 3)}
+        added = {**routes[-1], "name": "added", "pathPrefix": f"/{self._changes.random()}/"}
+        limits = {
+            **document["limits"],
+            "maxBodyBytes": self._changes.choice((16384, 65536)),
+            "headerTimeoutMs": self._changes.choice((500, 3000)),
+            "idleTimeoutMs": self._changes.choice((1000, 15000)),
+        }
+        return {"routes": [changed, *routes[1:], added], "limits": limits}
+
     async def _restore_store(self, delay_s: float) -> None:
         """Take a copy; later, the store is away for a moment and comes back from the copy."""
         store = self._site.store
@@ -163,6 +231,14 @@
         await server.start()
         self._site.register(server)
 
+    async def _silence(self, server: EngineStandIn | PlainStandIn, seconds: float) -> None:
+        """Freeze a server; a rest follows, as two silences at once would be a longer one."""
+        name = server.instance_id
+        if name not in self._restarting:
+            self._restarting.add(name)
+            await server.freeze(seconds)
+            asyncio.get_running_loop().call_later(_REST_S, self._restarting.discard, name)
+
     async def _restart_exclusively(self, name: str, change: Awaitable[None]) -> None:
         """Stop and restart a node or server, unless another fault is doing so already."""
         if name in self._restarting:
@@ -231,7 +307,7 @@
     async def _check_recovery(self) -> None:
         """Check that every node serves every kind of call after all faults have ended."""
         for address in self._site.node_addresses:
-            for path in (NOTES, RESUMABLE, BOOKINGS, STOCK):
+            for path in _PATHS:
                 try:
                     async with asyncio.timeout(_RECOVERY_LIMIT_S):
                         while not _is_served(await self._call(address, path)):
@@ -249,12 +325,14 @@
         for run in (*self._site.log.runs, *self._site.log.prefills):
             if KEY in str(run.headers):
                 self.breaches.append(f"{run.server} saw a key")
+        lost, self.judged = find_lost(self._calls, self._disruptions)
+        self.breaches += lost
         self._check_orders()
 
-    def _check_call(self, call: _Call) -> None:
+    def _check_call(self, call: Call) -> None:
         answer = call.answer
         runs = self._site.log.runs_of(answer.request_id)
-        name = f"{call.path}{answer.request_id}"
+        name = call.name
         if call.path in (NOTES, BOOKINGS) and len(runs) > 1:
             self.breaches.append(f"{name} ran {len(runs)} times")
         if call.path in (NOTES, BOOKINGS) and answer.status in _NOT_RUN_STATUSES and runs:
@@ -300,4 +378,8 @@
     finally:
         await site.stop()
     served = sum(_is_served(call.answer) for call in run._calls)
-    return run.breaches, {"calls": len(run._calls), "served": served}
+    return run.breaches, {
+        "calls": len(run._calls),
+        "served": served,
+        "judged": run.judged,
+    }
