--- a/lab/tests/test_soak.py
+++ b/lab/tests/test_soak.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lab.faults import BASE_KINDS, FaultKind
+from lab.faults import BASE_KINDS, SILENCE_KINDS, FaultKind
 from lab.scenarios import SCENARIOS
 from lab.soak import SoakOptions, run_gateway_soak, run_soak
 
@@ -45,3 +45,12 @@
     assert report.breaches == [], report.faults
     assert report.measures["served"] > 50
     assert report.faults
+
+
+# Runs whose engine only paused were closed, and their streams aborted or answered with 502.
+@pytest.mark.parametrize("seed", [803, 812])
+async def test_silences_beside_planned_work_lose_no_request(tmp_path, seed):
+    options = _options(seed, duration_s=15.0, gateway_kinds=SILENCE_KINDS)
+    report = await run_gateway_soak(folder=tmp_path, options=options)
+    assert report.breaches == [], report.faults
+    assert report.measures["judged"] > 100
