Plain calls: a refusal names this node's limit of connections

What callers saw: with all connections to silent servers in use, calls were refused as no_backend, "No server of the service can be reached", which sends operators to the servers. Cause: the refusal was chosen without looking at the last error. Now queue_full with this node's limit as its detail; the test failed with no_backend.

--- a/flamingoshelf/gateway/_plain_state.py
+++ b/flamingoshelf/gateway/_plain_state.py
@@ -5,7 +5,7 @@
 from flamingoshelf.gateway._admission import AdmittedRequest
 from flamingoshelf.gateway._backend_client import NotRunError, ServerPausedError
 from flamingoshelf.gateway._plain_attempt import PlainAttempt
-from flamingoshelf.http1 import Exchange
+from flamingoshelf.http1 import Exchange, NoFreeConnectionError
 from flamingoshelf.refusals import Refusal, RefusalReason
 from flamingoshelf.utils import now_s
 
@@ -88,6 +88,9 @@
     if state.rejections:
         detail = "The servers are full."
         return _not_run_refusal(RefusalReason.QUEUE_FULL, detail, _REJECTED_RETRY_AFTER_S)
+    if isinstance(state.last_error, NoFreeConnectionError):
+        detail = "All connections of this node to the servers are in use."
+        return _not_run_refusal(RefusalReason.QUEUE_FULL, detail, _NO_SERVER_RETRY_AFTER_S)
     detail = "No server of the service can be reached."
     return _not_run_refusal(RefusalReason.NO_BACKEND, detail, _NO_SERVER_RETRY_AFTER_S)
 
--- a/flamingoshelf/gateway/tests/test_plain_faults.py
+++ b/flamingoshelf/gateway/tests/test_plain_faults.py
@@ -32,6 +32,7 @@
 )
 from flamingoshelf.http1 import Exchange, Headers, NoFreeConnectionError, RequestHead
 from flamingoshelf.placement import PlainCallMeter
+from flamingoshelf.refusals import RefusalReason
 from flamingoshelf.retries import RetryBounds, RetryBudget
 from flamingoshelf.routing import (
     CallKind,
@@ -147,6 +148,22 @@
     assert servers.share_of("a", 2.5, 4.0) > 0.5
 
 
+@pytest.mark.looptime
+async def test_refusal_for_lack_of_connections_says_so(
+    targets, crash_detector, metrics, new_request, new_exchange, list_servers
+):
+    """Guards against a refusal that blames servers for this node's own limit."""
+    list_servers(server("a"))
+    servers = SilentServers(max_connections=0)
+    request = new_request(CallKind.NON_IDEMPOTENT)
+    exchange, _ = new_exchange(request)
+    refusal = await make_forwarder(servers, targets, crash_detector, metrics).forward(
+        exchange, request
+    )
+    assert (refusal.status, refusal.not_run) == (503, True)
+    assert refusal.reason is RefusalReason.QUEUE_FULL and "connections" in refusal.detail
+
+
 @pytest.mark.looptime
 @pytest.mark.parametrize("kinds", KINDS)
 async def test_silent_server_delays_few_callers(run_load, kinds):
