Refuse requests that get no turn before their callers leave

Callers saw: neither an answer nor a refusal, until they left. FleetPlacer.acquire asked again without end while replies were lost, and nothing bounded the wait for a coordinator; a node cut off from a large fleet knows none for seconds. A processed prompt waited for a coordinator beyond the life time of its handle. A reply that fails at once, with the coordinator unchanged, made the loop spin without a pause.

Now a request without a decision is refused 0.1 s before its caller leaves: not run, come back in 1 s, with a line "no turn in time" that says for how long no coordinator was known and how many replies were lost. Its request to the dispatcher stays open until the reply is overdue, so a coordinator that loses replies is still noticed, and is withdrawn then. A confirm has 0.45 s in all, then it uses the engine expected at the grant, as for a lost reply. A change of the coordinator is ridden out as before. The requests to the coordinator moved to a module of their own.

--- a/flamingoshelf/placement/_fleet.py
+++ b/flamingoshelf/placement/_fleet.py
@@ -10,6 +10,7 @@
 from flamingoshelf.base import NodeLink
 from flamingoshelf.cluster import Coordination
 from flamingoshelf.exceptions import FlamingoshelfError
+from flamingoshelf.placement._coordinator_calls import CallRecord, CoordinatorCalls
 from flamingoshelf.placement._health import FailureKind
 from flamingoshelf.placement._messages import (
     AcquireTurn,
@@ -27,6 +28,7 @@
     TurnUpdates,
 )
 from flamingoshelf.placement._plain_calls import PlainCallMeter
+from flamingoshelf.placement._refusals import no_decision_refusal
 from flamingoshelf.placement._service import DispatcherService
 from flamingoshelf.placement._types import (
     DecodeRun,
@@ -46,6 +48,8 @@
 _MAX_REPORTS_PER_S = 600.0
 _REPORT_TIMEOUT_S = 0.4  # longer than any reply of a healthy node takes
 _CONFIRM_TIMEOUT_S = 0.45  # about the lifetime of a prefill's KV cache handle
+_REFUSAL_LEAD_S = 0.1  # a refusal must reach the caller before it leaves
+_ASK_AGAIN_DELAY_S = 0.01  # after a lost reply
 _EARLIER_TOKENS_PER_EVENT = 8  # as dispatchers of earlier versions count
 _REPLY_SLACK_S = 0.5  # beyond the request's own wait, by whose end the dispatcher must have replied
 
@@ -95,6 +99,9 @@
         self._reported_coordinator: str | None = None  # coordinator that knows the held turns
         self._reported_any_turns = False  # whether the last report listed turns
         self._pending_updates: dict[str, list[Callable[[dict[str, list[Any]]], None]]] = {}
+        self._calls = CoordinatorCalls(
+            node_name=node_name, dispatchers=dispatchers, on_lost_reply=self._report_again
+        )
         self._tasks = TaskGroup(owner="placer")
 
     async def start(self) -> None:
@@ -109,32 +116,77 @@
         """Use the dispatcher of the fleet's coordinator from now on."""
         self._link = link
         self._coordination = coordination
+        self._calls.connect(link, coordination)
 
     async def acquire(self, request: PlacementRequest) -> Turn | Refusal:
-        """Return a granted turn or a refusal; ask again if the coordinator is lost."""
+        """Return a granted turn or a refusal; ask again if the coordinator is lost.
+
+        A request that gets no decision is refused shortly before its caller leaves.
+        """
         requested_s = now_s()
+        bound_s = request.wait_left_s - min(_REFUSAL_LEAD_S, request.wait_left_s / 2)
+        record = CallRecord()
+        asking = asyncio.ensure_future(
+            self._ask_for_turn(request, until_s=requested_s + bound_s, record=record)
+        )
         try:
-            while True:
-                waited_s = now_s() - requested_s
-                current = attrs.evolve(
-                    request,
-                    goal_left_s=request.goal_left_s - waited_s,
-                    wait_left_s=request.wait_left_s - waited_s,
-                    deadline_left_s=request.deadline_left_s - waited_s,
-                )
-                outcome = await self._request_turn(current)
-                if outcome is not None:
-                    break
+            await asyncio.wait({asking}, timeout=max(0.0, bound_s))
         except asyncio.CancelledError:
+            asking.cancel()
             self._withdraw(request)
             raise
+        outcome = asking.result() if asking.done() else None
+        waited_s = now_s() - requested_s
+        if outcome is None:
+            self._tasks.start(self._withdraw_late(request, asking), name="late_reply")
+            self._log_no_decision(request, record, waited_s=waited_s)
+            return no_decision_refusal(request.service)
         if isinstance(outcome, Turn):
-            self._log_turn(outcome, request, waited_s=now_s() - requested_s)
+            self._log_turn(outcome, request, waited_s=waited_s)
             self._held[request.turn_id] = _HeldTurn(
                 turn=outcome, request=request, decode_id=outcome.decode_id
             )
         return outcome
 
+    async def _ask_for_turn(
+        self, request: PlacementRequest, *, until_s: float, record: CallRecord
+    ) -> Turn | Refusal | None:
+        """Return the dispatcher's decision; None if the last reply by `until_s` was lost."""
+        requested_s = now_s()
+        while True:
+            waited_s = now_s() - requested_s
+            current = attrs.evolve(
+                request,
+                goal_left_s=request.goal_left_s - waited_s,
+                wait_left_s=request.wait_left_s - waited_s,
+                deadline_left_s=request.deadline_left_s - waited_s,
+            )
+            outcome = await self._request_turn(current, record)
+            if outcome is not None or now_s() >= until_s:
+                return outcome
+            await asyncio.sleep(_ASK_AGAIN_DELAY_S)
+
+    async def _withdraw_late(
+        self, request: PlacementRequest, asking: asyncio.Future[Turn | Refusal | None]
+    ) -> None:
+        """Withdraw a refused request once its reply came or is lost, so that a loss is noticed."""
+        await asking
+        self._withdraw(request)
+
+    def _log_no_decision(
+        self, request: PlacementRequest, record: CallRecord, *, waited_s: float
+    ) -> None:
+        logger.bind(
+            request_id=request_id_of(request.turn_id),
+            step="place",
+            peer=None if self._coordination is None else self._coordination.coordinator,
+            turn=request.turn_id,
+            waited_s=round(waited_s, 3),
+            unknown_s=round(record.unknown_s, 3),
+            lost_replies=record.lost_replies,
+            leaves_in_s=round(request.wait_left_s - waited_s, 3),
+        ).warning("no turn in time")
+
     def _log_turn(self, turn: Turn, request: PlacementRequest, *, waited_s: float) -> None:
         coordinator = None if self._coordination is None else self._coordination.coordinator
         logger.bind(
@@ -154,7 +206,7 @@
     async def confirm(self, turn: Turn) -> str | None:
         """Return the decode engine for a processed prompt, or None if none has room in time."""
         payload = ConfirmDecode(service=turn.service, turn_id=turn.turn_id)
-        reply = await self._request(payload, timeout_s=_CONFIRM_TIMEOUT_S)
+        reply = await self._calls.request(payload, timeout_s=_CONFIRM_TIMEOUT_S)
         if isinstance(reply, DecodeConfirmed) and reply.is_known:
             decode_id = reply.decode_id or None
         else:  # the dispatcher is lost or new: use the engine expected at the grant
@@ -203,10 +255,13 @@
         """Report that an engine refused work for lack of room."""
         self._queue_update(service, "rejected", engine_id)
 
-    async def _request_turn(self, request: PlacementRequest) -> Turn | Refusal | None:
+    async def _request_turn(
+        self, request: PlacementRequest, record: CallRecord
+    ) -> Turn | Refusal | None:
         """Return the dispatcher's decision, or None if the reply was lost."""
         timeout_s = max(0.0, request.wait_left_s) + _REPLY_SLACK_S
-        reply = await self._request(AcquireTurn(request=request), timeout_s=timeout_s)
+        payload = AcquireTurn(request=request)
+        reply = await self._calls.request(payload, timeout_s=timeout_s, record=record)
         match reply:
             case TurnGranted():
                 return reply.turn
@@ -214,54 +269,9 @@
                 return reply.refusal
         return None
 
-    async def _request(self, payload: Any, *, timeout_s: float) -> Any:
-        """Return the coordinator's reply, or None if it was lost or the coordinator changed."""
-        if self._coordination is None or self._link is None:
-            return await self._request_self(payload)
-        coordinator = await self._coordination.wait_for_coordinator()
-        request = asyncio.ensure_future(
-            self._link.request(coordinator, payload, timeout_s=timeout_s)
-        )
-        coordinator_change = asyncio.ensure_future(
-            self._coordination.wait_for_coordinator_change(coordinator)
-        )
-        try:
-            with self._coordination.during_request():
-                await asyncio.wait(
-                    (request, coordinator_change), return_when=asyncio.FIRST_COMPLETED
-                )
-            if request.done():
-                return request.result()
-            logger.bind(step="place", peer=coordinator).info("coordinator changed")
-        except FlamingoshelfError as error:
-            logger.bind(step="place", peer=coordinator).info(
-                "request to coordinator failed: {}", error.message
-            )
-            self._coordination.report_failure(coordinator)
-            # Report again, as the lost reply may have granted a turn.
-            self._reported_coordinator = None
-        finally:
-            request.cancel()
-            coordinator_change.cancel()
-        return None
-
-    async def _request_self(self, payload: Any) -> Any:
-        """Return the reply of this node's own dispatcher.
-
-        Raises
-        ------
-        TypeError
-            `payload` isn't a request to a dispatcher.
-        """
-        match payload:
-            case AcquireTurn():
-                outcome = await self._dispatchers.acquire(payload.request, self._node_name)
-                if isinstance(outcome, Turn):
-                    return TurnGranted(turn=outcome)
-                return TurnRefused(refusal=outcome)
-            case ConfirmDecode():
-                return await self._dispatchers.confirm(payload)
-        raise TypeError(f"not a dispatcher request: {payload!r}")
+    def _report_again(self) -> None:
+        """Report to the coordinator again, as a lost reply may have granted a turn."""
+        self._reported_coordinator = None
 
     def _withdraw(self, request: PlacementRequest) -> None:
         """Tell the dispatcher that the caller no longer waits for a turn."""
--- a/flamingoshelf/placement/_refusals.py
+++ b/flamingoshelf/placement/_refusals.py
@@ -2,11 +2,28 @@
 
 from flamingoshelf.refusals import Refusal, RefusalReason
 
-__all__ = ["no_engine_refusal", "no_retry_budget_refusal", "queue_full_refusal"]
+__all__ = [
+    "no_decision_refusal",
+    "no_engine_refusal",
+    "no_retry_budget_refusal",
+    "queue_full_refusal",
+]
 
 _NO_ENGINE_RETRY_S = 1.0  # a replaced engine is listed within about a second
 
 
+def no_decision_refusal(service: str) -> Refusal:
+    """Return the refusal of a request that got no decision before its caller gives up."""
+    return Refusal(
+        reason=RefusalReason.NO_BACKEND,
+        status=503,
+        detail=f"No engine of {service} could be assigned in time.",
+        not_run=True,
+        retry_after_s=_NO_ENGINE_RETRY_S,
+        step="place",
+    )
+
+
 def no_engine_refusal(service: str) -> Refusal:
     """Return the refusal of a request that no engine can run."""
     return Refusal(
