Refund the retry budget for repeats that get no turn

Callers would see: "too many requests were repeated lately", or an aborted stream, though few calls were repeated. The dispatcher takes the cost of a repeat from the fleet's budget before it queues the request, and kept it when the request was then refused, withdrawn, or above its workspace's rate limit: no engine was called. A stream that asks several times while engines are full pays each time.

The cost is returned with the workspace's tokens, never above the reserve. A granted turn stays paid for, and first attempts get nothing back.

--- a/flamingoshelf/placement/_service.py
+++ b/flamingoshelf/placement/_service.py
@@ -122,6 +122,7 @@
             return no_retry_budget_refusal(request.service)
         refusal = self._limits.charge(request.workspace, request.charge_tokens)
         if refusal is not None:
+            self._budget(request.service).refund(request.repeat_cost)
             return refusal
         outcome: Turn | Refusal | None = None
         try:
@@ -130,6 +131,7 @@
         finally:
             if not isinstance(outcome, Turn):  # the request was refused or cancelled
                 self._limits.refund(request.workspace, request.charge_tokens)
+                self._budget(request.service).refund(request.repeat_cost)
 
     def _charge_retry_budget(self, request: PlacementRequest, owner: str) -> bool:
         """Record a first attempt, or take a repeat from the fleet's retry budget.
--- a/flamingoshelf/placement/tests/test_bounded_waits.py
+++ b/flamingoshelf/placement/tests/test_bounded_waits.py
@@ -66,7 +66,7 @@
         super().notify(peer, message)
 
 
-def new_dispatchers():
+def new_dispatchers(*, budget=None, limits=None, other_nodes=frozenset()):
     return DispatcherService(
         new_dispatcher=lambda name: Dispatcher(
             service=name,
@@ -74,9 +74,9 @@
             profile=lambda: PROFILE,
             random_source=random.Random(1),
         ),
-        limits=WorkspaceLimits(limit=lambda name: None),
-        budget=lambda name: RetryBudget(node_count=lambda: 1),
-        other_nodes=lambda: set(),
+        limits=limits or WorkspaceLimits(limit=lambda name: None),
+        budget=lambda name: budget or RetryBudget(node_count=lambda: 1),
+        other_nodes=lambda: set(other_nodes),
     )
 
 
--- a/flamingoshelf/retries/_budget.py
+++ b/flamingoshelf/retries/_budget.py
@@ -100,6 +100,10 @@
         self._balance -= amount
         return True
 
+    def refund(self, amount: float) -> None:
+        """Return `amount` retries that were spent but not made; the reserve is not exceeded."""
+        self._refill(amount)
+
     @property
     def _reserve(self) -> float:
         """Largest balance of this node."""
--- a/flamingoshelf/retries/tests/test_retries.py
+++ b/flamingoshelf/retries/tests/test_retries.py
@@ -106,3 +106,15 @@
     late = [backoff.delay_s(5, remaining_s=0.05) for _ in range(30)]
     assert None in late
     assert all(delay is None or delay < 0.05 for delay in late)
+
+
+@pytest.mark.looptime
+async def test_refund_fills_the_budget_no_further_than_its_reserve():
+    """Guards against retries beyond the fleet's share after many refunds."""
+    budget = RetryBudget(node_count=lambda: 1, bounds=RetryBounds(fleet_reserve=3.0))
+    assert budget.try_spend(2.0)
+    budget.refund(2.0)
+    assert spend_all(budget) == 3
+    for _ in range(5):
+        budget.refund(2.0)
+    assert spend_all(budget) == 3
