Keep engines in use that queued requests avoid

Callers would see: refusals, or late answers, while an engine is idle. A stream that stalled at an engine asks for a turn elsewhere, and goes first in the queue. Since the engine that it avoids often had most free memory, that engine was reserved for it, and everyone behind waited for as long as the stream did (its deadline, not a caller's patience). If all engines were avoided, the queue stopped at the request. And only the first eight of the queue are considered, so a dozen stalled streams hid everyone behind them.

Evidence, test_avoided_engines.py on the code before: three tests found the next request without its turn ([] instead of ["other"]).

Engines are reserved only for requests that may use them, and requests that avoid engines are counted apart from the first eight, up to sixteen.

--- a/flamingoshelf/placement/_dispatcher.py
+++ b/flamingoshelf/placement/_dispatcher.py
@@ -17,7 +17,7 @@
 from flamingoshelf.placement._feasibility import FeasibilityChecker
 from flamingoshelf.placement._forecast import PrefillForecast
 from flamingoshelf.placement._owner_reports import OwnerReports
-from flamingoshelf.placement._queue import QueuedRequest, WaitingQueue
+from flamingoshelf.placement._queue import QueuedRequest, WaitingQueue, grant_candidates
 from flamingoshelf.placement._refusals import no_engine_refusal, queue_full_refusal
 from flamingoshelf.placement._refused_requests import RefusedRequests
 from flamingoshelf.placement._role_plan import RequestCost
@@ -41,7 +41,6 @@
 # Part of a handle's lifetime for which a processed prompt waits for room at a decode engine.
 _CONFIRM_LIFETIME_SHARE = 0.6
 _CHECK_INTERVAL_S = 0.05  # between checks for infeasible requests and for lost turns
-_MAX_GRANT_CANDIDATES = 8  # queued requests that are considered for one grant
 
 
 class Dispatcher:
@@ -266,11 +265,7 @@
     def _choose_decodes(self) -> list[DecodeChosen]:
         """Choose decode engines for processed prompts, in order of expiry."""
         now = self._clock()
-        waiting = [
-            active_turn
-            for active_turn in self._active_turns.values()
-            if active_turn.confirm_by_s is not None
-        ]
+        waiting = [turn for turn in self._active_turns.values() if turn.confirm_by_s is not None]
         waiting.sort(key=lambda active: active.confirm_by_s or 0.0)
         chosen = []
         for active in waiting:
@@ -349,10 +344,10 @@
         now = self._clock()
         ranked_requests = self._rank_queue(PrefillForecast(engines=self._engines, now_s=now), now)
         blocked: set[str] = set()  # engines reserved for earlier requests that don't fit yet
-        for queued, is_on_time in ranked_requests[:_MAX_GRANT_CANDIDATES]:
+        for queued, is_on_time in grant_candidates(ranked_requests):
+            request = queued.request
             if not is_on_time and not self._has_spare_memory(now):
                 break
-            request = queued.request
             prefill_id = self._selector.prefill(request, now)
             if prefill_id is None and self._engines.has_prefill:
                 if request.avoid and self._selector.has_idle_prefill(now):
@@ -361,10 +356,11 @@
             decode_id = self._selector.decode(request, now, near=prefill_id, blocked=blocked)
             if decode_id is not None:
                 return self._grant(queued, prefill_id, decode_id, is_late=not is_on_time)
-            most_free = self._engines.most_free_decode(now, blocked)
-            if most_free is None:
-                break
-            blocked.add(most_free)
+            most_free = self._engines.most_free_decode(now, blocked, avoid=request.avoid)
+            if most_free is not None:
+                blocked.add(most_free)
+            elif not request.avoid:
+                break  # all decode engines are reserved
         return None
 
     def _grant(
--- a/flamingoshelf/placement/_engines.py
+++ b/flamingoshelf/placement/_engines.py
@@ -160,10 +160,12 @@
         engine = None if key is None else self._listed.get(key)
         return None if engine is None else engine.data_centre
 
-    def most_free_decode(self, now_s: float, blocked: Iterable[str]) -> str | None:
-        """Return the decode engine with most free memory, except those in `blocked`."""
+    def most_free_decode(
+        self, now_s: float, blocked: Iterable[str], *, avoid: Iterable[str] = ()
+    ) -> str | None:
+        """Return the decode engine with most free memory, except those in `blocked` or `avoid`."""
         excluded = set(blocked)
-        engines = [e for e in self.usable_decodes() if e.key not in excluded]
+        engines = [e for e in self.usable_decodes(avoid=avoid) if e.key not in excluded]
         choice = max(
             engines, key=lambda e: self.decode_tracker(e.key).free_tokens(now_s), default=None
         )
--- a/flamingoshelf/placement/_queue.py
+++ b/flamingoshelf/placement/_queue.py
@@ -6,7 +6,11 @@
 
 from flamingoshelf.placement._types import PlacementRequest
 
-__all__ = ["QueuedRequest", "WaitingQueue"]
+__all__ = ["QueuedRequest", "WaitingQueue", "grant_candidates"]
+
+_MAX_CANDIDATES = 8  # queued requests that are considered for one grant
+# As many runs as a full engine usually has; they leave it to the requests behind them.
+_MAX_AVOIDING_CANDIDATES = 16
 
 
 @attrs.frozen(kw_only=True)
@@ -75,6 +79,23 @@
         return sorted(entries, key=lambda entry: _rank(*entry))
 
 
+def grant_candidates(
+    ranked: list[tuple[QueuedRequest, bool]],
+) -> Iterator[tuple[QueuedRequest, bool]]:
+    """Return the first of the ranked requests.
+
+    Those that avoid engines are counted apart, as these engines are left for the others.
+    """
+    left = {True: _MAX_AVOIDING_CANDIDATES, False: _MAX_CANDIDATES}
+    for queued, is_on_time in ranked:
+        avoids_engines = bool(queued.request.avoid)
+        left[avoids_engines] -= 1
+        if left[avoids_engines] >= 0:
+            yield queued, is_on_time
+        elif not avoids_engines:
+            return
+
+
 def _rank(queued: QueuedRequest, is_on_time: bool) -> tuple[bool, bool, int, float]:
     """Return the sort key of a request; the lowest key is served first."""
     request = queued.request
--- /dev/null
+++ b/flamingoshelf/placement/tests/test_avoided_engines.py
@@ -0,0 +1,101 @@
+"""Requests that avoid engines which failed them."""
+
+import random
+
+from flamingoshelf.placement import Dispatcher, FailureKind, PlacementRequest, Turn
+from flamingoshelf.placement._decisions import TurnDecided
+from flamingoshelf.placement.tests.simulation import PROFILE, add_reference_measurements
+from flamingoshelf.routing import BackendInstance, EngineRole
+
+
+class Bench:
+    """A dispatcher with measured engines, a paused clock and requests that avoid engines."""
+
+    def __init__(self, *, prefills=2, decodes=1):
+        self.now = 100.0
+        names = [*(f"p{n}" for n in range(prefills)), *(f"d{n}" for n in range(decodes))]
+        self.engines = [
+            BackendInstance(
+                instance_id=name,
+                service="s",
+                address=f"{name}:80",
+                data_centre="a",
+                role=EngineRole.PREFILL if name.startswith("p") else EngineRole.DECODE,
+            )
+            for name in names
+        ]
+        self.dispatcher = Dispatcher(
+            service="s",
+            instances=lambda: self.engines,
+            profile=lambda: PROFILE,
+            random_source=random.Random(1),
+            clock=lambda: self.now,
+        )
+        add_reference_measurements(self.dispatcher.model)
+        self.dispatcher.decide()
+
+    def ask(self, name, *, avoid=(), prompt_tokens=1000, is_resumed=False):
+        request = PlacementRequest(
+            turn_id=name,
+            service="s",
+            prompt_tokens=prompt_tokens,
+            expected_tokens=100,
+            goal_left_s=0.9,
+            wait_left_s=3.6,
+            deadline_left_s=14.0,
+            avoid=avoid,
+            is_resumed=is_resumed,
+        )
+        self.dispatcher.enqueue(request, "n")
+
+    def fail(self, engine, kind=FailureKind.BROKE_OFF):
+        self.dispatcher.engines.record_failure(engine, kind, detail="x")
+
+    def answer_probe(self, engine):
+        self.dispatcher.engines.health.record_probe(engine, is_answered=True, now_s=self.now)
+
+    def granted(self):
+        """Return the prefill and decode engine of each request that is granted now."""
+        return {
+            decision.turn_id: (decision.outcome.prefill_id, decision.outcome.decode_id)
+            for decision in self.dispatcher.decide()
+            if isinstance(decision, TurnDecided) and isinstance(decision.outcome, Turn)
+        }
+
+
+def test_engine_is_not_reserved_for_a_request_that_avoids_it():
+    """Guards against an idle engine: a stalled stream reserved the engine that it had left."""
+    bench = Bench()
+    bench.ask("stalled", avoid=("d0",), is_resumed=True)
+    bench.ask("other")
+    assert list(bench.granted()) == ["other"]
+
+
+def test_requests_that_avoid_an_engine_do_not_stop_those_that_do_not():
+    """Guards against a queue that stops at the first request without an engine left to reserve."""
+    bench = Bench(decodes=2)
+    for number in range(3):
+        bench.ask(f"stalled{number}", avoid=("d0", "d1"), is_resumed=True)
+    bench.ask("other")
+    assert list(bench.granted()) == ["other"]
+
+
+def test_many_stalled_streams_do_not_hide_the_requests_behind_them():
+    """Guards against an idle engine while a dozen streams that left it wait for the others."""
+    bench = Bench(decodes=2)
+    bench.ask("first", avoid=("d0",), prompt_tokens=32_000)  # fills the engine
+    assert [engines[1] for engines in bench.granted().values()] == ["d1"]
+    for number in range(12):
+        bench.ask(f"stalled{number}", avoid=("d0",), is_resumed=True)
+    bench.ask("other")
+    assert list(bench.granted()) == ["other"]
+
+
+def test_engine_is_reserved_for_an_earlier_request_that_may_use_it():
+    """Guards against long prompts that never start, as shorter ones take the memory first."""
+    bench = Bench(decodes=1)
+    bench.ask("first", prompt_tokens=20_000)
+    assert list(bench.granted()) == ["first"]
+    bench.ask("long", prompt_tokens=20_000, is_resumed=True)
+    bench.ask("short", prompt_tokens=100)
+    assert bench.granted() == {}
