Try an avoided engine again if it answers and no other is in use

Callers saw: a refusal after their whole wait, though the only engine of a role was silent for half a second. A request avoids each engine that failed it, until its end. With one engine in a role, or with the others down, no engine was left, and the request waited in vain for one.

An avoided engine is now used if no other engine of its role is in use and it is not suspected: it has answered a probe or run a call since its last failure. Where another engine is only full, requests wait for that one as before.

--- a/flamingoshelf/placement/_engines.py
+++ b/flamingoshelf/placement/_engines.py
@@ -140,11 +140,11 @@
         self._usable.clear()
 
     def usable_prefills(self, *, avoid: Iterable[str] = ()) -> list[BackendInstance]:
-        """Return the prefill engines that may get work, except those in `avoid`."""
+        """Return the prefill engines that may get work, if possible none of those in `avoid`."""
         return self._usable_engines(EngineRole.PREFILL, avoid)
 
     def usable_decodes(self, *, avoid: Iterable[str] = ()) -> list[BackendInstance]:
-        """Return the decode engines that may get work, except those in `avoid`."""
+        """Return the decode engines that may get work, if possible none of those in `avoid`."""
         return self._usable_engines(EngineRole.DECODE, avoid)
 
     def is_usable(self, key: str) -> bool:
@@ -224,7 +224,11 @@
             usable = [e for e in listed if e.role is role and self.is_usable(e.key)]
             self._usable[role] = usable
         avoided = set(avoid)
-        return [engine for engine in usable if engine.key not in avoided] if avoided else usable
+        if not avoided:
+            return usable
+        others = [engine for engine in usable if engine.key not in avoided]
+        # With no other engine in use, one that was silent may be tried again once it answers.
+        return others or [e for e in usable if not self._health.is_suspected(e.key)]
 
     def _resize(self, tracker: DecodeEngineTracker) -> None:
         if self._applied_profile is not None:
--- a/flamingoshelf/placement/_health.py
+++ b/flamingoshelf/placement/_health.py
@@ -57,6 +57,11 @@
             return False
         return record.is_replaced or now_s < record.down_since_s + _UNPROBED_RETRY_S
 
+    def is_suspected(self, key: str) -> bool:
+        """Return whether an engine failed a call and has neither run one nor answered since."""
+        record = self._records.get(key)
+        return record is not None and record.is_suspected
+
     def tier(self, key: str, now_s: float) -> int:
         """Return the tier by failure rate: 0 healthy, 1 degraded, 2 bad."""
         record = self._records.get(key)
--- a/flamingoshelf/placement/tests/test_avoided_engines.py
+++ b/flamingoshelf/placement/tests/test_avoided_engines.py
@@ -66,6 +66,7 @@
 def test_engine_is_not_reserved_for_a_request_that_avoids_it():
     """Guards against an idle engine: a stalled stream reserved the engine that it had left."""
     bench = Bench()
+    bench.fail("d0")
     bench.ask("stalled", avoid=("d0",), is_resumed=True)
     bench.ask("other")
     assert list(bench.granted()) == ["other"]
@@ -74,6 +75,8 @@
 def test_requests_that_avoid_an_engine_do_not_stop_those_that_do_not():
     """Guards against a queue that stops at the first request without an engine left to reserve."""
     bench = Bench(decodes=2)
+    bench.fail("d0")
+    bench.fail("d1")
     for number in range(3):
         bench.ask(f"stalled{number}", avoid=("d0", "d1"), is_resumed=True)
     bench.ask("other")
@@ -99,3 +102,33 @@
     bench.ask("long", prompt_tokens=20_000, is_resumed=True)
     bench.ask("short", prompt_tokens=100)
     assert bench.granted() == {}
+
+
+def test_request_that_avoids_all_engines_gets_one_that_is_sound_again():
+    """Guards against a request that waits in vain: the only engines were silent for a second."""
+    bench = Bench(prefills=1, decodes=1)
+    bench.fail("p0")
+    bench.fail("d0")
+    bench.ask("stalled", avoid=("p0", "d0"))
+    assert bench.granted() == {}  # neither has answered since
+    bench.answer_probe("p0")
+    assert bench.granted() == {}
+    bench.answer_probe("d0")
+    assert bench.granted() == {"stalled": ("p0", "d0")}
+
+
+def test_request_that_avoids_an_engine_waits_while_another_one_is_only_full():
+    """Guards against a second failure at an engine that fails some calls."""
+    bench = Bench(prefills=1, decodes=2)
+    bench.ask("first", avoid=("d0",), prompt_tokens=32_000)  # fills the engine
+    assert bench.granted() == {"first": ("p0", "d1")}
+    bench.ask("again", avoid=("d0",))
+    assert bench.granted() == {}
+
+
+def test_request_uses_an_engine_that_it_avoids_if_all_others_are_down():
+    """Guards against a request that waits for a crashed engine while a sound one is idle."""
+    bench = Bench(prefills=1, decodes=2)
+    bench.ask("again", avoid=("d0",))
+    bench.fail("d1", FailureKind.UNREACHABLE)
+    assert bench.granted() == {"again": ("p0", "d0")}
--- /dev/null
+++ b/flamingoshelf/placement/tests/test_silent_engines.py
@@ -0,0 +1,31 @@
+"""Engines that fall silent for a second or two, with their connections open, and go on."""
+
+import pytest
+
+from flamingoshelf.placement.tests.silent_engines import SilentEnginesSimulation, outcomes
+from flamingoshelf.placement.tests.simulation import make_calls
+
+SILENT_AT_S = 8.0
+
+
+def play(engines, length_s, *, rate, prefills, decodes, seed=1):
+    """Let engines be silent under a load of `rate` calls per second."""
+    calls = make_calls(rate, seconds=20, seed=seed)
+    silences = dict.fromkeys(engines, (SILENT_AT_S, length_s))
+    simulation = SilentEnginesSimulation(
+        calls, prefills=[1] * prefills, decodes=[1] * decodes, silences=silences, seed=seed
+    )
+    return simulation.run(45)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("engine", ["p0", "d0"])
+@pytest.mark.parametrize(
+    ("rate", "length_s"),
+    [(0.7, 0.5), (0.7, 1.0), (0.7, 1.3), (0.7, 2.0), (1.5, 0.5), (1.5, 1.0), (1.5, 1.3)],
+)
+def test_silence_of_the_only_engine_of_a_role_refuses_nobody(engine, rate, length_s, seed):
+    """Guards against requests that wait in vain for engines other than the one that failed them."""
+    simulation = play([engine], length_s, rate=rate, prefills=1, decodes=1, seed=seed)
+    found = outcomes(simulation.calls)
+    assert (found["refused"], found["unserved"]) == (0, 0)
