Count the calls that one silence ends as one failure, or as none

Callers would see: late answers and refusals in a full pool after an engine was silent for a second. Each stalled run and unanswered prefill counted as a failed call of its own, so that eight runs that stalled at once put a sound engine into the worst tier for three seconds and more, where it is used last.

Evidence on the code before: test_silent_engines.py, 14 of 24 cases with the engine in tier 1 or 2 half a second after it answers again (silences of 1.0 to 2.0 s, 4 and 12 requests/s); test_health.py, ten calls that ended at once gave tier 2 instead of 1.

The failure rate is for engines that answer and fail some calls. So calls that break off count once until the engine answers again, and not at all if probes show that it was silent: a probe failed, or was answered late. A first failure gives tier 1 as before, failures between answers count each, and an engine that answers no probe is down after the same time as before.

--- a/flamingoshelf/gateway/_engine_prober.py
+++ b/flamingoshelf/gateway/_engine_prober.py
@@ -55,6 +55,7 @@
             dispatcher.engines.health.remove(key)
             return
         is_answered = True
+        began_s = now_s()
         try:
             await self._control.report(engine)
         except ServerPausedError as error:
@@ -63,4 +64,6 @@
         except FlamingoshelfError as error:
             is_answered = False
             logger.bind(step="probe", peer=key).info("probe failed: {}", error.message)
-        dispatcher.engines.health.record_probe(key, is_answered=is_answered, now_s=now_s())
+        dispatcher.engines.health.record_probe(
+            key, is_answered=is_answered, now_s=now_s(), seconds=now_s() - began_s
+        )
--- a/flamingoshelf/placement/_health.py
+++ b/flamingoshelf/placement/_health.py
@@ -16,6 +16,7 @@
 # Failure rates from which an engine is used only if engines of better tiers have no room.
 _DEGRADED_FAILURE_RATE = 0.2
 _BAD_FAILURE_RATE = 0.45  # half of the calls fail in the worst failures at the reference sites
+_SLOW_PROBE_S = 0.1  # a probe that takes longer was sent during a silence; most take milliseconds
 
 
 class FailureKind(StrEnum):
@@ -36,6 +37,7 @@
     is_replaced: bool = False
     probe_at_s: float = 0.0
     down_since_s: float = 0.0
+    earlier_rate: float | None = None  # before the failures since the last answer, if there are any
 
 
 class HealthTracker:
@@ -45,6 +47,9 @@
     to another one, is down until `remove` is called, as it stays listed for several seconds. An
     engine that breaks off answers or stalls is suspected: it is probed but stays in use. The
     failure rate puts engines into tiers, so that an engine that fails some calls gets less work.
+
+    A silence ends many calls at once. So calls that break off count once until the engine answers
+    again, and not at all if probes show that it was silent: then it was down meanwhile.
     """
 
     def __init__(self) -> None:
@@ -77,7 +82,7 @@
             self._mark_replaced(record, key)
             return
         if kind is not FailureKind.SILENT:  # a stalled call counts once it ends
-            _update_rate(record, 1.0, now_s)
+            _count_failure(record, kind, now_s)
         if not record.is_suspected and not record.is_down:
             record.probe_at_s = now_s
         record.is_suspected = True
@@ -96,6 +101,7 @@
         record = self._records.get(key)
         if record is None:
             return
+        record.earlier_rate = None
         _update_rate(record, 0.0, now_s)
         self._mark_up(record, key)
 
@@ -112,12 +118,17 @@
             self._records[key].probe_at_s = now_s + _PROBE_INTERVAL_S
         return due
 
-    def record_probe(self, key: str, *, is_answered: bool, now_s: float) -> None:
-        """Record the result of a probe."""
+    def record_probe(
+        self, key: str, *, is_answered: bool, now_s: float, seconds: float = 0.0
+    ) -> None:
+        """Record the result of a probe, which took `seconds`."""
         record = self._records.get(key)
         if record is None:
             return
+        if not is_answered or seconds > _SLOW_PROBE_S:
+            _forget_failures(record, now_s)
         if is_answered:
+            record.earlier_rate = None
             self._mark_up(record, key)
         elif record.is_down:
             record.down_since_s = now_s
@@ -154,6 +165,24 @@
     return record.rate * 0.5 ** ((now_s - record.updated_s) / _FAILURE_RATE_HALF_LIFE_S)
 
 
+def _count_failure(record: _EngineHealth, kind: FailureKind, now_s: float) -> None:
+    """Add a failed call to the failure rate, unless it ended with others in one silence."""
+    if kind is not FailureKind.BROKE_OFF:
+        record.earlier_rate = None
+    elif record.is_down or record.earlier_rate is not None:
+        return
+    else:
+        record.earlier_rate = _decayed_rate(record, now_s)
+    _update_rate(record, 1.0, now_s)
+
+
+def _forget_failures(record: _EngineHealth, now_s: float) -> None:
+    """Restore the failure rate from before a silence."""
+    if record.earlier_rate is not None:
+        record.rate = min(record.earlier_rate, _decayed_rate(record, now_s))
+        record.updated_s = now_s
+
+
 def _update_rate(record: _EngineHealth, failed: float, now_s: float) -> None:
     """Add a call to the failure rate; `failed` is 1 for a failed call and 0 for a success."""
     rate = _decayed_rate(record, now_s)
--- a/flamingoshelf/placement/tests/test_health.py
+++ b/flamingoshelf/placement/tests/test_health.py
@@ -106,3 +106,43 @@
     other = next(iter(sim.decodes["d0"].runs.keys() - {lost}))
     sim.dispatcher.release(other, events=5, seconds=1.0, outcome=RunOutcome.COMPLETE)
     assert engines.is_usable("d0")
+
+
+def test_calls_that_one_silence_ended_count_once(tracker):
+    """Guards against a sound engine that is used last, as all of its runs stalled at once."""
+    for _ in range(10):
+        fail(tracker, FailureKind.BROKE_OFF)
+    assert tracker.tier("e", 0.0) == 1
+    tracker.record_success("e", now_s=0.1)
+    assert tracker.tier("e", 0.1) == 0
+
+
+def test_failures_at_an_engine_that_answers_between_them_count_each(tracker):
+    """Guards against an engine that answers probes and fails most calls, and is not used last."""
+    for step in range(4):
+        fail(tracker, FailureKind.BROKE_OFF, now_s=0.3 * step)
+        tracker.record_probe("e", is_answered=True, now_s=0.3 * step + 0.01)
+    assert tracker.tier("e", 1.0) == 2
+
+
+def test_silence_that_probes_confirm_is_no_failure_rate(tracker):
+    """Guards against an engine that is used last after its silence, for which it was down."""
+    fail(tracker, FailureKind.BROKE_OFF)
+    tracker.record_probe("e", is_answered=False, now_s=0.4)
+    fail(tracker, FailureKind.BROKE_OFF, now_s=0.9)
+    assert tracker.is_down("e", 0.9)
+    tracker.record_probe("e", is_answered=True, now_s=1.0)
+    assert not tracker.is_down("e", 1.0)
+    assert tracker.tier("e", 1.0) == 0
+
+
+def test_failures_before_a_silence_still_count_after_it(tracker):
+    """Guards against an engine whose failed calls are forgotten, as a probe of it was lost."""
+    for _ in range(6):
+        fail(tracker, FailureKind.BROKE_OFF)
+        tracker.record_success("e", now_s=0.0)
+    before = tracker.tier("e", 0.5)
+    fail(tracker, FailureKind.BROKE_OFF, now_s=0.1)
+    tracker.record_probe("e", is_answered=False, now_s=0.5)
+    tracker.record_probe("e", is_answered=True, now_s=0.5)
+    assert tracker.tier("e", 0.5) == before > 0
--- a/flamingoshelf/placement/tests/test_silent_engines.py
+++ b/flamingoshelf/placement/tests/test_silent_engines.py
@@ -6,6 +6,7 @@
 from flamingoshelf.placement.tests.simulation import make_calls
 
 SILENT_AT_S = 8.0
+BACK_IN_USE_S = 0.5  # after an engine has answered again
 
 
 def play(engines, length_s, *, rate, prefills, decodes, seed=1):
@@ -29,3 +30,23 @@
     simulation = play([engine], length_s, rate=rate, prefills=1, decodes=1, seed=seed)
     found = outcomes(simulation.calls)
     assert (found["refused"], found["unserved"]) == (0, 0)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("length_s", [1.0, 1.3, 2.0])
+@pytest.mark.parametrize("engine", ["p0", "d0"])
+@pytest.mark.parametrize("rate", [4, 12])
+def test_engine_is_in_full_use_soon_after_its_silence(rate, engine, length_s, seed):
+    """Guards against an engine that is used last for seconds, as each of its runs had stalled."""
+    calls = make_calls(rate, seconds=20, seed=seed)
+    simulation = SilentEnginesSimulation(
+        calls,
+        prefills=[1] * 3,
+        decodes=[1] * 6,
+        silences={engine: (SILENT_AT_S, length_s)},
+        seed=seed,
+    )
+    simulation.run(SILENT_AT_S + length_s + BACK_IN_USE_S)
+    engines = simulation.dispatcher.engines
+    assert engines.is_usable(engine)
+    assert engines.tier(engine) == 0
