Expect engines back that have been silent for a moment

Callers saw: a refusal for lack of memory, while most engines of the pool were silent for a second and went on before the caller would have left. The forecast of free memory left out engines that are down, so that queued requests were refused as soon as a probe had failed.

An engine that is down since it answers no probe counts in the forecast for another second; it gets no work before it answers. One that refuses connections does not count, as before.

--- a/flamingoshelf/placement/_engines.py
+++ b/flamingoshelf/placement/_engines.py
@@ -147,6 +147,19 @@
         """Return the decode engines that may get work, if possible none of those in `avoid`."""
         return self._usable_engines(EngineRole.DECODE, avoid)
 
+    def expected_decodes(self) -> list[BackendInstance]:
+        """Return the decode engines in use and those that are down for a moment only."""
+        return [
+            engine
+            for engine in self._listed.values()
+            if engine.role is EngineRole.DECODE
+            and not self._is_changing_role(engine.key)
+            and (
+                not self._health.is_down(engine.key, self._now_s)
+                or self._health.is_expected_back(engine.key, self._now_s)
+            )
+        ]
+
     def is_usable(self, key: str) -> bool:
         """Return whether an engine is listed, isn't changing its role and isn't down."""
         return (
--- a/flamingoshelf/placement/_forecast.py
+++ b/flamingoshelf/placement/_forecast.py
@@ -15,6 +15,8 @@
 class MemoryForecast:
     """Forecast of the free memory and slots of all decode engines, for requests served in order.
 
+    Engines that are down for a moment only count as if they were in use.
+
     Parameters
     ----------
     engines : EngineTable
@@ -25,7 +27,7 @@
 
     def __init__(self, *, engines: EngineTable, now_s: float) -> None:
         self._now_s = now_s
-        trackers = [engines.decode_tracker(engine.key) for engine in engines.usable_decodes()]
+        trackers = [engines.decode_tracker(engine.key) for engine in engines.expected_decodes()]
         self._free = _USABLE_MEMORY_SHARE * sum(
             max(0.0, tracker.free_tokens(now_s)) for tracker in trackers
         )
--- a/flamingoshelf/placement/_health.py
+++ b/flamingoshelf/placement/_health.py
@@ -16,6 +16,8 @@
 # Failure rates from which an engine is used only if engines of better tiers have no room.
 _DEGRADED_FAILURE_RATE = 0.2
 _BAD_FAILURE_RATE = 0.45  # half of the calls fail in the worst failures at the reference sites
+# Time for which a silent engine that is down is expected back; such silences last a second or two.
+_EXPECTED_BACK_S = 1.0
 _SLOW_PROBE_S = 0.1  # a probe that takes longer was sent during a silence; most take milliseconds
 
 
@@ -37,6 +39,7 @@
     is_replaced: bool = False
     probe_at_s: float = 0.0
     down_since_s: float = 0.0
+    silent_since_s: float | None = None  # set while it is down as it answers no probe
     earlier_rate: float | None = None  # before the failures since the last answer, if there are any
 
 
@@ -67,6 +70,13 @@
         record = self._records.get(key)
         return record is not None and record.is_suspected
 
+    def is_expected_back(self, key: str, now_s: float) -> bool:
+        """Return whether an engine is down for a moment only, as it answers no probe."""
+        record = self._records.get(key)
+        if record is None or record.is_replaced or record.silent_since_s is None:
+            return False
+        return now_s < record.silent_since_s + _EXPECTED_BACK_S
+
     def tier(self, key: str, now_s: float) -> int:
         """Return the tier by failure rate: 0 healthy, 1 degraded, 2 bad."""
         record = self._records.get(key)
@@ -86,6 +96,8 @@
         if not record.is_suspected and not record.is_down:
             record.probe_at_s = now_s
         record.is_suspected = True
+        if kind is FailureKind.UNREACHABLE:
+            record.silent_since_s = None
         if kind is FailureKind.UNREACHABLE and not record.is_down:
             self._mark_down(record, key, now_s, detail)
         logger.bind(
@@ -134,6 +146,8 @@
             record.down_since_s = now_s
         else:
             self._mark_down(record, key, now_s, "a probe failed")
+            if seconds > _SLOW_PROBE_S:  # it was not refused, as by an engine that has crashed
+                record.silent_since_s = now_s
 
     def remove(self, key: str) -> None:
         """Drop the record of an engine, as when it is no longer listed."""
@@ -158,6 +172,7 @@
             logger.bind(step="engine", peer=key).info("engine marked up")
         record.is_down = False
         record.is_suspected = False
+        record.silent_since_s = None
 
 
 def _decayed_rate(record: _EngineHealth, now_s: float) -> float:
--- a/flamingoshelf/placement/tests/test_health.py
+++ b/flamingoshelf/placement/tests/test_health.py
@@ -146,3 +146,31 @@
     tracker.record_probe("e", is_answered=False, now_s=0.5)
     tracker.record_probe("e", is_answered=True, now_s=0.5)
     assert tracker.tier("e", 0.5) == before > 0
+
+
+def test_silent_engine_that_is_down_is_expected_back_for_a_moment(tracker):
+    """Guards against refusals for lack of memory that is back within a second."""
+    fail(tracker, FailureKind.SILENT)
+    assert not tracker.is_expected_back("e", 0.3)  # it is still in use
+    tracker.record_probe("e", is_answered=False, now_s=0.4, seconds=0.4)
+    assert tracker.is_expected_back("e", 0.5)
+    tracker.record_probe("e", is_answered=False, now_s=0.7, seconds=0.4)
+    assert not tracker.is_expected_back("e", 1.5)
+
+
+@pytest.mark.parametrize("seconds", [0.0, 0.4])
+def test_crashed_engine_is_not_expected_back(tracker, seconds):
+    """Guards against requests that wait for the memory of an engine that has crashed."""
+    fail(tracker, FailureKind.BROKE_OFF)
+    tracker.record_probe("e", is_answered=False, now_s=0.4, seconds=seconds)
+    fail(tracker, FailureKind.UNREACHABLE, now_s=0.5)
+    assert tracker.is_down("e", 0.5)
+    assert not tracker.is_expected_back("e", 0.5)
+
+
+def test_engine_that_refuses_a_probe_is_not_expected_back(tracker):
+    """Guards against requests that wait for the memory of an engine that has crashed."""
+    fail(tracker, FailureKind.BROKE_OFF)
+    tracker.record_probe("e", is_answered=False, now_s=0.01, seconds=0.01)
+    assert tracker.is_down("e", 0.01)
+    assert not tracker.is_expected_back("e", 0.01)
--- a/flamingoshelf/placement/tests/test_silent_engines.py
+++ b/flamingoshelf/placement/tests/test_silent_engines.py
@@ -50,3 +50,29 @@
     engines = simulation.dispatcher.engines
     assert engines.is_usable(engine)
     assert engines.tier(engine) == 0
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("length_s", [0.5, 1.0, 1.3])
+@pytest.mark.parametrize("silent", [1, 3, 5, 6])
+def test_silence_of_decode_engines_refuses_nobody_at_two_thirds_of_the_capacity(
+    silent, length_s, seed
+):
+    """Guards against refusals for lack of memory while engines have been down for a moment."""
+    engines = [f"d{number}" for number in range(silent)]
+    simulation = play(engines, length_s, rate=10, prefills=3, decodes=6, seed=seed)
+    found = outcomes(simulation.calls)
+    assert (found["refused"], found["unserved"]) == (0, 0)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("length_s", [0.5, 1.0, 1.3])
+@pytest.mark.parametrize("silent", [1, 2, 3])
+def test_silence_of_prefill_engines_refuses_nobody_at_two_thirds_of_the_capacity(
+    silent, length_s, seed
+):
+    """Guards against refusals while prefill engines have been down for a moment."""
+    engines = [f"p{number}" for number in range(silent)]
+    simulation = play(engines, length_s, rate=10, prefills=3, decodes=6, seed=seed)
+    found = outcomes(simulation.calls)
+    assert (found["refused"], found["unserved"]) == (0, 0)
