Put a silent engine back in use with the first event it sends

Callers would see: late answers in a full pool. An engine that was silent and is down got no work until the next probe, although it had begun to answer a run; and a probe sent before it answered another call marked it down when its time was over.

Evidence on the code before: test_avoided_engines.py, no turn at the only decode engine after its first event ({} instead of {"second": ("p0", "d0")}); test_health.py, an engine down by a probe that was sent before a successful call. The two tests of the new method failed for lack of it.

A first event ends the silence for which an engine is down; it is probed on, as a node may report late, and an unreachable engine stays down. A failed probe is ignored if the engine has answered meanwhile. Calls that break off are left out of the failure rate only if the engine is down for its silence, not if a probe was refused.

--- a/flamingoshelf/placement/_dispatcher.py
+++ b/flamingoshelf/placement/_dispatcher.py
@@ -174,6 +174,7 @@
         if active is not None:
             now = self._clock()
             self._engines.decode_tracker(active.decode_id).start(turn_id, now)
+            self._engines.record_first_event(active.decode_id)
             if active.prefilled_s is not None:
                 self._model.record_first_event(now - active.prefilled_s)
                 active.prefilled_s = None
--- a/flamingoshelf/placement/_engines.py
+++ b/flamingoshelf/placement/_engines.py
@@ -211,6 +211,11 @@
         self._health.record_success(key, now_s=self._now_s)
         self._usable.clear()
 
+    def record_first_event(self, key: str) -> None:
+        """Record the first event of a run."""
+        self._health.record_first_event(key, now_s=self._now_s)
+        self._usable.clear()
+
     def instance(self, key: str) -> BackendInstance | None:
         """Return a listed engine, or None."""
         return self._listed.get(key)
--- a/flamingoshelf/placement/_health.py
+++ b/flamingoshelf/placement/_health.py
@@ -39,6 +39,7 @@
     is_replaced: bool = False
     probe_at_s: float = 0.0
     down_since_s: float = 0.0
+    answered_s: float = float("-inf")  # time of the last answer to a call or a probe
     silent_since_s: float | None = None  # set while it is down as it answers no probe
     earlier_rate: float | None = None  # before the failures since the last answer, if there are any
 
@@ -113,10 +114,26 @@
         record = self._records.get(key)
         if record is None:
             return
+        record.answered_s = now_s
         record.earlier_rate = None
         _update_rate(record, 0.0, now_s)
         self._mark_up(record, key)
 
+    def record_first_event(self, key: str, *, now_s: float) -> None:
+        """Record the first event of a run, which ends a silence of its engine.
+
+        The message may be late, so the engine is still probed, and stays down if it is unreachable.
+        """
+        record = self._records.get(key)
+        if record is None:
+            return
+        record.answered_s = now_s
+        record.earlier_rate = None
+        if record.silent_since_s is not None and not record.is_replaced:
+            record.is_down = False
+            record.silent_since_s = None
+            logger.bind(step="engine", peer=key).info("engine marked up by a first event")
+
     def due_probes(self, now_s: float) -> list[str]:
         """Return the engines to probe now and schedule their next probes."""
         due = [
@@ -133,13 +150,17 @@
     def record_probe(
         self, key: str, *, is_answered: bool, now_s: float, seconds: float = 0.0
     ) -> None:
-        """Record the result of a probe, which took `seconds`."""
+        """Record the result of a probe, which took `seconds`.
+
+        A failure is ignored if the engine has answered anything else meanwhile.
+        """
         record = self._records.get(key)
-        if record is None:
+        if record is None or (not is_answered and record.answered_s > now_s - seconds):
             return
         if not is_answered or seconds > _SLOW_PROBE_S:
             _forget_failures(record, now_s)
         if is_answered:
+            record.answered_s = now_s
             record.earlier_rate = None
             self._mark_up(record, key)
         elif record.is_down:
@@ -184,7 +205,7 @@
     """Add a failed call to the failure rate, unless it ended with others in one silence."""
     if kind is not FailureKind.BROKE_OFF:
         record.earlier_rate = None
-    elif record.is_down or record.earlier_rate is not None:
+    elif record.silent_since_s is not None or record.earlier_rate is not None:
         return
     else:
         record.earlier_rate = _decayed_rate(record, now_s)
--- a/flamingoshelf/placement/tests/test_avoided_engines.py
+++ b/flamingoshelf/placement/tests/test_avoided_engines.py
@@ -132,3 +132,18 @@
     bench.ask("again", avoid=("d0",))
     bench.fail("d1", FailureKind.UNREACHABLE)
     assert bench.granted() == {"again": ("p0", "d0")}
+
+
+def test_engine_whose_run_begins_is_in_use_at_once():
+    """Guards against an idle engine that has answered a run, but not yet the next probe."""
+    bench = Bench(prefills=1, decodes=1)
+    bench.ask("first")
+    assert list(bench.granted()) == ["first"]
+    bench.dispatcher.record_prefill("first", seconds=0.05)
+    bench.fail("d0", FailureKind.SILENT)
+    health = bench.dispatcher.engines.health
+    health.record_probe("d0", is_answered=False, now_s=bench.now, seconds=0.4)
+    bench.ask("second")
+    assert bench.granted() == {}
+    bench.dispatcher.record_start("first")
+    assert bench.granted() == {"second": ("p0", "d0")}
--- a/flamingoshelf/placement/tests/test_health.py
+++ b/flamingoshelf/placement/tests/test_health.py
@@ -174,3 +174,31 @@
     tracker.record_probe("e", is_answered=False, now_s=0.01, seconds=0.01)
     assert tracker.is_down("e", 0.01)
     assert not tracker.is_expected_back("e", 0.01)
+
+
+def test_probe_that_fails_after_a_call_succeeded_does_not_mark_the_engine_down(tracker):
+    """Guards against an engine that gets no work, as a probe of before its answer ends late."""
+    fail(tracker, FailureKind.SILENT)
+    tracker.record_success("e", now_s=0.3)
+    tracker.record_probe("e", is_answered=False, now_s=0.4, seconds=0.4)
+    assert not tracker.is_down("e", 0.4)
+
+
+def test_first_event_ends_the_silence_of_an_engine(tracker):
+    """Guards against an engine that gets no work until the next probe, though it has answered."""
+    fail(tracker, FailureKind.SILENT)
+    tracker.record_probe("e", is_answered=False, now_s=0.4, seconds=0.4)
+    tracker.record_first_event("e", now_s=0.6)
+    assert not tracker.is_down("e", 0.6)
+    assert tracker.due_probes(0.7) == ["e"]  # a late message may tell of an earlier event
+    tracker.record_probe("e", is_answered=False, now_s=0.7, seconds=0.4)  # sent before the event
+    assert not tracker.is_down("e", 0.7)
+    tracker.record_probe("e", is_answered=False, now_s=1.1, seconds=0.4)
+    assert tracker.is_down("e", 1.1)
+
+
+def test_late_message_about_a_first_event_does_not_mark_a_crashed_engine_up(tracker):
+    """Guards against work for a crashed engine, whose last event is reported after the crash."""
+    fail(tracker, FailureKind.UNREACHABLE)
+    tracker.record_first_event("e", now_s=0.01)
+    assert tracker.is_down("e", 0.01)
