Use suspected engines after the others

Callers would see: a late first event, though other engines had room. An engine that is silent was reported as suspect after 0.4 s, but got work like any other until its first probe had failed, 0.4 s later.

Evidence, test_silent_engines.py on the code before: in three of nine cases a request was granted the silent engine 0.2 s after the report, at half of the load that the pool can take.

A suspected engine counts as degraded, so it gets work only if no better one has room. A probe that it answers, usually within milliseconds, ends that.

--- a/flamingoshelf/placement/_health.py
+++ b/flamingoshelf/placement/_health.py
@@ -49,7 +49,7 @@
 
     An unreachable engine is down until a probe succeeds. A replaced engine, whose address belongs
     to another one, is down until `remove` is called, as it stays listed for several seconds. An
-    engine that breaks off answers or stalls is suspected: it is probed but stays in use. The
+    engine that breaks off answers or stalls is suspected: it is probed, and used after others. The
     failure rate puts engines into tiers, so that an engine that fails some calls gets less work.
 
     A silence ends many calls at once. So calls that break off count once until the engine answers
@@ -79,12 +79,14 @@
         return now_s < record.silent_since_s + _EXPECTED_BACK_S
 
     def tier(self, key: str, now_s: float) -> int:
-        """Return the tier by failure rate: 0 healthy, 1 degraded, 2 bad."""
+        """Return the tier: 0 healthy, 1 degraded by its failure rate or suspected, 2 bad."""
         record = self._records.get(key)
         if record is None:
             return 0
         rate = _decayed_rate(record, now_s)
-        return 0 if rate < _DEGRADED_FAILURE_RATE else 1 if rate < _BAD_FAILURE_RATE else 2
+        if rate >= _BAD_FAILURE_RATE:
+            return 2
+        return 1 if rate >= _DEGRADED_FAILURE_RATE or record.is_suspected else 0
 
     def record_failure(self, key: str, kind: FailureKind, *, now_s: float, detail: str) -> None:
         """Record a failed call."""
--- a/flamingoshelf/placement/tests/test_avoided_engines.py
+++ b/flamingoshelf/placement/tests/test_avoided_engines.py
@@ -147,3 +147,14 @@
     assert bench.granted() == {}
     bench.dispatcher.record_start("first")
     assert bench.granted() == {"second": ("p0", "d0")}
+
+
+def test_suspected_engine_is_used_if_no_other_has_room():
+    """Guards against a queue in front of a sound engine that made one pause."""
+    bench = Bench(prefills=1, decodes=2)
+    bench.fail("d0", FailureKind.SILENT)
+    bench.ask("first", prompt_tokens=32_000)  # fills the engine
+    assert bench.granted() == {"first": ("p0", "d1")}
+    bench.dispatcher.record_prefill("first", seconds=1.0)
+    bench.ask("second")
+    assert bench.granted() == {"second": ("p0", "d0")}
--- a/flamingoshelf/placement/tests/test_silent_engines.py
+++ b/flamingoshelf/placement/tests/test_silent_engines.py
@@ -2,11 +2,16 @@
 
 import pytest
 
-from flamingoshelf.placement.tests.silent_engines import SilentEnginesSimulation, outcomes
+from flamingoshelf.placement.tests.silent_engines import (
+    SILENCE_NOTICE_S,
+    SilentEnginesSimulation,
+    outcomes,
+)
 from flamingoshelf.placement.tests.simulation import make_calls
 
 SILENT_AT_S = 8.0
 BACK_IN_USE_S = 0.5  # after an engine has answered again
+NOTICED_S = SILENCE_NOTICE_S + 0.05  # after an engine that has runs falls silent
 
 
 def play(engines, length_s, *, rate, prefills, decodes, seed=1):
@@ -76,3 +81,13 @@
     simulation = play(engines, length_s, rate=10, prefills=3, decodes=6, seed=seed)
     found = outcomes(simulation.calls)
     assert (found["refused"], found["unserved"]) == (0, 0)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("length_s", [1.0, 1.3, 2.0])
+def test_suspected_engine_gets_no_work_while_others_have_room(length_s, seed):
+    """Guards against late first events: prompts were sent to an engine known to be silent."""
+    simulation = play(["d0"], length_s, rate=9, prefills=3, decodes=6, seed=seed)
+    noticed_s = SILENT_AT_S + NOTICED_S
+    end_s = SILENT_AT_S + length_s
+    assert [at for at, key in simulation.grants if key == "d0" and noticed_s < at < end_s] == []
