End the wait of a processed prompt whose turn is released

Callers would see: a late first event or a repeated prefill. If a turn was released while its prompt waited for room, as after a report that was late because its node stood still, the dispatcher never answered: the node waited until the handle had expired, and took its sound coordinator for failed. The handler never ended, and each one takes one of the 256 of the connection.

The dispatcher now answers that it does not know the turn, so that the node uses the engine expected at the grant.

--- a/flamingoshelf/placement/_runner.py
+++ b/flamingoshelf/placement/_runner.py
@@ -61,7 +61,10 @@
             raise
 
     async def confirm(self, turn_id: str) -> str | None:
-        """Return the decode engine of a processed prompt, or None if none has room in time."""
+        """Return the decode engine of a processed prompt.
+
+        Return None if none has room in time, or if the turn is unknown or released meanwhile.
+        """
         if not self._dispatcher.confirm(turn_id):
             return None
         future: asyncio.Future[str | None] = asyncio.get_running_loop().create_future()
@@ -108,6 +111,15 @@
                     decode_future = self._decode_futures.pop(decision.turn_id, None)
                     if decode_future is not None and not decode_future.done():
                         decode_future.set_result(decision.decode_id)
+        self._end_confirms_of_released_turns()
+
+    def _end_confirms_of_released_turns(self) -> None:
+        """End the calls of `confirm` for which the dispatcher will decide nothing."""
+        released = [key for key in self._decode_futures if not self._dispatcher.has_turn(key)]
+        for turn_id in released:
+            decode_future = self._decode_futures.pop(turn_id)
+            if not decode_future.done():
+                decode_future.set_result(None)
 
     async def _run(self) -> None:
         while True:
--- a/flamingoshelf/placement/_service.py
+++ b/flamingoshelf/placement/_service.py
@@ -155,9 +155,10 @@
     async def confirm(self, message: ConfirmDecode) -> DecodeConfirmed:
         """Return the decode engine of a processed prompt, once it is chosen."""
         runner = self.runner(message.service)
-        if not runner.dispatcher.has_turn(message.turn_id):
+        decode_id = await runner.confirm(message.turn_id)
+        if decode_id is None and not runner.dispatcher.has_turn(message.turn_id):
             return DecodeConfirmed(is_known=False)
-        return DecodeConfirmed(decode_id=await runner.confirm(message.turn_id) or "")
+        return DecodeConfirmed(decode_id=decode_id or "")
 
     def spend(self, spent: Mapping[str, int]) -> dict[str, float]:
         """Charge plain calls; return exhausted workspaces and the seconds until each has tokens."""
--- a/flamingoshelf/placement/tests/test_bounded_waits.py
+++ b/flamingoshelf/placement/tests/test_bounded_waits.py
@@ -7,6 +7,7 @@
 import pytest
 from loguru import logger
 
+from flamingoshelf.exceptions import OutcomeUnknownError
 from flamingoshelf.placement import (
     Dispatcher,
     DispatcherService,
@@ -59,7 +60,11 @@
         if self.is_silent:
             self.is_partitioned = True
             await asyncio.sleep(timeout_s)
-        return await super().request(peer, message, timeout_s=timeout_s)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await super().request(peer, message, timeout_s=timeout_s)
+        except TimeoutError as error:
+            raise OutcomeUnknownError("no reply", step="request", peer=peer) from error
 
     def notify(self, peer, message):
         self.notified.append(message)
