Give each request that waits for a turn an outcome

Callers would see: neither an answer nor a refusal. Callers choose the identifiers of their requests, and the turn's identifier follows from it. When two requests with one identifier waited, the first was replaced and never decided; and when the first was dropped, its withdrawal, a few milliseconds later, cancelled the second: at the coordinator itself the cancellation ended the handler of the caller's request, elsewhere no reply came.

Evidence, test_released_turns.py on the code before: no outcome of the replaced request in 5 s; CancelledError out of FleetPlacer.acquire for the other.

A request that is replaced or withdrawn while it waits is refused, not run, and the log says so; for a request whose caller has left, nobody reads that. A request that is cancelled no longer withdraws one that has replaced it.

--- a/flamingoshelf/placement/_runner.py
+++ b/flamingoshelf/placement/_runner.py
@@ -2,9 +2,12 @@
 
 import asyncio
 
+from loguru import logger
+
 from flamingoshelf.placement._decisions import DecodeChosen, TurnDecided
 from flamingoshelf.placement._dispatcher import Dispatcher
-from flamingoshelf.placement._types import PlacementRequest, RunOutcome, Turn
+from flamingoshelf.placement._refusals import no_decision_refusal
+from flamingoshelf.placement._types import PlacementRequest, RunOutcome, Turn, request_id_of
 from flamingoshelf.refusals import Refusal
 from flamingoshelf.utils import TaskGroup, now_s
 
@@ -49,15 +52,22 @@
         await self._tasks.stop()
 
     async def acquire(self, request: PlacementRequest, owner: str) -> Turn | Refusal:
-        """Queue a request and return the decision; withdraw it if the caller cancels."""
+        """Queue a request and return the decision; withdraw it if the caller cancels.
+
+        A request that is withdrawn, or replaced by one with the same turn id, is refused.
+        """
         future: asyncio.Future[Turn | Refusal] = asyncio.get_running_loop().create_future()
+        self._refuse_waiting(request.turn_id, "request replaced by one with the same turn id")
         self._turn_futures[request.turn_id] = future
         self._dispatcher.enqueue(request, owner)
         self.decide()
         try:
             return await future
         except asyncio.CancelledError:
-            self.release(request.turn_id)
+            is_done = future.done() and not future.cancelled()
+            is_granted = is_done and isinstance(future.result(), Turn)
+            if is_granted or self._turn_futures.get(request.turn_id) is future:
+                self.release(request.turn_id)
             raise
 
     async def confirm(self, turn_id: str) -> str | None:
@@ -90,11 +100,17 @@
         outcome: RunOutcome = RunOutcome.ENDED,
     ) -> None:
         """Release a turn, or withdraw a queued request."""
-        turn_future = self._turn_futures.pop(turn_id, None)
-        if turn_future is not None:
-            turn_future.cancel()
+        self._refuse_waiting(turn_id, "request withdrawn")
         self._dispatcher.release(turn_id, events=events, seconds=seconds, outcome=outcome)
 
+    def _refuse_waiting(self, turn_id: str, event: str) -> None:
+        """Refuse a request that no longer waits for a turn, in case its caller still does."""
+        turn_future = self._turn_futures.pop(turn_id, None)
+        if turn_future is None or turn_future.done():
+            return
+        logger.bind(request_id=request_id_of(turn_id), step="place", turn=turn_id).info(event)
+        turn_future.set_result(no_decision_refusal(self._dispatcher.service))
+
     def decide(self) -> None:
         """Let the dispatcher decide and deliver each decision to the call that waits for it."""
         if self._awaited and now_s() < self._takeover_until_s:
--- a/flamingoshelf/placement/tests/test_released_turns.py
+++ b/flamingoshelf/placement/tests/test_released_turns.py
@@ -5,10 +5,17 @@
 import pytest
 
 from flamingoshelf.placement import RunOutcome, Turn
-from flamingoshelf.placement._messages import ConfirmDecode, HeldTurns, OwnerReport
+from flamingoshelf.placement._messages import (
+    ConfirmDecode,
+    EndedRun,
+    HeldTurns,
+    OwnerReport,
+    TurnUpdates,
+)
 from flamingoshelf.placement.tests.simulation import PROFILE, add_reference_measurements
 from flamingoshelf.placement.tests.test_bounded_waits import fleet, timed
 from flamingoshelf.placement.tests.test_fleet import placement_request
+from flamingoshelf.refusals import Refusal
 from flamingoshelf.utils import now_s
 
 pytestmark = pytest.mark.looptime
@@ -103,3 +110,32 @@
         placer.release(turn, events=0, seconds=0.0, outcome=RunOutcome.ENDED)
         reply = await asyncio.wait_for(waiting, 1.0)
         assert not reply.is_known
+
+
+async def test_second_request_with_the_same_identifier_leaves_none_without_an_outcome():
+    """Guards against a caller that waits without end, as another used its request's identifier."""
+    async with fleet("c") as (placer, _, _, dispatchers):
+        held = [await placer.acquire(placement_request(number)) for number in range(2)]
+        assert all(isinstance(turn, Turn) for turn in held)
+        request = placement_request(2)
+        first = asyncio.ensure_future(dispatchers.acquire(request, "n"))
+        await asyncio.sleep(0.1)
+        second = asyncio.ensure_future(dispatchers.acquire(request, "m"))
+        refusal = await asyncio.wait_for(first, 5.0)
+        assert isinstance(refusal, Refusal) and refusal.not_run
+        assert not second.done()
+        placer.record_prefill(held[0], seconds=0.05)
+        assert isinstance(await asyncio.wait_for(second, 5.0), Turn)
+
+
+async def test_late_withdrawal_of_a_request_leaves_its_successor_an_outcome():
+    """Guards against a caller without an answer: its first try with that identifier was dropped."""
+    async with fleet("c") as (placer, link, _, dispatchers):
+        held = [await placer.acquire(placement_request(number)) for number in range(2)]
+        assert all(isinstance(turn, Turn) for turn in held)
+        waiting = asyncio.ensure_future(timed(placer.acquire(placement_request(2))))
+        await asyncio.sleep(0.1)
+        link.notify("c", TurnUpdates(service="s", ended=(EndedRun(turn_id="q#2"),)))
+        outcome, waited_s = await waiting
+        assert isinstance(outcome, Refusal) and outcome.not_run
+        assert waited_s < 1.0
