Count a turn once if its grant was lost and it is asked for again

Callers would see: refusals in a pool that has room. When the reply with a grant was lost, the node asked again under the same turn id. The second grant replaced the first in the list of turns, but the engines of the first kept its prompt and its memory as used, until they restarted.

Evidence, test_released_turns.py on the code before: after both are released, 0.011 s of work remain for the prefill engine of the first grant.

A request that is queued releases an earlier turn with its id.

--- a/flamingoshelf/placement/_dispatcher.py
+++ b/flamingoshelf/placement/_dispatcher.py
@@ -109,8 +109,9 @@
         return len(self._active_turns)
 
     def enqueue(self, request: PlacementRequest, owner: str) -> None:
-        """Queue a request, replacing one with the same turn id."""
+        """Queue a request; release or replace an earlier one with the same turn id."""
         now = self._clock()
+        self.release(request.turn_id)  # its grant was lost on the way
         if not request.repeat_cost and not request.is_resumed:
             self._model.record_request(
                 prompt_tokens=request.prompt_tokens, expected_tokens=request.expected_tokens
--- a/flamingoshelf/placement/tests/test_released_turns.py
+++ b/flamingoshelf/placement/tests/test_released_turns.py
@@ -139,3 +139,20 @@
         outcome, waited_s = await waiting
         assert isinstance(outcome, Refusal) and outcome.not_run
         assert waited_s < 1.0
+
+
+async def test_turn_that_is_asked_for_again_is_counted_once():
+    """Guards against memory that is never free again, as a lost reply had granted it before."""
+    async with fleet("c") as (placer, _, _, dispatchers):
+        dispatcher = dispatchers.runner("s").dispatcher
+        add_reference_measurements(dispatcher.model)
+        first = await dispatchers.acquire(placement_request(1), "n")
+        assert isinstance(first, Turn) and first.prefill_id is not None
+        request = placement_request(1, avoid=(first.prefill_id,))
+        again = await dispatchers.acquire(request, "n")
+        assert isinstance(again, Turn)
+        assert first.prefill_id != again.prefill_id
+        placer.release(again, events=0, seconds=0.0, outcome=RunOutcome.ENDED)
+        await asyncio.sleep(0.1)
+        for name in ("p0", "p1"):
+            assert dispatcher.engines.prefill_tracker(name).wait_s(now_s()) == 0.0
