Let a node that is cut off from a large fleet coordinate itself in time

Callers saw: waits until they left (refusals since the bound of the wait). A node that no other node answers asks three at a time, 0.3 s each, and coordinates itself once none is left. The first ones count as candidates again after a backoff of 0.6 s. So this took 4.5 s among 20 others, and never happened among 80.

A member that did not answer is not asked again in the same search, and each round without an answer asks twice as many. The first round still asks three.

--- a/flamingoshelf/cluster/_coordination.py
+++ b/flamingoshelf/cluster/_coordination.py
@@ -22,7 +22,9 @@
 # A healthy reply takes a few milliseconds; a request within its goal waits 0.9 s at most in all.
 _REPLY_TIMEOUT_S = 0.3
 _STRAGGLER_WAIT_S = 0.03  # for members that precede one that has replied
-_MAX_CONCURRENT_HEARTBEATS = 3  # candidates contacted at once while the coordinator is not known
+# Candidates contacted at once while the coordinator is not known. It doubles with each round that
+# no one answers, as a node cut off from a large fleet must serve before its callers leave.
+_MAX_CONCURRENT_HEARTBEATS = 3
 # A coordinator announces itself, since nodes may not know one that joined last.
 _ANNOUNCE_INTERVAL_S = 1.0
 _MIN_BACKOFF_S = 0.6  # three heartbeats; a restart takes about as long
@@ -88,6 +90,8 @@
         self._on_revisions = on_revisions
         self._coordinator: str | None = None
         self._backoffs: dict[str, tuple[float, float]] = {}  # end time, length
+        self._round_size = _MAX_CONCURRENT_HEARTBEATS
+        self._unanswered: set[str] = set()  # members contacted since the coordinator was lost
         self._probed: set[str] = set()  # members contacted in the last round
         self._last_heard_s: dict[str, float] = {}
         self._first_checked_s: dict[str, float] = {}  # by `find_dead_members`
@@ -239,22 +243,32 @@
 
     async def _run_round(self) -> None:
         """Send heartbeats to the first candidates and set the coordinator by their replies."""
-        targets = self._candidates()[:_MAX_CONCURRENT_HEARTBEATS]
+        candidates = [m for m in self._candidates() if m.name not in self._unanswered]
+        targets = candidates[: self._round_size]
         if not targets:
+            self._end_search()
             self._set_coordinator(self._own.name)
             return
         self._probed = {member.name for member in targets}
         answered = await self._send_heartbeats(targets)
         if not answered:
             if not self.is_coordinator:
+                self._unanswered |= self._probed
+                self._round_size *= 2
                 self._set_coordinator(None)  # `_run` contacts the next candidates at once
             return
+        self._end_search()
         best = min(answered, key=lambda reply: reply.member.precedence)
         if best.member.precedence > self._own.precedence and not self._is_leaving:
             self._set_coordinator(self._own.name)
         else:
             self._set_coordinator(best.member.name)
 
+    def _end_search(self) -> None:
+        """Start with the first members again when the coordinator is lost the next time."""
+        self._unanswered.clear()
+        self._round_size = _MAX_CONCURRENT_HEARTBEATS
+
     def _has_new_candidate(self) -> bool:
         """Return whether a member that precedes the coordinator has not been contacted yet."""
         candidates = self._candidates()
