Decide about waiting requests also after a decision failed

Callers would see: a refusal when their whole wait is over, from one moment on for each request that is not decided at once. An error in a decision ended the task that decides periodically, and it was not started again. At a node without a fleet, a processed prompt waited for such a decision without any bound.

Evidence, test_bounded_waits.py on the code before: a request refused though an engine was free again, after "task dispatcher.decide failed"; a processed prompt of a node alone without an answer in 60 s.

The task logs the error ("decision failed") and goes on after 0.5 s.

--- a/flamingoshelf/placement/_coordinator_calls.py
+++ b/flamingoshelf/placement/_coordinator_calls.py
@@ -86,7 +86,7 @@
         coordinator was known.
         """
         if self._coordination is None or self._link is None:
-            return await self._request_self(payload)
+            return await self._request_self(payload, timeout_s=timeout_s)
         record = CallRecord() if record is None else record
         end_s = now_s() + timeout_s
         coordinator = await self._wait_for_coordinator(timeout_s, record)
@@ -131,8 +131,8 @@
         finally:
             record.end_unknown()
 
-    async def _request_self(self, payload: Any) -> Any:
-        """Return the reply of this node's own dispatcher.
+    async def _request_self(self, payload: Any, *, timeout_s: float) -> Any:
+        """Return the reply of this node's own dispatcher, or None if there is none in time.
 
         Raises
         ------
@@ -146,5 +146,12 @@
                     return TurnGranted(turn=outcome)
                 return TurnRefused(refusal=outcome)
             case ConfirmDecode():
-                return await self._dispatchers.confirm(payload)
+                try:
+                    async with asyncio.timeout(timeout_s):
+                        return await self._dispatchers.confirm(payload)
+                except TimeoutError:
+                    logger.bind(step="place", turn=payload.turn_id).warning(
+                        "no decision about a processed prompt"
+                    )
+                    return None
         raise TypeError(f"not a dispatcher request: {payload!r}")
--- a/flamingoshelf/placement/_runner.py
+++ b/flamingoshelf/placement/_runner.py
@@ -15,6 +15,7 @@
 
 # Longest time that the other nodes need to notice a new dispatcher and report their turns to it.
 _TAKEOVER_WAIT_S = 0.35
+_FAILED_DECISION_PAUSE_S = 0.5  # bounds the log lines if all decisions fail
 _DECISION_INTERVAL_S = 0.01  # for decisions that depend only on the passage of time
 
 
@@ -140,5 +141,12 @@
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(_DECISION_INTERVAL_S)
-            if self._turn_futures or self._decode_futures:
+            if not self._turn_futures and not self._decode_futures:
+                continue
+            try:
                 self.decide()
+            except Exception:  # the others that wait must not be left without a decision
+                logger.bind(step="place", service=self._dispatcher.service).exception(
+                    "decision failed"
+                )
+                await asyncio.sleep(_FAILED_DECISION_PAUSE_S)
--- a/flamingoshelf/placement/tests/test_bounded_waits.py
+++ b/flamingoshelf/placement/tests/test_bounded_waits.py
@@ -208,3 +208,42 @@
         decode_id, waited_s = await waiting
     assert decode_id == turn.decode_id
     assert waited_s < PROFILE.handle_lifetime_s
+
+
+async def test_processed_prompt_of_a_node_alone_waits_no_longer_than_its_handle():
+    """Guards against a prompt that waits without end at a dispatcher that no longer decides."""
+    dispatchers = new_dispatchers()
+    placer = new_placer(dispatchers)
+    turn = await placer.acquire(placement_request(1))
+    assert isinstance(turn, Turn)
+    runner = dispatchers.runner("s")
+    await runner.stop()
+    tracker = runner.dispatcher.engines.decode_tracker("d0")
+    tracker.record_report(2 * PROFILE.kv_tokens, now_s())  # so there is no room at once
+    decode_id, waited_s = await timed(placer.confirm(turn))
+    assert decode_id == turn.decode_id
+    assert waited_s < PROFILE.handle_lifetime_s
+
+
+async def test_dispatcher_decides_again_after_a_decision_failed(monkeypatch, log_lines):
+    """Guards against requests that wait until their callers leave, as one decision had failed."""
+    async with fleet("c") as (placer, _, _, dispatchers):
+        held = [await placer.acquire(placement_request(n)) for n in range(2)]
+        waiting = asyncio.ensure_future(timed(placer.acquire(placement_request(2))))
+        await asyncio.sleep(0.1)
+        dispatcher = dispatchers.runner("s").dispatcher
+        decide, failures = dispatcher.decide, list[float]()
+
+        def fail_once():
+            if not failures:
+                failures.append(now_s())
+                raise KeyError("x")
+            return decide()
+
+        monkeypatch.setattr(dispatcher, "decide", fail_once)
+        await asyncio.sleep(0.05)
+        dispatcher.record_prefill(held[0].turn_id, seconds=0.05)
+        outcome, waited_s = await waiting
+    assert isinstance(outcome, Turn)
+    assert waited_s < 1.0
+    assert [line for line in log_lines if line["message"] == "decision failed"]
