--- a/flamingoshelf/placement/_engines.py
+++ b/flamingoshelf/placement/_engines.py
@@ -140,13 +140,26 @@
         self._usable.clear()
 
     def usable_prefills(self, *, avoid: Iterable[str] = ()) -> list[BackendInstance]:
-        """Return the prefill engines that may get work, except those in `avoid`."""
+        """Return the prefill engines that may get work, if possible none of those in `avoid`."""
         return self._usable_engines(EngineRole.PREFILL, avoid)
 
     def usable_decodes(self, *, avoid: Iterable[str] = ()) -> list[BackendInstance]:
-        """Return the decode engines that may get work, except those in `avoid`."""
+        """Return the decode engines that may get work, if possible none of those in `avoid`."""
         return self._usable_engines(EngineRole.DECODE, avoid)
 
+    def expected_decodes(self) -> list[BackendInstance]:
+        """Return the decode engines in use and those that are down for a moment only."""
+        return [
+            engine
+            for engine in self._listed.values()
+            if engine.role is EngineRole.DECODE
+            and not self._is_changing_role(engine.key)
+            and (
+                not self._health.is_down(engine.key, self._now_s)
+                or self._health.is_expected_back(engine.key, self._now_s)
+            )
+        ]
+
     def is_usable(self, key: str) -> bool:
         """Return whether an engine is listed, isn't changing its role and isn't down."""
         return (
@@ -160,10 +173,12 @@
         engine = None if key is None else self._listed.get(key)
         return None if engine is None else engine.data_centre
 
-    def most_free_decode(self, now_s: float, blocked: Iterable[str]) -> str | None:
-        """Return the decode engine with most free memory, except those in `blocked`."""
+    def most_free_decode(
+        self, now_s: float, blocked: Iterable[str], *, avoid: Iterable[str] = ()
+    ) -> str | None:
+        """Return the decode engine with most free memory, except those in `blocked` or `avoid`."""
         excluded = set(blocked)
-        engines = [e for e in self.usable_decodes() if e.key not in excluded]
+        engines = [e for e in self.usable_decodes(avoid=avoid) if e.key not in excluded]
         choice = max(
             engines, key=lambda e: self.decode_tracker(e.key).free_tokens(now_s), default=None
         )
@@ -196,6 +211,11 @@
         self._health.record_success(key, now_s=self._now_s)
         self._usable.clear()
 
+    def record_first_event(self, key: str) -> None:
+        """Record the first event of a run."""
+        self._health.record_first_event(key, now_s=self._now_s)
+        self._usable.clear()
+
     def instance(self, key: str) -> BackendInstance | None:
         """Return a listed engine, or None."""
         return self._listed.get(key)
@@ -222,7 +242,11 @@
             usable = [e for e in listed if e.role is role and self.is_usable(e.key)]
             self._usable[role] = usable
         avoided = set(avoid)
-        return [engine for engine in usable if engine.key not in avoided] if avoided else usable
+        if not avoided:
+            return usable
+        others = [engine for engine in usable if engine.key not in avoided]
+        # With no other engine in use, one that was silent may be tried again once it answers.
+        return others or [e for e in usable if not self._health.is_suspected(e.key)]
 
     def _resize(self, tracker: DecodeEngineTracker) -> None:
         if self._applied_profile is not None:
--- a/flamingoshelf/placement/_health.py
+++ b/flamingoshelf/placement/_health.py
@@ -16,6 +16,9 @@
 # Failure rates from which an engine is used only if engines of better tiers have no room.
 _DEGRADED_FAILURE_RATE = 0.2
 _BAD_FAILURE_RATE = 0.45  # half of the calls fail in the worst failures at the reference sites
+# Time for which a silent engine that is down is expected back; such silences last a second or two.
+_EXPECTED_BACK_S = 1.0
+_SLOW_PROBE_S = 0.1  # a probe that takes longer was sent during a silence; most take milliseconds
 
 
 class FailureKind(StrEnum):
@@ -36,6 +39,9 @@
     is_replaced: bool = False
     probe_at_s: float = 0.0
     down_since_s: float = 0.0
+    answered_s: float = float("-inf")  # time of the last answer to a call or a probe
+    silent_since_s: float | None = None  # set while it is down as it answers no probe
+    earlier_rate: float | None = None  # before the failures since the last answer, if there are any
 
 
 class HealthTracker:
@@ -43,8 +49,11 @@
 
     An unreachable engine is down until a probe succeeds. A replaced engine, whose address belongs
     to another one, is down until `remove` is called, as it stays listed for several seconds. An
-    engine that breaks off answers or stalls is suspected: it is probed but stays in use. The
+    engine that breaks off answers or stalls is suspected: it is probed, and used after others. The
     failure rate puts engines into tiers, so that an engine that fails some calls gets less work.
+
+    A silence ends many calls at once. So calls that break off count once until the engine answers
+    again, and not at all if probes show that it was silent: then it was down meanwhile.
     """
 
     def __init__(self) -> None:
@@ -57,13 +66,27 @@
             return False
         return record.is_replaced or now_s < record.down_since_s + _UNPROBED_RETRY_S
 
+    def is_suspected(self, key: str) -> bool:
+        """Return whether an engine failed a call and has neither run one nor answered since."""
+        record = self._records.get(key)
+        return record is not None and record.is_suspected
+
+    def is_expected_back(self, key: str, now_s: float) -> bool:
+        """Return whether an engine is down for a moment only, as it answers no probe."""
+        record = self._records.get(key)
+        if record is None or record.is_replaced or record.silent_since_s is None:
+            return False
+        return now_s < record.silent_since_s + _EXPECTED_BACK_S
+
     def tier(self, key: str, now_s: float) -> int:
-        """Return the tier by failure rate: 0 healthy, 1 degraded, 2 bad."""
+        """Return the tier: 0 healthy, 1 degraded by its failure rate or suspected, 2 bad."""
         record = self._records.get(key)
         if record is None:
             return 0
         rate = _decayed_rate(record, now_s)
-        return 0 if rate < _DEGRADED_FAILURE_RATE else 1 if rate < _BAD_FAILURE_RATE else 2
+        if rate >= _BAD_FAILURE_RATE:
+            return 2
+        return 1 if rate >= _DEGRADED_FAILURE_RATE or record.is_suspected else 0
 
     def record_failure(self, key: str, kind: FailureKind, *, now_s: float, detail: str) -> None:
         """Record a failed call."""
@@ -72,10 +95,12 @@
             self._mark_replaced(record, key)
             return
         if kind is not FailureKind.SILENT:  # a stalled call counts once it ends
-            _update_rate(record, 1.0, now_s)
+            _count_failure(record, kind, now_s)
         if not record.is_suspected and not record.is_down:
             record.probe_at_s = now_s
         record.is_suspected = True
+        if kind is FailureKind.UNREACHABLE:
+            record.silent_since_s = None
         if kind is FailureKind.UNREACHABLE and not record.is_down:
             self._mark_down(record, key, now_s, detail)
         logger.bind(
@@ -91,9 +116,26 @@
         record = self._records.get(key)
         if record is None:
             return
+        record.answered_s = now_s
+        record.earlier_rate = None
         _update_rate(record, 0.0, now_s)
         self._mark_up(record, key)
 
+    def record_first_event(self, key: str, *, now_s: float) -> None:
+        """Record the first event of a run, which ends a silence of its engine.
+
+        The message may be late, so the engine is still probed, and stays down if it is unreachable.
+        """
+        record = self._records.get(key)
+        if record is None:
+            return
+        record.answered_s = now_s
+        record.earlier_rate = None
+        if record.silent_since_s is not None and not record.is_replaced:
+            record.is_down = False
+            record.silent_since_s = None
+            logger.bind(step="engine", peer=key).info("engine marked up by a first event")
+
     def due_probes(self, now_s: float) -> list[str]:
         """Return the engines to probe now and schedule their next probes."""
         due = [
@@ -107,17 +149,28 @@
             self._records[key].probe_at_s = now_s + _PROBE_INTERVAL_S
         return due
 
-    def record_probe(self, key: str, *, is_answered: bool, now_s: float) -> None:
-        """Record the result of a probe."""
+    def record_probe(
+        self, key: str, *, is_answered: bool, now_s: float, seconds: float = 0.0
+    ) -> None:
+        """Record the result of a probe, which took `seconds`.
+
+        A failure is ignored if the engine has answered anything else meanwhile.
+        """
         record = self._records.get(key)
-        if record is None:
+        if record is None or (not is_answered and record.answered_s > now_s - seconds):
             return
+        if not is_answered or seconds > _SLOW_PROBE_S:
+            _forget_failures(record, now_s)
         if is_answered:
+            record.answered_s = now_s
+            record.earlier_rate = None
             self._mark_up(record, key)
         elif record.is_down:
             record.down_since_s = now_s
         else:
             self._mark_down(record, key, now_s, "a probe failed")
+            if seconds > _SLOW_PROBE_S:  # it was not refused, as by an engine that has crashed
+                record.silent_since_s = now_s
 
     def remove(self, key: str) -> None:
         """Drop the record of an engine, as when it is no longer listed."""
@@ -142,6 +195,7 @@
             logger.bind(step="engine", peer=key).info("engine marked up")
         record.is_down = False
         record.is_suspected = False
+        record.silent_since_s = None
 
 
 def _decayed_rate(record: _EngineHealth, now_s: float) -> float:
@@ -149,6 +203,24 @@
     return record.rate * 0.5 ** ((now_s - record.updated_s) / _FAILURE_RATE_HALF_LIFE_S)
 
 
+def _count_failure(record: _EngineHealth, kind: FailureKind, now_s: float) -> None:
+    """Add a failed call to the failure rate, unless it ended with others in one silence."""
+    if kind is not FailureKind.BROKE_OFF:
+        record.earlier_rate = None
+    elif record.silent_since_s is not None or record.earlier_rate is not None:
+        return
+    else:
+        record.earlier_rate = _decayed_rate(record, now_s)
+    _update_rate(record, 1.0, now_s)
+
+
+def _forget_failures(record: _EngineHealth, now_s: float) -> None:
+    """Restore the failure rate from before a silence."""
+    if record.earlier_rate is not None:
+        record.rate = min(record.earlier_rate, _decayed_rate(record, now_s))
+        record.updated_s = now_s
+
+
 def _update_rate(record: _EngineHealth, failed: float, now_s: float) -> None:
     """Add a call to the failure rate; `failed` is 1 for a failed call and 0 for a success."""
     rate = _decayed_rate(record, now_s)
--- a/flamingoshelf/placement/_service.py
+++ b/flamingoshelf/placement/_service.py
@@ -122,6 +122,7 @@
             return no_retry_budget_refusal(request.service)
         refusal = self._limits.charge(request.workspace, request.charge_tokens)
         if refusal is not None:
+            self._budget(request.service).refund(request.repeat_cost)
             return refusal
         outcome: Turn | Refusal | None = None
         try:
@@ -130,6 +131,7 @@
         finally:
             if not isinstance(outcome, Turn):  # the request was refused or cancelled
                 self._limits.refund(request.workspace, request.charge_tokens)
+                self._budget(request.service).refund(request.repeat_cost)
 
     def _charge_retry_budget(self, request: PlacementRequest, owner: str) -> bool:
         """Record a first attempt, or take a repeat from the fleet's retry budget.
@@ -153,9 +155,10 @@
     async def confirm(self, message: ConfirmDecode) -> DecodeConfirmed:
         """Return the decode engine of a processed prompt, once it is chosen."""
         runner = self.runner(message.service)
-        if not runner.dispatcher.has_turn(message.turn_id):
+        decode_id = await runner.confirm(message.turn_id)
+        if decode_id is None and not runner.dispatcher.has_turn(message.turn_id):
             return DecodeConfirmed(is_known=False)
-        return DecodeConfirmed(decode_id=await runner.confirm(message.turn_id) or "")
+        return DecodeConfirmed(decode_id=decode_id or "")
 
     def spend(self, spent: Mapping[str, int]) -> dict[str, float]:
         """Charge plain calls; return exhausted workspaces and the seconds until each has tokens."""
--- a/flamingoshelf/placement/tests/test_health.py
+++ b/flamingoshelf/placement/tests/test_health.py
@@ -106,3 +106,99 @@
     other = next(iter(sim.decodes["d0"].runs.keys() - {lost}))
     sim.dispatcher.release(other, events=5, seconds=1.0, outcome=RunOutcome.COMPLETE)
     assert engines.is_usable("d0")
+
+
+def test_calls_that_one_silence_ended_count_once(tracker):
+    """Guards against a sound engine that is used last, as all of its runs stalled at once."""
+    for _ in range(10):
+        fail(tracker, FailureKind.BROKE_OFF)
+    assert tracker.tier("e", 0.0) == 1
+    tracker.record_success("e", now_s=0.1)
+    assert tracker.tier("e", 0.1) == 0
+
+
+def test_failures_at_an_engine_that_answers_between_them_count_each(tracker):
+    """Guards against an engine that answers probes and fails most calls, and is not used last."""
+    for step in range(4):
+        fail(tracker, FailureKind.BROKE_OFF, now_s=0.3 * step)
+        tracker.record_probe("e", is_answered=True, now_s=0.3 * step + 0.01)
+    assert tracker.tier("e", 1.0) == 2
+
+
+def test_silence_that_probes_confirm_is_no_failure_rate(tracker):
+    """Guards against an engine that is used last after its silence, for which it was down."""
+    fail(tracker, FailureKind.BROKE_OFF)
+    tracker.record_probe("e", is_answered=False, now_s=0.4)
+    fail(tracker, FailureKind.BROKE_OFF, now_s=0.9)
+    assert tracker.is_down("e", 0.9)
+    tracker.record_probe("e", is_answered=True, now_s=1.0)
+    assert not tracker.is_down("e", 1.0)
+    assert tracker.tier("e", 1.0) == 0
+
+
+def test_failures_before_a_silence_still_count_after_it(tracker):
+    """Guards against an engine whose failed calls are forgotten, as a probe of it was lost."""
+    for _ in range(6):
+        fail(tracker, FailureKind.BROKE_OFF)
+        tracker.record_success("e", now_s=0.0)
+    before = tracker.tier("e", 0.5)
+    fail(tracker, FailureKind.BROKE_OFF, now_s=0.1)
+    tracker.record_probe("e", is_answered=False, now_s=0.5)
+    tracker.record_probe("e", is_answered=True, now_s=0.5)
+    assert tracker.tier("e", 0.5) == before > 0
+
+
+def test_silent_engine_that_is_down_is_expected_back_for_a_moment(tracker):
+    """Guards against refusals for lack of memory that is back within a second."""
+    fail(tracker, FailureKind.SILENT)
+    assert not tracker.is_expected_back("e", 0.3)  # it is still in use
+    tracker.record_probe("e", is_answered=False, now_s=0.4, seconds=0.4)
+    assert tracker.is_expected_back("e", 0.5)
+    tracker.record_probe("e", is_answered=False, now_s=0.7, seconds=0.4)
+    assert not tracker.is_expected_back("e", 1.5)
+
+
+@pytest.mark.parametrize("seconds", [0.0, 0.4])
+def test_crashed_engine_is_not_expected_back(tracker, seconds):
+    """Guards against requests that wait for the memory of an engine that has crashed."""
+    fail(tracker, FailureKind.BROKE_OFF)
+    tracker.record_probe("e", is_answered=False, now_s=0.4, seconds=seconds)
+    fail(tracker, FailureKind.UNREACHABLE, now_s=0.5)
+    assert tracker.is_down("e", 0.5)
+    assert not tracker.is_expected_back("e", 0.5)
+
+
+def test_engine_that_refuses_a_probe_is_not_expected_back(tracker):
+    """Guards against requests that wait for the memory of an engine that has crashed."""
+    fail(tracker, FailureKind.BROKE_OFF)
+    tracker.record_probe("e", is_answered=False, now_s=0.01, seconds=0.01)
+    assert tracker.is_down("e", 0.01)
+    assert not tracker.is_expected_back("e", 0.01)
+
+
+def test_probe_that_fails_after_a_call_succeeded_does_not_mark_the_engine_down(tracker):
+    """Guards against an engine that gets no work, as a probe of before its answer ends late."""
+    fail(tracker, FailureKind.SILENT)
+    tracker.record_success("e", now_s=0.3)
+    tracker.record_probe("e", is_answered=False, now_s=0.4, seconds=0.4)
+    assert not tracker.is_down("e", 0.4)
+
+
+def test_first_event_ends_the_silence_of_an_engine(tracker):
+    """Guards against an engine that gets no work until the next probe, though it has answered."""
+    fail(tracker, FailureKind.SILENT)
+    tracker.record_probe("e", is_answered=False, now_s=0.4, seconds=0.4)
+    tracker.record_first_event("e", now_s=0.6)
+    assert not tracker.is_down("e", 0.6)
+    assert tracker.due_probes(0.7) == ["e"]  # a late message may tell of an earlier event
+    tracker.record_probe("e", is_answered=False, now_s=0.7, seconds=0.4)  # sent before the event
+    assert not tracker.is_down("e", 0.7)
+    tracker.record_probe("e", is_answered=False, now_s=1.1, seconds=0.4)
+    assert tracker.is_down("e", 1.1)
+
+
+def test_late_message_about_a_first_event_does_not_mark_a_crashed_engine_up(tracker):
+    """Guards against work for a crashed engine, whose last event is reported after the crash."""
+    fail(tracker, FailureKind.UNREACHABLE)
+    tracker.record_first_event("e", now_s=0.01)
+    assert tracker.is_down("e", 0.01)
