Log connections that end with a request or a response on them

Nothing said when a caller's connection was ended by this process with a request on it, when a finished response was not wholly sent, or when bytes came while the connection was closing and were dropped.

Three lines of step "connection" say so: "request cut off" with the request's id, which the gateway notes on the exchange after admission; "response not wholly sent"; "received bytes discarded", one line a connection. At the end of a grace period the first 100 requests are named. Ordinary requests add no line. The gateway's line about a caller who left is unchanged.

--- a/flamingoshelf/gateway/_app.py
+++ b/flamingoshelf/gateway/_app.py
@@ -59,6 +59,7 @@
             self._refuse(exchange, admitted.err_value)
             return
         request = admitted.ok_value
+        exchange.request_id = request.request_id
         try:
             body = await exchange.read_body(limit=self._configuration.limits.max_body_bytes)
         except BodyTooLargeError as error:
--- a/flamingoshelf/http1/_exchange.py
+++ b/flamingoshelf/http1/_exchange.py
@@ -52,6 +52,8 @@
         Status that was sent, or None before the head of the response is written.
     backend_server : str
         Backend server that the response comes from, empty if there is none.
+    request_id : str or None
+        Identifier of the request for log lines, once the handler knows it.
     """
 
     def __init__(self, *, head: RequestHead, output: ExchangeOutput, arrived_s: float) -> None:
@@ -67,6 +69,7 @@
         self._is_aborted = False
         self.status: int | None = None
         self.backend_server = ""
+        self.request_id: str | None = None
 
     @property
     def head(self) -> RequestHead:
@@ -78,6 +81,11 @@
         """Event loop time in seconds at which the head was read."""
         return self._arrived_s
 
+    @property
+    def is_body_complete(self) -> bool:
+        """Whether the request was read to its end."""
+        return self._is_body_complete
+
     @property
     def is_started(self) -> bool:
         """Whether the head of a response was written."""
--- a/flamingoshelf/http1/_server.py
+++ b/flamingoshelf/http1/_server.py
@@ -5,12 +5,14 @@
 
 import attrs
 
+from flamingoshelf.http1._connection_log import CloseReason
 from flamingoshelf.http1._exchange import Exchange
 from flamingoshelf.http1._server_connection import ServerConnection
 
 __all__ = ["ConnectionLimits", "HttpServer"]
 
 _BACKLOG_CONNECTIONS = 512  # callers that connect at once after a restart
+_MAX_NAMED_CUTS = 100  # log lines about requests that are cut off at the end of the grace period
 
 
 @attrs.frozen(kw_only=True)
@@ -106,8 +108,9 @@
     async def stop(self) -> None:
         """Stop accepting connections and abort the open ones."""
         self.stop_accepting()
-        for connection in list(self._connections):
-            connection.abort()
+        connections = sorted(self._connections, key=lambda connection: not connection.is_busy)
+        for number, connection in enumerate(connections):
+            connection.abort(CloseReason.STOP if number < _MAX_NAMED_CUTS else None)
         await asyncio.sleep(0)
 
     def _new_connection(self) -> ServerConnection:
--- a/flamingoshelf/http1/_server_connection.py
+++ b/flamingoshelf/http1/_server_connection.py
@@ -8,6 +8,12 @@
 import h11
 from loguru import logger
 
+from flamingoshelf.http1._connection_log import (
+    CloseReason,
+    log_cut_request,
+    log_discarded_bytes,
+    log_unsent_response,
+)
 from flamingoshelf.http1._exchange import Exchange, plain_head
 from flamingoshelf.http1._heads import Headers, RequestHead, ResponseHead
 from flamingoshelf.utils import now_s
@@ -58,7 +64,10 @@
         self._can_write.set()
         self._closes_after_response = False
         self._is_lingering = False
+        self._close_reason: CloseReason | None = None
+        self._last_request_id: str | None = None
         self._discarded_bytes = 0
+        self._unread_bytes = 0  # discarded because the connection is closing
 
     @property
     def is_busy(self) -> bool:
@@ -72,12 +81,15 @@
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun."""
         if not self.is_busy and not self._parser.trailing_data[0]:
-            self._linger()
+            self._linger(CloseReason.DRAIN)
 
-    def abort(self) -> None:
-        """Abort the connection."""
-        if self._transport is not None:
-            self._transport.abort()
+    def abort(self, reason: CloseReason | None = None) -> None:
+        """Abort the connection; log what is lost if it is for a reason of this process."""
+        if self._transport is None:
+            return
+        if reason is not None and not self._transport.is_closing():
+            self._log_loss(reason)
+        self._transport.abort()
 
     async def drain(self) -> None:
         """Wait until the write buffer has drained."""
@@ -90,11 +102,12 @@
         if raw is not None:
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS)
-        self._set_timer(self._limits().idle_timeout_s, self._linger)
+        self._set_timer(self._limits().idle_timeout_s, self._on_idle_timeout)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, or discard them if the connection is closing."""
         if self._is_lingering:
+            self._unread_bytes += len(data)
             self._discard(len(data))
             return
         if not self.is_busy and not self._parser.trailing_data[0]:
@@ -112,6 +125,13 @@
         self._can_write.set()
         if self._task is not None:
             self._task.cancel()
+        if self._unread_bytes:
+            log_discarded_bytes(
+                self._last_request_id,
+                self._close_reason,
+                size=self._unread_bytes,
+                is_body=self._parser.their_state is h11.SEND_BODY,
+            )
         self._on_lost(self)
 
     def pause_writing(self) -> None:
@@ -141,13 +161,15 @@
     def send_end(self) -> None:
         """Write the end of the body and wait for the next request."""
         self._write(h11.EndOfMessage())
+        if self._exchange is not None:
+            self._last_request_id = self._exchange.request_id
         self._exchange = None
         if self._closes_after_response or self._parser.our_state is h11.MUST_CLOSE:
-            self._linger()
+            self._linger(CloseReason.LAST_RESPONSE)
         elif self._parser.their_state is h11.DONE:
             self._begin_next_request()
         else:  # the rest of a refused body is still to be read
-            self._set_timer(self._limits().header_timeout_s, self._linger)
+            self._set_timer(self._limits().header_timeout_s, self._on_slow_body)
 
     def send_continue(self) -> None:
         """Send ``100 Continue`` to a caller that waits for it."""
@@ -236,13 +258,13 @@
         if has_more:
             self._set_timer(limits.header_timeout_s, self._on_header_timeout)
         else:
-            self._set_timer(limits.idle_timeout_s, self._linger)
+            self._set_timer(limits.idle_timeout_s, self._on_idle_timeout)
         asyncio.get_running_loop().call_soon(self._parse)
 
     def _reject_input(self, error: h11.RemoteProtocolError) -> None:
         """Answer malformed input with an error status, and close the connection."""
         if self._exchange is not None:  # malformed body: the abort cancels its request
-            self.abort()
+            self.abort(CloseReason.MALFORMED)
             return
         self._closes_after_response = True
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
@@ -250,7 +272,13 @@
             headers = [("Content-Length", "0"), ("Connection", "close")]
             self._write(h11.Response(status_code=status, headers=headers))
             self._write(h11.EndOfMessage())
-        self._linger()
+        self._linger(CloseReason.MALFORMED)
+
+    def _on_idle_timeout(self) -> None:
+        self._linger(CloseReason.IDLE)
+
+    def _on_slow_body(self) -> None:
+        self._linger(CloseReason.SLOW_BODY)
 
     def _on_header_timeout(self) -> None:
         """Close a connection whose request did not arrive in time."""
@@ -258,22 +286,32 @@
             headers = [("Content-Length", "0"), ("Connection", "close")]
             self._write(h11.Response(status_code=408, headers=headers))
             self._write(h11.EndOfMessage())
-        self._linger()
+        self._linger(CloseReason.SLOW_HEAD)
 
-    def _linger(self) -> None:
+    def _linger(self, reason: CloseReason) -> None:
         """Close the write side; read on until the caller closes too, so it gets the response."""
         if self._is_lingering or self._transport is None:
             return
         self._is_lingering = True
+        self._close_reason = reason
         if self._transport.is_closing():
             return
         self._transport.write_eof()
-        self._set_timer(_LINGER_TIMEOUT_S, self.abort)
+        self._set_timer(_LINGER_TIMEOUT_S, lambda: self.abort(reason))
 
     def _discard(self, size: int) -> None:
         self._discarded_bytes += size
         if self._discarded_bytes > _MAX_DISCARDED_BYTES:
-            self.abort()
+            self.abort(self._close_reason or CloseReason.SLOW_BODY)
+
+    def _log_loss(self, reason: CloseReason) -> None:
+        """Log the request that is being answered, or the response that is not wholly sent."""
+        assert self._transport is not None
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if self._exchange is not None:
+            log_cut_request(self._exchange, reason, unsent_bytes=unsent_bytes)
+        elif unsent_bytes:
+            log_unsent_response(self._last_request_id, reason, unsent_bytes=unsent_bytes)
 
     def _write(self, event: h11.Event) -> None:
         data = self._parser.send(event)
--- a/flamingoshelf/http1/tests/conftest.py
+++ b/flamingoshelf/http1/tests/conftest.py
@@ -18,6 +18,7 @@
         self.is_aborted = False
         self.has_eof = False
         self.is_paused = False
+        self.unsent_bytes = 0  # set by tests whose caller does not read
         protocol.connection_made(self)
 
     def write(self, data):
@@ -43,6 +44,9 @@
     def resume_reading(self):
         self.is_paused = False
 
+    def get_write_buffer_size(self):
+        return self.unsent_bytes
+
     def get_extra_info(self, name, default=None):
         return default
 
