A slow reader gets the whole last answer of a closing connection

Callers saw an answer end early, without an error of the backend server, if they needed more than 1 s to read it and the connection closed after it (planned stop, "Connection: close", refused request).

Cause: one second after the write side was closed the connection was aborted, which drops what is still in the write buffer. Now the connection ends 1 s after the caller has acknowledged everything, or after 5 s in which it acknowledged nothing, as the socket's own timeout. Memory stays bounded by what was already written.

--- /dev/null
+++ b/flamingoshelf/http1/_linger.py
@@ -0,0 +1,86 @@
+"""End of a caller's connection: all that was written is sent before it is closed."""
+
+import asyncio
+import fcntl
+import struct
+import termios
+from collections.abc import Callable
+
+from flamingoshelf.utils import now_s
+
+__all__ = ["Linger", "unsent_bytes"]
+
+_CALLER_CLOSE_TIMEOUT_S = 1.0  # for the caller to close its side, once everything is sent
+_STALL_TIMEOUT_S = 5.0  # longest time in which a caller acknowledges nothing
+_CHECK_INTERVAL_S = 0.1  # while something is unsent
+_FIN_BYTES = 1  # the end of the stream takes one sequence number
+
+
+def unsent_bytes(transport: asyncio.Transport, *, is_closed: bool = False) -> int:
+    """Return how many written bytes the peer has not acknowledged.
+
+    `is_closed` tells that the write side was closed.
+    """
+    queued = transport.get_write_buffer_size()
+    raw = transport.get_extra_info("socket")
+    if raw is None or raw.fileno() < 0:
+        return queued
+    try:
+        in_kernel = struct.unpack("i", fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, bytes(4)))[0]
+    except OSError:  # the socket has failed; the transport's buffer is all that is known
+        in_kernel = 0
+    return queued + max(0, int(in_kernel) - _FIN_BYTES * is_closed)
+
+
+class Linger:
+    """Closes the write side, and ends the connection when the caller has everything.
+
+    A caller may read as slowly as it likes, but not stand still.
+
+    Parameters
+    ----------
+    transport : asyncio.Transport
+        Transport of the connection.
+    end : callable
+        Ends the connection.
+    """
+
+    def __init__(self, *, transport: asyncio.Transport, end: Callable[[], None]) -> None:
+        self._transport = transport
+        self._end = end
+        self._unsent_bytes = 0
+        self._progress_s = now_s()
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that the caller has not acknowledged."""
+        return unsent_bytes(self._transport, is_closed=True)
+
+    def start(self) -> None:
+        """Close the write side and wait for the caller."""
+        self._transport.write_eof()
+        self._unsent_bytes = self.unsent_bytes
+        self._wait(_CHECK_INTERVAL_S if self._unsent_bytes else _CALLER_CLOSE_TIMEOUT_S)
+
+    def cancel(self) -> None:
+        """Stop waiting; the connection has ended."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _check(self) -> None:
+        unsent = self.unsent_bytes
+        if unsent < self._unsent_bytes:
+            self._progress_s = now_s()
+        was_unsent, self._unsent_bytes = self._unsent_bytes, unsent
+        if unsent and now_s() - self._progress_s < _STALL_TIMEOUT_S:
+            self._wait(_CHECK_INTERVAL_S)
+        elif was_unsent and not unsent:
+            self._wait(_CALLER_CLOSE_TIMEOUT_S)
+        else:
+            self._end()
+
+    def _wait(self, delay_s: float) -> None:
+        self.cancel()
+        self._timer = asyncio.get_running_loop().call_later(delay_s, self._check)
--- a/flamingoshelf/http1/_server_connection.py
+++ b/flamingoshelf/http1/_server_connection.py
@@ -16,6 +16,7 @@
 )
 from flamingoshelf.http1._exchange import Exchange, plain_head
 from flamingoshelf.http1._heads import Headers, RequestHead, ResponseHead
+from flamingoshelf.http1._linger import Linger, unsent_bytes
 from flamingoshelf.utils import now_s
 
 if TYPE_CHECKING:
@@ -23,7 +24,6 @@
 
 __all__ = ["ServerConnection"]
 
-_LINGER_TIMEOUT_S = 1.0  # time for the caller to read the last response before the abort
 _TCP_USER_TIMEOUT_MS = 5000  # ends the connection if a caller acknowledges no data for so long
 _MAX_DISCARDED_BYTES = 256 * 1024  # most bytes of a refused body that are read before the close
 
@@ -64,6 +64,7 @@
         self._can_write.set()
         self._closes_after_response = False
         self._is_lingering = False
+        self._linger: Linger | None = None
         self._close_reason: CloseReason | None = None
         self._last_request_id: str | None = None
         self._discarded_bytes = 0
@@ -81,7 +82,7 @@
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun."""
         if not self.is_busy and not self._parser.trailing_data[0]:
-            self._linger(CloseReason.DRAIN)
+            self._close(CloseReason.DRAIN)
 
     def abort(self, reason: CloseReason | None = None) -> None:
         """Abort the connection; log what is lost if it is for a reason of this process."""
@@ -122,6 +123,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the running request and report the end of the connection."""
         self._cancel_timer()
+        if self._linger is not None:
+            self._linger.cancel()
         self._can_write.set()
         if self._task is not None:
             self._task.cancel()
@@ -165,7 +168,7 @@
             self._last_request_id = self._exchange.request_id
         self._exchange = None
         if self._closes_after_response or self._parser.our_state is h11.MUST_CLOSE:
-            self._linger(CloseReason.LAST_RESPONSE)
+            self._close(CloseReason.LAST_RESPONSE)
         elif self._parser.their_state is h11.DONE:
             self._begin_next_request()
         else:  # the rest of a refused body is still to be read
@@ -272,13 +275,13 @@
             headers = [("Content-Length", "0"), ("Connection", "close")]
             self._write(h11.Response(status_code=status, headers=headers))
             self._write(h11.EndOfMessage())
-        self._linger(CloseReason.MALFORMED)
+        self._close(CloseReason.MALFORMED)
 
     def _on_idle_timeout(self) -> None:
-        self._linger(CloseReason.IDLE)
+        self._close(CloseReason.IDLE)
 
     def _on_slow_body(self) -> None:
-        self._linger(CloseReason.SLOW_BODY)
+        self._close(CloseReason.SLOW_BODY)
 
     def _on_header_timeout(self) -> None:
         """Close a connection whose request did not arrive in time."""
@@ -286,9 +289,9 @@
             headers = [("Content-Length", "0"), ("Connection", "close")]
             self._write(h11.Response(status_code=408, headers=headers))
             self._write(h11.EndOfMessage())
-        self._linger(CloseReason.SLOW_HEAD)
+        self._close(CloseReason.SLOW_HEAD)
 
-    def _linger(self, reason: CloseReason) -> None:
+    def _close(self, reason: CloseReason) -> None:
         """Close the write side; read on until the caller closes too, so it gets the response."""
         if self._is_lingering or self._transport is None:
             return
@@ -296,8 +299,9 @@
         self._close_reason = reason
         if self._transport.is_closing():
             return
-        self._transport.write_eof()
-        self._set_timer(_LINGER_TIMEOUT_S, lambda: self.abort(reason))
+        self._cancel_timer()
+        self._linger = Linger(transport=self._transport, end=lambda: self.abort(reason))
+        self._linger.start()
 
     def _discard(self, size: int) -> None:
         self._discarded_bytes += size
@@ -307,11 +311,13 @@
     def _log_loss(self, reason: CloseReason) -> None:
         """Log the request that is being answered, or the response that is not wholly sent."""
         assert self._transport is not None
-        unsent_bytes = self._transport.get_write_buffer_size()
+        unsent = (
+            unsent_bytes(self._transport) if self._linger is None else self._linger.unsent_bytes
+        )
         if self._exchange is not None:
-            log_cut_request(self._exchange, reason, unsent_bytes=unsent_bytes)
-        elif unsent_bytes:
-            log_unsent_response(self._last_request_id, reason, unsent_bytes=unsent_bytes)
+            log_cut_request(self._exchange, reason, unsent_bytes=unsent)
+        elif unsent:
+            log_unsent_response(self._last_request_id, reason, unsent_bytes=unsent)
 
     def _write(self, event: h11.Event) -> None:
         data = self._parser.send(event)
