A planned stop waits for answers that are not wholly sent and heads that arrive

Callers saw answers cut by a planned stop although the grace period was not over, and a request whose head was still arriving when idle connections were closed got no answer.

Cause: only requests in the handler counted as running. A written answer whose bytes were still in the write buffer did not, nor a request of which a part of the head had been read, and once nothing ran all connections were aborted. A pipelined request that had been read could also be aborted in the loop iteration between two requests. The stop now waits, within the grace period, for connections with a begun request or unsent bytes.

--- a/flamingoshelf/gateway/_shutdown.py
+++ b/flamingoshelf/gateway/_shutdown.py
@@ -12,14 +12,15 @@
 # The load balancer checks readiness once a second and stops sending connections after two failures.
 _BALANCER_NOTICE_S = 2.6
 _KILL_MARGIN_S = 0.25  # part of the grace period reserved for ending the process
-_POLL_INTERVAL_S = 0.02  # between checks for running requests
+_POLL_INTERVAL_S = 0.02  # between checks for unfinished requests
 
 
 class ShutdownPlan:
     """Stops the caller-facing server without cutting off requests.
 
     New connections are served until the load balancer has noticed the failing readiness check.
-    Then the listening socket and idle connections are closed, and running requests may finish.
+    Then the listening socket and idle connections are closed. Requests that have begun may finish,
+    and their callers may read the answers.
 
     Parameters
     ----------
@@ -31,12 +32,12 @@
         self._grace_s = grace_s
 
     async def run(self, server: HttpServer) -> None:
-        """Drain and stop `server`; return when all requests ended or the grace period is over."""
+        """Drain and stop `server`; return when all requests are answered or the time is over."""
         end_s = now_s() + self._grace_s - _KILL_MARGIN_S
         server.drain()
         await asyncio.sleep(min(_BALANCER_NOTICE_S, max(0.0, end_s - now_s())))
         server.stop_accepting()
-        while server.running_requests and now_s() < end_s:
+        while server.unfinished_connections and now_s() < end_s:
             await asyncio.sleep(_POLL_INTERVAL_S)
         if server.running_requests:
             logger.bind(step="stop").warning(
--- a/flamingoshelf/http1/_server.py
+++ b/flamingoshelf/http1/_server.py
@@ -72,6 +72,11 @@
         """Number of requests that are being answered."""
         return sum(connection.is_busy for connection in self._connections)
 
+    @property
+    def unfinished_connections(self) -> int:
+        """Number of connections with a request that has begun, or a response to send."""
+        return sum(connection.is_unfinished for connection in self._connections)
+
     @property
     def port(self) -> int:
         """Port of the listening socket, also if the operating system chose it."""
--- a/flamingoshelf/http1/_server_connection.py
+++ b/flamingoshelf/http1/_server_connection.py
@@ -75,13 +75,18 @@
         """Whether a request is being answered."""
         return self._exchange is not None
 
+    @property
+    def is_unfinished(self) -> bool:
+        """Whether a request has begun, or a response is not wholly sent."""
+        return self.is_busy or self._has_begun or self._unsent_bytes > 0
+
     def close_after_response(self) -> None:
         """Close the connection after the next response."""
         self._closes_after_response = True
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun."""
-        if not self.is_busy and not self._parser.trailing_data[0]:
+        if not self.is_busy and not self._has_begun:
             self._close(CloseReason.DRAIN)
 
     def abort(self, reason: CloseReason | None = None) -> None:
@@ -111,7 +116,7 @@
             self._unread_bytes += len(data)
             self._discard(len(data))
             return
-        if not self.is_busy and not self._parser.trailing_data[0]:
+        if not self.is_busy and not self._has_begun:
             self._set_timer(self._limits().header_timeout_s, self._on_header_timeout)
         self._parser.receive_data(data)
         self._parse()
@@ -179,6 +184,17 @@
         if self._parser.they_are_waiting_for_100_continue:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
 
+    @property
+    def _has_begun(self) -> bool:
+        """Whether bytes of another request have been read that can still be answered."""
+        return not self._is_lingering and bool(self._parser.trailing_data[0])
+
+    @property
+    def _unsent_bytes(self) -> int:
+        if self._linger is not None:
+            return self._linger.unsent_bytes
+        return 0 if self._transport is None else unsent_bytes(self._transport)
+
     @property
     def _must_close(self) -> bool:
         return self._closes_after_response or self._parser.their_state in (
@@ -256,9 +272,8 @@
 
     def _begin_next_request(self) -> None:
         self._parser.start_next_cycle()
-        has_more = bool(self._parser.trailing_data[0])
         limits = self._limits()
-        if has_more:
+        if self._has_begun:
             self._set_timer(limits.header_timeout_s, self._on_header_timeout)
         else:
             self._set_timer(limits.idle_timeout_s, self._on_idle_timeout)
@@ -310,10 +325,7 @@
 
     def _log_loss(self, reason: CloseReason) -> None:
         """Log the request that is being answered, or the response that is not wholly sent."""
-        assert self._transport is not None
-        unsent = (
-            unsent_bytes(self._transport) if self._linger is None else self._linger.unsent_bytes
-        )
+        unsent = self._unsent_bytes
         if self._exchange is not None:
             log_cut_request(self._exchange, reason, unsent_bytes=unsent)
         elif unsent:
