A refused body may be sent to its end without losing the refusal

Callers whose request was refused at its head (404 after a route was removed, 401, 413, 503) saw their connection reset instead of the refusal if more than 256 KiB of the body followed, or if the refused bodies of one connection added up to that; while draining, also if they sent for more than a second.

Cause: the rest of a refused body was counted over the whole life of a connection, and the connection aborted beyond 256 KiB. Now it is counted for each request, up to the largest body in force; a caller who sends more gets the end of the stream after its refusal, and no more is read from it. A closing connection is kept for the header timeout while its caller still sends such a body. Nothing of the body is stored.

Before: test_refused_body_does_not_cost_the_answer and test_refused_bodies_of_a_connection_are_not_added_up saw the connection aborted; test_refusal_of_a_large_body_arrives_over_a_socket_while_draining got "ConnectionResetError: Connection lost".

--- a/flamingoshelf/http1/_connection_log.py
+++ b/flamingoshelf/http1/_connection_log.py
@@ -20,7 +20,7 @@
 
     IDLE = "idle timeout"
     SLOW_HEAD = "header timeout"
-    SLOW_BODY = "rest of a refused body did not arrive"
+    REFUSED_BODY = "refused body"
     LAST_RESPONSE = "last response"
     DRAIN = "drain"
     MALFORMED = "malformed input"
--- a/flamingoshelf/http1/_linger.py
+++ b/flamingoshelf/http1/_linger.py
@@ -10,7 +10,6 @@
 
 __all__ = ["Linger", "unsent_bytes"]
 
-_CALLER_CLOSE_TIMEOUT_S = 1.0  # for the caller to close its side, once everything is sent
 _STALL_TIMEOUT_S = 5.0  # longest time in which a caller acknowledges nothing
 _CHECK_INTERVAL_S = 0.1  # while something is unsent
 _FIN_BYTES = 1  # the end of the stream takes one sequence number
@@ -41,12 +40,17 @@
     ----------
     transport : asyncio.Transport
         Transport of the connection.
+    timeout_s : float
+        Time for the caller to close its side, once it has everything.
     end : callable
         Ends the connection.
     """
 
-    def __init__(self, *, transport: asyncio.Transport, end: Callable[[], None]) -> None:
+    def __init__(
+        self, *, transport: asyncio.Transport, timeout_s: float, end: Callable[[], None]
+    ) -> None:
         self._transport = transport
+        self._timeout_s = timeout_s
         self._end = end
         self._unsent_bytes = 0
         self._progress_s = now_s()
@@ -61,7 +65,7 @@
         """Close the write side and wait for the caller."""
         self._transport.write_eof()
         self._unsent_bytes = self.unsent_bytes
-        self._wait(_CHECK_INTERVAL_S if self._unsent_bytes else _CALLER_CLOSE_TIMEOUT_S)
+        self._wait(_CHECK_INTERVAL_S if self._unsent_bytes else self._timeout_s)
 
     def cancel(self) -> None:
         """Stop waiting; the connection has ended."""
@@ -77,7 +81,7 @@
         if unsent and now_s() - self._progress_s < _STALL_TIMEOUT_S:
             self._wait(_CHECK_INTERVAL_S)
         elif was_unsent and not unsent:
-            self._wait(_CALLER_CLOSE_TIMEOUT_S)
+            self._wait(self._timeout_s)
         else:
             self._end()
 
--- a/flamingoshelf/http1/_server_connection.py
+++ b/flamingoshelf/http1/_server_connection.py
@@ -25,7 +25,10 @@
 __all__ = ["ServerConnection"]
 
 _TCP_USER_TIMEOUT_MS = 5000  # ends the connection if a caller acknowledges no data for so long
-_MAX_DISCARDED_BYTES = 256 * 1024  # most bytes of a refused body that are read before the close
+_CALLER_CLOSE_TIMEOUT_S = 1.0  # for the caller to close its side, once it has the last response
+# Of a refused body at least so much is read, and as much as a body may have: a caller that is cut
+# off while it sends may never read its refusal.
+_MIN_DISCARDED_BYTES = 256 * 1024
 
 
 class ServerConnection(asyncio.Protocol):
@@ -172,12 +175,13 @@
         if self._exchange is not None:
             self._last_request_id = self._exchange.request_id
         self._exchange = None
+        self._discarded_bytes = 0
         if self._closes_after_response or self._parser.our_state is h11.MUST_CLOSE:
             self._close(CloseReason.LAST_RESPONSE)
         elif self._parser.their_state is h11.DONE:
             self._begin_next_request()
         else:  # the rest of a refused body is still to be read
-            self._set_timer(self._limits().header_timeout_s, self._on_slow_body)
+            self._set_timer(self._limits().header_timeout_s, self._on_refused_body_timeout)
 
     def send_continue(self) -> None:
         """Send ``100 Continue`` to a caller that waits for it."""
@@ -295,8 +299,8 @@
     def _on_idle_timeout(self) -> None:
         self._close(CloseReason.IDLE)
 
-    def _on_slow_body(self) -> None:
-        self._close(CloseReason.SLOW_BODY)
+    def _on_refused_body_timeout(self) -> None:
+        self._close(CloseReason.REFUSED_BODY)
 
     def _on_header_timeout(self) -> None:
         """Close a connection whose request did not arrive in time."""
@@ -315,13 +319,20 @@
         if self._transport.is_closing():
             return
         self._cancel_timer()
-        self._linger = Linger(transport=self._transport, end=lambda: self.abort(reason))
+        is_sending = self._parser.their_state is h11.SEND_BODY
+        self._linger = Linger(
+            transport=self._transport,
+            timeout_s=self._limits().header_timeout_s if is_sending else _CALLER_CLOSE_TIMEOUT_S,
+            end=lambda: self.abort(reason),
+        )
         self._linger.start()
 
     def _discard(self, size: int) -> None:
         self._discarded_bytes += size
-        if self._discarded_bytes > _MAX_DISCARDED_BYTES:
-            self.abort(self._close_reason or CloseReason.SLOW_BODY)
+        if self._discarded_bytes > max(_MIN_DISCARDED_BYTES, self._limits().max_body_bytes):
+            self._close(CloseReason.REFUSED_BODY)
+            if self._transport is not None:
+                self._transport.pause_reading()
 
     def _log_loss(self, reason: CloseReason) -> None:
         """Log the request that is being answered, or the response that is not wholly sent."""
--- a/flamingoshelf/http1/tests/test_closing.py
+++ b/flamingoshelf/http1/tests/test_closing.py
@@ -3,11 +3,13 @@
 import asyncio
 import socket
 
+import attrs
 import pytest
 
 from flamingoshelf.http1 import HttpServer, ResponseHead
 
 GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+POST = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
 LARGE = 8 * 1024 * 1024  # more than the socket buffers of both sides hold
 
 
@@ -19,6 +21,10 @@
     exchange.respond(ResponseHead(status=200), bytes(LARGE))
 
 
+async def refuse(exchange):
+    exchange.respond(ResponseHead(status=404))
+
+
 async def read_slowly(port, request, *, step_s, step_bytes=256 * 1024):
     """Return the size of the body that a caller with a small buffer gets."""
     loop = asyncio.get_running_loop()
@@ -72,3 +78,59 @@
     server.drain()
     assert await read_slowly(server.port, GET, step_s=0.05) == LARGE
     await server.stop()
+
+
+@pytest.mark.looptime
+async def test_refused_body_does_not_cost_the_answer(server):
+    """A caller that uploads more than 256 KiB after its refusal must be able to read it."""
+    server.handle = refuse
+    server.limits = attrs.evolve(server.limits, max_body_bytes=4 * 1024 * 1024)
+    size = 1024 * 1024
+    written = await server.receive(POST % size + bytes(1000))
+    assert b" 404 " in written
+    server.handle = answer
+    sent = 1000
+    while sent < size:
+        part = bytes(min(64 * 1024, size - sent))
+        await server.receive(part)
+        sent += len(part)
+    assert not server.transport.is_aborted
+    assert b" 200 " in await server.receive(GET)
+
+
+@pytest.mark.looptime
+async def test_refused_bodies_of_a_connection_are_not_added_up(server):
+    """Several small refused bodies on one connection must not end it."""
+    server.handle = refuse
+    for _ in range(8):
+        await server.receive(POST % 50_000 + b"x")
+        await server.receive(bytes(49_999))
+        assert not server.transport.is_aborted
+
+
+@pytest.mark.looptime
+async def test_endless_refused_body_ends_the_connection(server):
+    """A caller can't send a refused body without end."""
+    server.handle = refuse
+    await server.receive(POST % (1 << 40) + b"x")
+    for _ in range(200):
+        await server.receive(bytes(64 * 1024))
+    await asyncio.sleep(7.0)
+    assert server.transport.is_aborted
+
+
+async def test_refusal_of_a_large_body_arrives_over_a_socket_while_draining():
+    """A caller that reads only after it has sent everything must find the refusal."""
+    server = HttpServer(address="127.0.0.1:0", handle=refuse)
+    await server.start()
+    server.drain()
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    size = 3 * 1024 * 1024
+    writer.write(POST % size)
+    for _ in range(size // (64 * 1024)):
+        writer.write(bytes(64 * 1024))
+        await writer.drain()
+        await asyncio.sleep(0.001)
+    assert (await reader.read()).startswith(b"HTTP/1.1 404 ")
+    writer.close()
+    await server.stop()
