A request that crosses the close learns it within 200 ms

A caller that sent a request in the moment in which its connection was closed (idle timeout, planned stop) and that looks for the end of the connection only after it has sent waited up to 1 s for it.

Cause: bytes that arrive on a closing connection were discarded until the fixed timeout of 1 s. The connection now ends 0.1 s after the last of them, and after 1 s at the latest while they trickle in, but not before the answer to the request before has been acknowledged.

--- a/flamingoshelf/http1/_linger.py
+++ b/flamingoshelf/http1/_linger.py
@@ -11,6 +11,9 @@
 __all__ = ["Linger", "unsent_bytes"]
 
 _STALL_TIMEOUT_S = 5.0  # longest time in which a caller acknowledges nothing
+# After the last byte of a request that crossed the close: its caller must learn soon that it gets
+# no answer, also if it doesn't look for the end of the stream before it has sent its request.
+_CROSSING_TIMEOUT_S = 0.1
 _CHECK_INTERVAL_S = 0.1  # while something is unsent
 _FIN_BYTES = 1  # the end of the stream takes one sequence number
 
@@ -54,6 +57,7 @@
         self._end = end
         self._unsent_bytes = 0
         self._progress_s = now_s()
+        self._crossed_s: float | None = None
         self._timer: asyncio.TimerHandle | None = None
 
     @property
@@ -67,6 +71,16 @@
         self._unsent_bytes = self.unsent_bytes
         self._wait(_CHECK_INTERVAL_S if self._unsent_bytes else self._timeout_s)
 
+    def end_soon(self) -> None:
+        """End the connection after the last byte of a request that can't be answered."""
+        if self._crossed_s is None:
+            self._crossed_s = now_s()
+        left_s = (
+            self._crossed_s + self._timeout_s - now_s()
+        )  # bytes that trickle in don't extend it
+        if not self._unsent_bytes:
+            self._wait(max(0.0, min(_CROSSING_TIMEOUT_S, left_s)))
+
     def cancel(self) -> None:
         """Stop waiting; the connection has ended."""
         if self._timer is not None:
@@ -81,7 +95,7 @@
         if unsent and now_s() - self._progress_s < _STALL_TIMEOUT_S:
             self._wait(_CHECK_INTERVAL_S)
         elif was_unsent and not unsent:
-            self._wait(self._timeout_s)
+            self._wait(self._timeout_s if self._crossed_s is None else _CROSSING_TIMEOUT_S)
         else:
             self._end()
 
--- a/flamingoshelf/http1/_server_connection.py
+++ b/flamingoshelf/http1/_server_connection.py
@@ -118,6 +118,8 @@
         if self._is_lingering:
             self._unread_bytes += len(data)
             self._discard(len(data))
+            if self._linger is not None and self._parser.their_state is not h11.SEND_BODY:
+                self._linger.end_soon()
             return
         if not self.is_busy and not self._has_begun:
             self._set_timer(self._limits().header_timeout_s, self._on_header_timeout)
--- a/flamingoshelf/http1/tests/test_closing.py
+++ b/flamingoshelf/http1/tests/test_closing.py
@@ -7,6 +7,7 @@
 import pytest
 
 from flamingoshelf.http1 import HttpServer, ResponseHead
+from flamingoshelf.http1.tests.conftest import run_pending_callbacks
 
 GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 POST = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
@@ -134,3 +135,32 @@
     assert (await reader.read()).startswith(b"HTTP/1.1 404 ")
     writer.close()
     await server.stop()
+
+
+@pytest.mark.looptime
+async def test_request_that_crosses_the_close_ends_the_connection_at_once(server):
+    """Its caller learns within 200 ms of its last byte that it gets no answer."""
+    server.handle = answer
+    await server.receive(GET)
+    server.connection.close_if_idle()
+    await server.receive(GET[:10])
+    await asyncio.sleep(0.05)
+    await server.receive(GET[10:])
+    await asyncio.sleep(0.19)
+    await run_pending_callbacks()
+    assert server.transport.is_aborted
+
+
+@pytest.mark.looptime
+async def test_request_that_crosses_the_close_does_not_cost_the_answer_before_it(server):
+    """Bytes after the last request must not cut an answer that its caller still reads."""
+    server.handle = answer
+    server.connection.close_after_response()
+    await server.receive(GET)
+    server.transport.unsent_bytes = 9000
+    await server.receive(GET)
+    await asyncio.sleep(2.0)
+    assert not server.transport.is_aborted
+    server.transport.unsent_bytes = 0
+    await asyncio.sleep(1.2)
+    assert server.transport.is_aborted
