Bytes after the last request of a connection don't cut its answer

A running answer was cut, without an error of the backend server, if bytes came behind its request after the head announced "Connection: close": while the node drains, the caller's next request; after a request that asks for the close itself, also a stray empty line.

Cause: once the close is announced, h11 accepts no more input and reports any as a protocol error, which was treated as a malformed body of the running request: the connection was aborted.

Before: test_bytes_after_the_last_request_do_not_abort_its_answer_at_a_drain and test_bytes_after_a_request_that_asks_to_close_do_not_abort_it (both forms) saw the connection aborted.

--- a/flamingoshelf/http1/_server_connection.py
+++ b/flamingoshelf/http1/_server_connection.py
@@ -121,6 +121,9 @@
             if self._linger is not None and self._parser.their_state is not h11.SEND_BODY:
                 self._linger.end_soon()
             return
+        if self._parser.their_state is h11.MUST_CLOSE:  # the last request was read
+            self._unread_bytes += len(data)
+            return
         if not self.is_busy and not self._has_begun:
             self._set_timer(self._limits().header_timeout_s, self._on_header_timeout)
         self._parser.receive_data(data)
@@ -193,7 +196,11 @@
     @property
     def _has_begun(self) -> bool:
         """Whether bytes of another request have been read that can still be answered."""
-        return not self._is_lingering and bool(self._parser.trailing_data[0])
+        return (
+            not self._is_lingering
+            and self._parser.their_state in (h11.IDLE, h11.DONE)
+            and bool(self._parser.trailing_data[0])
+        )
 
     @property
     def _unsent_bytes(self) -> int:
@@ -209,7 +216,7 @@
         )
 
     def _parse(self) -> None:
-        while not self._is_lingering:
+        while not self._is_lingering and self._parser.their_state is not h11.MUST_CLOSE:
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
@@ -328,6 +335,8 @@
             end=lambda: self.abort(reason),
         )
         self._linger.start()
+        if self._unread_bytes:
+            self._linger.end_soon()
 
     def _discard(self, size: int) -> None:
         self._discarded_bytes += size
