A planned stop answers all requests that were read before the close was announced

Callers that pipeline got no answer to requests which this process had read before a planned stop: only the first was answered, the others were dropped with the connection. A caller whose answer had announced that the connection stays could send its next request into the close.

Cause: a drain made the connection close after the answer under way, whatever was in its buffer and whatever the head of that answer had said. Now "Connection: close" is announced by the first answer with no other request in the buffer, and the connection closes after that. A connection that announced nothing is closed once it is idle and idle connections are closed.

--- a/flamingoshelf/http1/_server_connection.py
+++ b/flamingoshelf/http1/_server_connection.py
@@ -65,7 +65,10 @@
         self._timer: asyncio.TimerHandle | None = None
         self._can_write = asyncio.Event()
         self._can_write.set()
+        self._is_draining = False
+        self._closes_when_idle = False
         self._closes_after_response = False
+        self._has_announced_close = False
         self._is_lingering = False
         self._linger: Linger | None = None
         self._close_reason: CloseReason | None = None
@@ -84,11 +87,12 @@
         return self.is_busy or self._has_begun or self._unsent_bytes > 0
 
     def close_after_response(self) -> None:
-        """Close the connection after the next response."""
-        self._closes_after_response = True
+        """Announce the close in the next response that no request which was read follows."""
+        self._is_draining = True
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request has begun."""
+        """Close the connection when no request has begun."""
+        self._closes_when_idle = True
         if not self.is_busy and not self._has_begun:
             self._close(CloseReason.DRAIN)
 
@@ -165,6 +169,7 @@
         if length is None and not _is_bodiless(head.status):
             headers.append(("Transfer-Encoding", "chunked"))
         if self._must_close:
+            self._has_announced_close = True
             headers.append(("Connection", "close"))
         else:
             headers.append(("Keep-Alive", f"timeout={int(self._limits().idle_timeout_s)}"))
@@ -181,7 +186,7 @@
             self._last_request_id = self._exchange.request_id
         self._exchange = None
         self._discarded_bytes = 0
-        if self._closes_after_response or self._parser.our_state is h11.MUST_CLOSE:
+        if self._has_announced_close or self._parser.our_state is h11.MUST_CLOSE:
             self._close(CloseReason.LAST_RESPONSE)
         elif self._parser.their_state is h11.DONE:
             self._begin_next_request()
@@ -210,9 +215,10 @@
 
     @property
     def _must_close(self) -> bool:
-        return self._closes_after_response or self._parser.their_state in (
-            h11.MUST_CLOSE,
-            h11.ERROR,
+        return (
+            self._closes_after_response
+            or self._parser.their_state in (h11.MUST_CLOSE, h11.ERROR)
+            or (self._is_draining and not self._has_begun)
         )
 
     def _parse(self) -> None:
@@ -286,6 +292,9 @@
     def _begin_next_request(self) -> None:
         self._parser.start_next_cycle()
         limits = self._limits()
+        if self._closes_when_idle and not self._has_begun:
+            self._close(CloseReason.DRAIN)
+            return
         if self._has_begun:
             self._set_timer(limits.header_timeout_s, self._on_header_timeout)
         else:
