A refusal instead of "100 Continue" closes the connection

A caller that waits for "100 Continue", is refused and sends its next request without the body of the refused one got no answer to it: its bytes were read as that body and dropped.

Cause: the refusal announced that the connection stays, with the body still to be read. It now announces the close.

Before: test_refusal_instead_of_100_continue_closes_the_connection got "Keep-Alive: timeout=15".

--- a/flamingoshelf/http1/_server_connection.py
+++ b/flamingoshelf/http1/_server_connection.py
@@ -219,6 +219,8 @@
             self._closes_after_response
             or self._parser.their_state in (h11.MUST_CLOSE, h11.ERROR)
             or (self._is_draining and not self._has_begun)
+            # The caller may send no body now, and its next request would be read as the body.
+            or self._parser.they_are_waiting_for_100_continue
         )
 
     def _parse(self) -> None:
--- a/flamingoshelf/http1/tests/test_drain.py
+++ b/flamingoshelf/http1/tests/test_drain.py
@@ -39,6 +39,10 @@
     exchange.respond(ResponseHead(status=200), b"echo " + await exchange.read_body(limit=100))
 
 
+async def refuse(exchange):
+    exchange.respond(ResponseHead(status=404))
+
+
 async def test_bytes_after_the_last_request_do_not_abort_its_answer_at_a_drain(server, release):
     """A request sent behind a running stream of a draining node must not cut the stream."""
     server.connection.close_after_response()
@@ -121,3 +125,11 @@
     server.connection.close_if_idle()
     assert b"echo ab" in await server.receive(b"ab")
     assert server.transport.has_eof
+
+
+async def test_refusal_instead_of_100_continue_closes_the_connection(server):
+    """A caller that then sends no body would have its next request read as that body."""
+    server.handle = refuse
+    written = await server.receive(EXPECT)
+    assert b" 404 " in written and b"Connection: close" in written
+    assert server.transport.has_eof
