An answer whose head or body can't be written as given doesn't cost the connection

Callers got nothing, and their connection was aborted, if a backend server's answer had a field that isn't ASCII or that can't be written, and for every refusal with a body of a HEAD request or with status 204 or 304.

Cause: the exchange counted as started before its head was written, so an error in writing it aborted the connection although nothing had been sent; fields are decoded as Latin-1 but were encoded as ASCII; h11 rejects a body where none may be. Now the exchange starts after the head was written and the caller gets 500 otherwise, fields are encoded as they were decoded, and the body is left out.

--- a/flamingoshelf/http1/_exchange.py
+++ b/flamingoshelf/http1/_exchange.py
@@ -129,8 +129,8 @@
 
     def start_response(self, head: ResponseHead) -> None:
         """Write the head of a response; its body is chunked if the head states no length."""
-        self.status = head.status
         self._output.send_head(head)
+        self.status = head.status
 
     async def write(self, data: bytes) -> None:
         """Write a part of the body and wait until the write buffer has drained."""
--- a/flamingoshelf/http1/_server_connection.py
+++ b/flamingoshelf/http1/_server_connection.py
@@ -15,6 +15,12 @@
     log_unsent_response,
 )
 from flamingoshelf.http1._exchange import Exchange, plain_head
+from flamingoshelf.http1._framing import (
+    has_conflicting_lengths,
+    head_size_bytes,
+    is_bodiless,
+    response_event,
+)
 from flamingoshelf.http1._heads import Headers, RequestHead, ResponseHead
 from flamingoshelf.http1._linger import Linger, unsent_bytes
 from flamingoshelf.utils import now_s
@@ -69,6 +75,7 @@
         self._closes_when_idle = False
         self._closes_after_response = False
         self._has_announced_close = False
+        self._omits_body = False
         self._is_lingering = False
         self._linger: Linger | None = None
         self._close_reason: CloseReason | None = None
@@ -164,20 +171,18 @@
 
     def send_head(self, head: ResponseHead) -> None:
         """Write the status line and the headers."""
-        headers = list(head.headers.end_to_end())
-        length = head.headers.get("content-length")
-        if length is None and not _is_bodiless(head.status):
-            headers.append(("Transfer-Encoding", "chunked"))
-        if self._must_close:
-            self._has_announced_close = True
-            headers.append(("Connection", "close"))
-        else:
-            headers.append(("Keep-Alive", f"timeout={int(self._limits().idle_timeout_s)}"))
-        self._write(h11.Response(status_code=head.status, headers=headers))
+        assert self._exchange is not None
+        request, must_close = self._exchange.head, self._must_close
+        keep_alive_s = None if must_close else self._limits().idle_timeout_s
+        event = response_event(request, head, keep_alive_s=keep_alive_s)
+        self._has_announced_close = must_close
+        self._omits_body = is_bodiless(request, head.status)
+        self._write(event)
 
     def send_data(self, data: bytes) -> None:
-        """Write a part of the body."""
-        self._write(h11.Data(data=data))
+        """Write a part of the body, if the response has one."""
+        if not self._omits_body:
+            self._write(h11.Data(data=data))
 
     def send_end(self) -> None:
         """Write the end of the body and wait for the next request."""
@@ -249,10 +254,10 @@
             headers=Headers(raw),
         )
         self._exchange = Exchange(head=head, output=self, arrived_s=now_s())
-        if _head_size_bytes(event) > self._limits().max_header_bytes:
+        if head_size_bytes(event) > self._limits().max_header_bytes:
             self._refuse_request(431)
             return
-        if _has_conflicting_lengths(head.headers):
+        if has_conflicting_lengths(head.headers):
             self._refuse_request(400)
             return
         self._task = asyncio.create_task(self._answer(self._exchange), name="exchange")
@@ -377,24 +382,3 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-
-
-def _is_bodiless(status: int) -> bool:
-    return status in (204, 304) or status < 200
-
-
-# Two spaces, the version and a line end in the request line; the empty line at the end of the head.
-_REQUEST_LINE_BYTES = len("  HTTP/1.1") + 2 * len("\r\n")
-
-
-def _head_size_bytes(event: h11.Request) -> int:
-    """Return the size of a request head, which `h11` limits only while it is incomplete."""
-    fields = sum(len(name) + len(value) + 4 for name, value in event.headers.raw_items())
-    return len(event.method) + len(event.target) + _REQUEST_LINE_BYTES + fields
-
-
-def _has_conflicting_lengths(headers: Headers) -> bool:
-    """Return whether a request states its length twice; receivers may then disagree on its end."""
-    return headers.get("transfer-encoding") is not None and (
-        headers.get("content-length") is not None
-    )
