A request whose awaited future is cancelled is answered

A caller waited without an answer, a refusal or a log line, on a connection that stayed open, if something that its request awaited inside this process was cancelled, as a queued turn that is withdrawn on the same node; the gateway logged that the caller had left.

Cause: the connection took every CancelledError of the handler for its own cancellation, which follows the end of the connection. It now looks whether the task itself was cancelled: if not, the error is logged and the caller gets 500, or sees a started answer end early. Found beside it: a handler that was still finishing after its answer took the running task of the next request out of the connection, so that a caller who left was not noticed.

Before: test_request_whose_awaited_future_is_cancelled_is_answered got nothing; test_started_answer_whose_awaited_future_is_cancelled_is_aborted found the connection open; test_handler_that_goes_on_after_its_answer_does_not_hide_the_next_one saw no cancellation.

--- a/flamingoshelf/gateway/_app.py
+++ b/flamingoshelf/gateway/_app.py
@@ -71,7 +71,9 @@
         try:
             refusal = await forwarder.forward(exchange, request)
         except asyncio.CancelledError:
-            self._log_disconnect(exchange, request)
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():  # otherwise only what was awaited ended
+                self._log_disconnect(exchange, request)
             raise
         if refusal is not None:
             self._refuse(exchange, refusal, request)
--- a/flamingoshelf/http1/_server_connection.py
+++ b/flamingoshelf/http1/_server_connection.py
@@ -269,14 +269,19 @@
         self._exchange.respond(plain_head(status))
 
     async def _answer(self, exchange: Exchange) -> None:
+        task = asyncio.current_task()
+        log = logger.bind(step="answer")
         try:
             await self._handle(exchange)
         except asyncio.CancelledError:
-            return
+            if task is None or task.cancelling():
+                return  # the connection has ended
+            log.bind(request_id=exchange.request_id).error("what the request awaited was cancelled")
         except Exception:
-            logger.bind(step="answer").exception("request handler failed")
+            log.bind(request_id=exchange.request_id).exception("request handler failed")
         finally:
-            self._task = None
+            if self._task is task:  # otherwise the next request is being answered
+                self._task = None
         if exchange.is_ended:
             return
         if exchange.is_started:
