Kept connections apply the header limit in force

A caller got 431 on a kept connection for a head that the configuration in force allows, if its connection was opened under a lower limit and the head came in more than one piece; a lowered limit was not applied to such a head.

Cause: h11 takes the limit of incomplete heads when a connection is made. The limit in force is now checked whenever h11 needs more data.

--- a/flamingoshelf/http1/_server_connection.py
+++ b/flamingoshelf/http1/_server_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import sys
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, cast
 
@@ -62,9 +63,8 @@
         self._handle = handle
         self._limits = limits
         self._on_lost = on_lost
-        self._parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits().max_header_bytes
-        )
+        # The limit in force is checked here, as h11 takes one for the life of a connection.
+        self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
         self._task: asyncio.Task[None] | None = None
@@ -232,6 +232,8 @@
         while not self._is_lingering and self._parser.their_state is not h11.MUST_CLOSE:
             try:
                 event = self._parser.next_event()
+                if event is h11.NEED_DATA:
+                    self._check_incomplete_size()
             except h11.RemoteProtocolError as error:
                 self._reject_input(error)
                 return
@@ -245,6 +247,11 @@
                 case _:
                     return
 
+    def _check_incomplete_size(self) -> None:
+        """Raise `h11.RemoteProtocolError` if a head is too large before it is complete."""
+        if len(self._parser.trailing_data[0]) > self._limits().max_header_bytes:
+            raise h11.RemoteProtocolError("head too large", error_status_hint=431)
+
     def _begin_request(self, event: h11.Request) -> None:
         self._cancel_timer()
         raw = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in event.headers.raw_items()]
