Idle time and time for a head follow the limits in force and what the caller was told

A caller found its connection closed although it was idle for less than the configuration in force allows, or less than "Keep-Alive" in its last answer said, and got 408 for a head within the limit in force: its request went into the close.

Cause: timers took the limit of the moment in which they were started. A raised limit did not reach them, and a limit lowered between the head and the end of an answer broke what that head had announced. A timer now looks at the limit in force when it is due and goes on if that was raised; the idle time is never less than what was announced last.

--- a/flamingoshelf/http1/_server_connection.py
+++ b/flamingoshelf/http1/_server_connection.py
@@ -23,6 +23,7 @@
     response_event,
 )
 from flamingoshelf.http1._heads import Headers, RequestHead, ResponseHead
+from flamingoshelf.http1._limit_timer import LimitTimer
 from flamingoshelf.http1._linger import Linger, unsent_bytes
 from flamingoshelf.utils import now_s
 
@@ -68,7 +69,8 @@
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
         self._task: asyncio.Task[None] | None = None
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = LimitTimer()
+        self._announced_idle_s = 0.0  # what the caller was told last
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._is_draining = False
@@ -122,7 +124,7 @@
         if raw is not None:
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS)
-        self._set_timer(self._limits().idle_timeout_s, self._on_idle_timeout)
+        self._timer.start(self._idle_limit_s, self._on_idle_timeout)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, or discard them if the connection is closing."""
@@ -136,7 +138,7 @@
             self._unread_bytes += len(data)
             return
         if not self.is_busy and not self._has_begun:
-            self._set_timer(self._limits().header_timeout_s, self._on_header_timeout)
+            self._timer.start(self._header_limit_s, self._on_header_timeout)
         self._parser.receive_data(data)
         self._parse()
 
@@ -146,7 +148,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the running request and report the end of the connection."""
-        self._cancel_timer()
+        self._timer.cancel()
         if self._linger is not None:
             self._linger.cancel()
         self._can_write.set()
@@ -176,6 +178,7 @@
         keep_alive_s = None if must_close else self._limits().idle_timeout_s
         event = response_event(request, head, keep_alive_s=keep_alive_s)
         self._has_announced_close = must_close
+        self._announced_idle_s = keep_alive_s or 0.0
         self._omits_body = is_bodiless(request, head.status)
         self._write(event)
 
@@ -196,7 +199,7 @@
         elif self._parser.their_state is h11.DONE:
             self._begin_next_request()
         else:  # the rest of a refused body is still to be read
-            self._set_timer(self._limits().header_timeout_s, self._on_refused_body_timeout)
+            self._timer.start(self._header_limit_s, self._on_refused_body_timeout)
 
     def send_continue(self) -> None:
         """Send ``100 Continue`` to a caller that waits for it."""
@@ -253,7 +256,7 @@
             raise h11.RemoteProtocolError("head too large", error_status_hint=431)
 
     def _begin_request(self, event: h11.Request) -> None:
-        self._cancel_timer()
+        self._timer.cancel()
         raw = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in event.headers.raw_items()]
         head = RequestHead(
             method=event.method.decode("ascii"),
@@ -310,14 +313,13 @@
 
     def _begin_next_request(self) -> None:
         self._parser.start_next_cycle()
-        limits = self._limits()
         if self._closes_when_idle and not self._has_begun:
             self._close(CloseReason.DRAIN)
             return
         if self._has_begun:
-            self._set_timer(limits.header_timeout_s, self._on_header_timeout)
+            self._timer.start(self._header_limit_s, self._on_header_timeout)
         else:
-            self._set_timer(limits.idle_timeout_s, self._on_idle_timeout)
+            self._timer.start(self._idle_limit_s, self._on_idle_timeout)
         asyncio.get_running_loop().call_soon(self._parse)
 
     def _reject_input(self, error: h11.RemoteProtocolError) -> None:
@@ -333,6 +335,13 @@
             self._write(h11.EndOfMessage())
         self._close(CloseReason.MALFORMED)
 
+    def _header_limit_s(self) -> float:
+        return self._limits().header_timeout_s
+
+    def _idle_limit_s(self) -> float:
+        """Return the longest idle time, which is not less than the caller was told."""
+        return max(self._announced_idle_s, self._limits().idle_timeout_s)
+
     def _on_idle_timeout(self) -> None:
         self._close(CloseReason.IDLE)
 
@@ -355,7 +364,7 @@
         self._close_reason = reason
         if self._transport.is_closing():
             return
-        self._cancel_timer()
+        self._timer.cancel()
         is_sending = self._parser.their_state is h11.SEND_BODY
         self._linger = Linger(
             transport=self._transport,
@@ -385,12 +394,3 @@
         data = self._parser.send(event)
         if data and self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
-
-    def _set_timer(self, delay_s: float, callback: Callable[[], None]) -> None:
-        self._cancel_timer()
-        self._timer = asyncio.get_running_loop().call_later(delay_s, callback)
-
-    def _cancel_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
