A request that has arrived is read before its connection is closed as idle

A caller's request got no answer if it had reached this machine just before the idle timer fired or a planned stop closed the idle connections, and had not been read: the write side was closed and the request dropped.

Cause: a connection counted as idle by what had been read. The socket is now asked before an idle connection is closed, and a stop waits for what has arrived. What arrives after that still crosses the close; the process has not read it, and the connection ends 0.1 s after its last byte.

Before: test_request_that_arrives_just_before_the_idle_timer_is_answered, test_request_that_arrives_just_before_idle_connections_are_closed_is_answered and test_stop_waits_for_a_request_that_was_not_read_yet got an empty answer. Ruled out by a test that passed before, too: a process that stood still longer than the idle time reads what has arrived before its timers run (test_request_that_arrived_before_a_late_idle_timer_is_answered).

--- a/flamingoshelf/http1/_linger.py
+++ b/flamingoshelf/http1/_linger.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import fcntl
+import select
 import struct
 import termios
 from collections.abc import Callable
 
 from flamingoshelf.utils import now_s
 
-__all__ = ["Linger", "unsent_bytes"]
+__all__ = ["Linger", "has_unread_bytes", "unsent_bytes"]
 
 _STALL_TIMEOUT_S = 5.0  # longest time in which a caller acknowledges nothing
 # After the last byte of a request that crossed the close: its caller must learn soon that it gets
@@ -18,6 +19,16 @@
 _FIN_BYTES = 1  # the end of the stream takes one sequence number
 
 
+def has_unread_bytes(transport: asyncio.Transport | None) -> bool:
+    """Return whether the socket has something to read, which may also be the end of the stream."""
+    raw = None if transport is None else transport.get_extra_info("socket")
+    if transport is None or raw is None or raw.fileno() < 0 or not transport.is_reading():
+        return False
+    poll = select.poll()
+    poll.register(raw.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def unsent_bytes(transport: asyncio.Transport, *, is_closed: bool = False) -> int:
     """Return how many written bytes the peer has not acknowledged.
 
--- a/flamingoshelf/http1/_server_connection.py
+++ b/flamingoshelf/http1/_server_connection.py
@@ -17,14 +17,14 @@
 )
 from flamingoshelf.http1._exchange import Exchange, plain_head
 from flamingoshelf.http1._framing import (
-    has_conflicting_lengths,
-    head_size_bytes,
     is_bodiless,
+    refusal_status,
+    request_head,
     response_event,
 )
-from flamingoshelf.http1._heads import Headers, RequestHead, ResponseHead
+from flamingoshelf.http1._heads import ResponseHead
 from flamingoshelf.http1._limit_timer import LimitTimer
-from flamingoshelf.http1._linger import Linger, unsent_bytes
+from flamingoshelf.http1._linger import Linger, has_unread_bytes, unsent_bytes
 from flamingoshelf.utils import now_s
 
 if TYPE_CHECKING:
@@ -93,7 +93,7 @@
     @property
     def is_unfinished(self) -> bool:
         """Whether a request has begun, or a response is not wholly sent."""
-        return self.is_busy or self._has_begun or self._unsent_bytes > 0
+        return self.is_busy or self._has_begun or self._has_arrived or self._unsent_bytes > 0
 
     def close_after_response(self) -> None:
         """Announce the close in the next response that no request which was read follows."""
@@ -102,7 +102,7 @@
     def close_if_idle(self) -> None:
         """Close the connection when no request has begun."""
         self._closes_when_idle = True
-        if not self.is_busy and not self._has_begun:
+        if not self.is_busy and not self._has_begun and not self._has_arrived:
             self._close(CloseReason.DRAIN)
 
     def abort(self, reason: CloseReason | None = None) -> None:
@@ -215,6 +215,11 @@
             and bool(self._parser.trailing_data[0])
         )
 
+    @property
+    def _has_arrived(self) -> bool:
+        """Whether bytes, or the end of the stream, have arrived and were not read yet."""
+        return not self._is_lingering and has_unread_bytes(self._transport)
+
     @property
     def _unsent_bytes(self) -> int:
         if self._linger is not None:
@@ -257,18 +262,11 @@
 
     def _begin_request(self, event: h11.Request) -> None:
         self._timer.cancel()
-        raw = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in event.headers.raw_items()]
-        head = RequestHead(
-            method=event.method.decode("ascii"),
-            target=event.target.decode("ascii"),
-            headers=Headers(raw),
-        )
+        head = request_head(event)
         self._exchange = Exchange(head=head, output=self, arrived_s=now_s())
-        if head_size_bytes(event) > self._limits().max_header_bytes:
-            self._refuse_request(431)
-            return
-        if has_conflicting_lengths(head.headers):
-            self._refuse_request(400)
+        status = refusal_status(event, head, max_header_bytes=self._limits().max_header_bytes)
+        if status is not None:
+            self._refuse_request(status)
             return
         self._task = asyncio.create_task(self._answer(self._exchange), name="exchange")
 
@@ -343,7 +341,10 @@
         return max(self._announced_idle_s, self._limits().idle_timeout_s)
 
     def _on_idle_timeout(self) -> None:
-        self._close(CloseReason.IDLE)
+        if self._has_arrived:  # read first; the event loop has looked for data before that
+            self._timer.start(lambda: 0.0, self._on_idle_timeout)
+        else:
+            self._close(CloseReason.IDLE)
 
     def _on_refused_body_timeout(self) -> None:
         self._close(CloseReason.REFUSED_BODY)
