A caller's reset that was not read yet doesn't fail a planned stop

If a caller had reset its idle connection in the moment in which a stop closed the idle ones, the whole stop ended with an exception before the running requests were answered: all of them were cut without a line that names them.

Cause: closing the write side of a reset socket raises OSError (ENOTCONN) until the event loop has read the reset, and the loop over all connections did not expect it. Such a connection is now ended instead.

--- a/flamingoshelf/gateway/tests/test_shutdown.py
+++ b/flamingoshelf/gateway/tests/test_shutdown.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 
 import pytest
 
@@ -82,3 +83,22 @@
     assert answer.endswith(b"echo 0123456789")
     await stopping
     writer.close()
+
+
+async def test_caller_that_reset_its_connection_does_not_end_the_stop():
+    """The reset was not read yet; closing that connection must not fail the stop of all others."""
+    server = await start(echo)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    writer.write(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na")
+    with socket.socket() as caller:
+        caller.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(caller, ("127.0.0.1", server.port))
+        await asyncio.sleep(0.05)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    server.stop_accepting()
+    stopping = asyncio.create_task(ShutdownPlan(grace_s=5.0).run(server))
+    await asyncio.sleep(0.2)
+    writer.write(b"b")
+    assert (await reader.read()).endswith(b"echo ab")
+    await stopping
+    writer.close()
--- a/flamingoshelf/http1/_linger.py
+++ b/flamingoshelf/http1/_linger.py
@@ -78,7 +78,11 @@
 
     def start(self) -> None:
         """Close the write side and wait for the caller."""
-        self._transport.write_eof()
+        try:
+            self._transport.write_eof()
+        except OSError:  # the caller has reset the connection, and the event loop has yet to see it
+            self._end()
+            return
         self._unsent_bytes = self.unsent_bytes
         self._wait(_CHECK_INTERVAL_S if self._unsent_bytes else self._timeout_s)
 
--- a/flamingoshelf/http1/tests/test_closing.py
+++ b/flamingoshelf/http1/tests/test_closing.py
@@ -164,3 +164,16 @@
     server.transport.unsent_bytes = 0
     await asyncio.sleep(1.2)
     assert server.transport.is_aborted
+
+
+@pytest.mark.looptime
+async def test_close_of_a_connection_that_its_caller_has_reset_does_not_fail(server):
+    """The reset may not have been read yet; the write side can't be closed any more then."""
+
+    def write_eof():
+        raise OSError(107, "Transport endpoint is not connected")
+
+    server.transport.write_eof = write_eof
+    server.connection.close_if_idle()
+    await run_pending_callbacks()
+    assert server.transport.is_aborted
