--- a/flamingoshelf/gateway/tests/test_shutdown.py
+++ b/flamingoshelf/gateway/tests/test_shutdown.py
@@ -5,6 +5,7 @@
 import struct
 
 import pytest
+from loguru import logger
 
 from flamingoshelf.gateway import _shutdown
 from flamingoshelf.gateway._shutdown import ShutdownPlan
@@ -102,3 +103,27 @@
     assert (await reader.read()).endswith(b"echo ab")
     await stopping
     writer.close()
+
+
+async def test_stop_names_the_requests_that_it_cuts_within_a_bound():
+    """The log says which requests were cut, and a stop with many of them writes few lines."""
+
+    async def wait(exchange):
+        exchange.request_id = exchange.head.target
+        await asyncio.sleep(60.0)
+
+    server = await start(wait)
+    callers = [await asyncio.open_connection("127.0.0.1", server.port) for _ in range(110)]
+    for number, (_, writer) in enumerate(callers):
+        writer.write(GET.replace(b"/a", b"/%d" % number))
+    await asyncio.sleep(0.1)
+    named = []
+    sink = logger.add(
+        lambda message: named.append(message.record["extra"]["request_id"]),
+        filter=lambda record: record["message"] == "request cut off",
+    )
+    await ShutdownPlan(grace_s=0.5).run(server)
+    logger.remove(sink)
+    assert len(set(named)) == len(named) == 100
+    for _, writer in callers:
+        writer.close()
