A pipelining caller can't fill the memory with requests or unread answers

A caller that sends requests without reading the answers had all of them answered into the write buffer of its connection, and what it sent behind a running request was read without a limit. Since a planned stop answers all requests that were read, that would also have grown with the stop.

Now the next request of a connection begins only when its write buffer has drained; the time for a head doesn't run out meanwhile, since the request may be complete. Reading pauses when more than 64 KiB wait behind a running request.

--- a/flamingoshelf/http1/_connection_log.py
+++ b/flamingoshelf/http1/_connection_log.py
@@ -7,12 +7,7 @@
 from flamingoshelf.http1._exchange import Exchange
 from flamingoshelf.utils import now_s
 
-__all__ = [
-    "CloseReason",
-    "log_cut_request",
-    "log_discarded_bytes",
-    "log_unsent_response",
-]
+__all__ = ["CloseReason", "log_discarded_bytes", "log_loss"]
 
 
 class CloseReason(StrEnum):
@@ -27,7 +22,17 @@
     STOP = "grace period over"
 
 
-def log_cut_request(exchange: Exchange, reason: CloseReason, *, unsent_bytes: int) -> None:
+def log_loss(
+    exchange: Exchange | None, last_request_id: str | None, reason: CloseReason, unsent_bytes: int
+) -> None:
+    """Log what the abort of a connection cuts: a running request, or a response not wholly sent."""
+    if exchange is not None:
+        _log_cut_request(exchange, reason, unsent_bytes=unsent_bytes)
+    elif unsent_bytes:
+        _log_unsent_response(last_request_id, reason, unsent_bytes=unsent_bytes)
+
+
+def _log_cut_request(exchange: Exchange, reason: CloseReason, *, unsent_bytes: int) -> None:
     """Log that the connection is aborted while a request is being answered."""
     logger.bind(
         request_id=exchange.request_id,
@@ -42,14 +47,12 @@
     ).warning("request cut off")
 
 
-def log_unsent_response(
-    request_id: str | None, reason: CloseReason | None, *, unsent_bytes: int
-) -> None:
+def _log_unsent_response(request_id: str | None, reason: CloseReason, *, unsent_bytes: int) -> None:
     """Log that the connection is aborted before a complete response was sent."""
     logger.bind(
         request_id=request_id,
         step="connection",
-        reason=reason and reason.value,
+        reason=reason.value,
         unsent_bytes=unsent_bytes,
     ).warning("response not wholly sent")
 
--- a/flamingoshelf/http1/_server_connection.py
+++ b/flamingoshelf/http1/_server_connection.py
@@ -4,17 +4,13 @@
 import socket
 import sys
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import TYPE_CHECKING, cast
 
 import h11
 from loguru import logger
 
-from flamingoshelf.http1._connection_log import (
-    CloseReason,
-    log_cut_request,
-    log_discarded_bytes,
-    log_unsent_response,
-)
+from flamingoshelf.http1._connection_log import CloseReason, log_discarded_bytes, log_loss
 from flamingoshelf.http1._exchange import Exchange, plain_head
 from flamingoshelf.http1._framing import (
     is_bodiless,
@@ -37,6 +33,7 @@
 # Of a refused body at least so much is read, and as much as a body may have: a caller that is cut
 # off while it sends may never read its refusal.
 _MIN_DISCARDED_BYTES = 256 * 1024
+_MAX_PIPELINED_BYTES = 64 * 1024  # behind a request that is being answered
 
 
 class ServerConnection(asyncio.Protocol):
@@ -110,7 +107,7 @@
         if self._transport is None:
             return
         if reason is not None and not self._transport.is_closing():
-            self._log_loss(reason)
+            log_loss(self._exchange, self._last_request_id, reason, self._unsent_bytes)
         self._transport.abort()
 
     async def drain(self) -> None:
@@ -141,6 +138,8 @@
             self._timer.start(self._header_limit_s, self._on_header_timeout)
         self._parser.receive_data(data)
         self._parse()
+        if not self._may_parse and len(self._parser.trailing_data[0]) > _MAX_PIPELINED_BYTES:
+            cast(asyncio.Transport, self._transport).pause_reading()
 
     def eof_received(self) -> bool:
         """Close the connection when the caller closes its side."""
@@ -168,8 +167,10 @@
         self._can_write.clear()
 
     def resume_writing(self) -> None:
-        """Let waiting writers continue."""
+        """Let waiting writers continue, and the next request begin."""
         self._can_write.set()
+        if not self.is_busy:
+            self._parse()
 
     def send_head(self, head: ResponseHead) -> None:
         """Write the status line and the headers."""
@@ -199,7 +200,8 @@
         elif self._parser.their_state is h11.DONE:
             self._begin_next_request()
         else:  # the rest of a refused body is still to be read
-            self._timer.start(self._header_limit_s, self._on_refused_body_timeout)
+            close = partial(self._close, CloseReason.REFUSED_BODY)
+            self._timer.start(self._header_limit_s, close)
 
     def send_continue(self) -> None:
         """Send ``100 Continue`` to a caller that waits for it."""
@@ -236,12 +238,21 @@
             or self._parser.they_are_waiting_for_100_continue
         )
 
+    @property
+    def _may_parse(self) -> bool:
+        """Whether input may be taken now; answers must not pile up for a caller that reads none."""
+        state = self._parser.their_state
+        if self._is_lingering or state in (h11.DONE, h11.MUST_CLOSE):
+            return False
+        return state is not h11.IDLE or self._can_write.is_set()
+
     def _parse(self) -> None:
-        while not self._is_lingering and self._parser.their_state is not h11.MUST_CLOSE:
+        while self._may_parse:
             try:
                 event = self._parser.next_event()
                 if event is h11.NEED_DATA:
                     self._check_incomplete_size()
+                    cast(asyncio.Transport, self._transport).resume_reading()
             except h11.RemoteProtocolError as error:
                 self._reject_input(error)
                 return
@@ -290,11 +301,9 @@
         finally:
             if self._task is task:  # otherwise the next request is being answered
                 self._task = None
-        if exchange.is_ended:
-            return
-        if exchange.is_started:
+        if exchange.is_started and not exchange.is_ended:
             exchange.abort()
-        else:
+        elif not exchange.is_ended:
             exchange.respond(plain_head(500))
 
     def _on_body_data(self, data: bytes) -> None:
@@ -327,10 +336,7 @@
             return
         self._closes_after_response = True
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            status = 431 if error.error_status_hint == 431 else 400
-            headers = [("Content-Length", "0"), ("Connection", "close")]
-            self._write(h11.Response(status_code=status, headers=headers))
-            self._write(h11.EndOfMessage())
+            self._write_error(431 if error.error_status_hint == 431 else 400)
         self._close(CloseReason.MALFORMED)
 
     def _header_limit_s(self) -> float:
@@ -346,17 +352,20 @@
         else:
             self._close(CloseReason.IDLE)
 
-    def _on_refused_body_timeout(self) -> None:
-        self._close(CloseReason.REFUSED_BODY)
-
     def _on_header_timeout(self) -> None:
         """Close a connection whose request did not arrive in time."""
+        if not self._can_write.is_set():  # the request may be complete; it waits for the answers
+            self._timer.start(self._header_limit_s, self._on_header_timeout)
+            return
         if self._parser.our_state is h11.IDLE:
-            headers = [("Content-Length", "0"), ("Connection", "close")]
-            self._write(h11.Response(status_code=408, headers=headers))
-            self._write(h11.EndOfMessage())
+            self._write_error(408)
         self._close(CloseReason.SLOW_HEAD)
 
+    def _write_error(self, status: int) -> None:
+        headers = [("Content-Length", "0"), ("Connection", "close")]
+        self._write(h11.Response(status_code=status, headers=headers))
+        self._write(h11.EndOfMessage())
+
     def _close(self, reason: CloseReason) -> None:
         """Close the write side; read on until the caller closes too, so it gets the response."""
         if self._is_lingering or self._transport is None:
@@ -383,14 +392,6 @@
             if self._transport is not None:
                 self._transport.pause_reading()
 
-    def _log_loss(self, reason: CloseReason) -> None:
-        """Log the request that is being answered, or the response that is not wholly sent."""
-        unsent = self._unsent_bytes
-        if self._exchange is not None:
-            log_cut_request(self._exchange, reason, unsent_bytes=unsent)
-        elif unsent:
-            log_unsent_response(self._last_request_id, reason, unsent_bytes=unsent)
-
     def _write(self, event: h11.Event) -> None:
         data = self._parser.send(event)
         if data and self._transport is not None and not self._transport.is_closing():
--- a/flamingoshelf/http1/tests/test_closing.py
+++ b/flamingoshelf/http1/tests/test_closing.py
@@ -177,3 +177,46 @@
     server.connection.close_if_idle()
     await run_pending_callbacks()
     assert server.transport.is_aborted
+
+
+@pytest.mark.looptime
+async def test_answers_do_not_pile_up_for_a_pipelining_caller_that_reads_nothing(server):
+    """The next request waits for the write buffer, is kept for so long, and is answered then."""
+    handled = []
+
+    async def handle(exchange):
+        handled.append(exchange)
+        server.connection.pause_writing()  # the answer fills the write buffer
+        exchange.respond(ResponseHead(status=200), b"ok")
+
+    server.handle = handle
+    await server.receive(GET * 5)
+    await asyncio.sleep(4.0)  # longer than a head may take
+    assert len(handled) == 1
+    for count in range(2, 6):
+        server.connection.resume_writing()
+        await run_pending_callbacks()
+        assert len(handled) == count
+    assert not server.transport.has_eof
+
+
+@pytest.mark.looptime
+async def test_pipelining_caller_can_not_fill_the_memory_with_requests(server):
+    """What a caller sends behind a running request is read up to a limit only, and no part lost."""
+    handled = []
+
+    async def handle(exchange):
+        handled.append(exchange)
+        await asyncio.sleep(0.1)
+        exchange.respond(ResponseHead(status=200), b"ok")
+
+    server.handle = handle
+    await server.receive(GET)
+    sent = 1
+    while not server.transport.is_paused and sent * len(GET) < 10_000_000:
+        await server.receive(GET * 100)
+        sent += 100
+    assert sent * len(GET) < 1_000_000
+    await asyncio.sleep(0.2 * sent)
+    assert len(handled) == sent
+    assert not server.transport.is_paused
