--- a/flamingoshelf/http1/tests/test_connection_property.py
+++ b/flamingoshelf/http1/tests/test_connection_property.py
@@ -1,4 +1,4 @@
-"""Random requests, changes of limits, pauses and planned stops on one connection."""
+"""Random requests, changes of limits, pauses of both sides and planned stops on one connection."""
 
 import asyncio
 
@@ -114,6 +114,10 @@
                 self._change(max_header_bytes=value)
             case "drain":
                 self.server.connection.close_after_response()
+            case "stop reading":
+                self.server.connection.pause_writing()
+            case "read on":
+                self.server.connection.resume_writing()
             case "close idle":
                 self.server.connection.close_after_response()
                 self.server.connection.close_if_idle()
@@ -166,7 +170,7 @@
     st.tuples(st.just("header time"), st.sampled_from([0.5, 3.0, 10.0])),
     # A head that the limit doesn't allow is refused; that is another property.
     st.tuples(st.just("header size"), st.sampled_from([1000, 2000, 8000])),
-    st.tuples(st.sampled_from(["drain", "close idle"]), st.none()),
+    st.tuples(st.sampled_from(["drain", "close idle", "stop reading", "read on"]), st.none()),
 )
 
 
@@ -174,6 +178,7 @@
     caller = Caller(callers_requests)
     for action, value in script:
         await caller.play(action, value)
+    await caller.play("read on", None)
     await asyncio.sleep(_LONG_S)
     answers = caller.answers()
     assert len(answers) >= caller.must_be_answered
