--- a/flamingoshelf/http1/_server_connection.py
+++ b/flamingoshelf/http1/_server_connection.py
@@ -2,14 +2,25 @@
 
 import asyncio
 import socket
+import sys
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import TYPE_CHECKING, cast
 
 import h11
 from loguru import logger
 
+from flamingoshelf.http1._connection_log import CloseReason, log_discarded_bytes, log_loss
 from flamingoshelf.http1._exchange import Exchange, plain_head
-from flamingoshelf.http1._heads import Headers, RequestHead, ResponseHead
+from flamingoshelf.http1._framing import (
+    is_bodiless,
+    refusal_status,
+    request_head,
+    response_event,
+)
+from flamingoshelf.http1._heads import ResponseHead
+from flamingoshelf.http1._limit_timer import LimitTimer
+from flamingoshelf.http1._linger import Linger, has_unread_bytes, unsent_bytes
 from flamingoshelf.utils import now_s
 
 if TYPE_CHECKING:
@@ -17,9 +28,12 @@
 
 __all__ = ["ServerConnection"]
 
-_LINGER_TIMEOUT_S = 1.0  # time for the caller to read the last response before the abort
 _TCP_USER_TIMEOUT_MS = 5000  # ends the connection if a caller acknowledges no data for so long
-_MAX_DISCARDED_BYTES = 256 * 1024  # most bytes of a refused body that are read before the close
+_CALLER_CLOSE_TIMEOUT_S = 1.0  # for the caller to close its side, once it has the last response
+# Of a refused body at least so much is read, and as much as a body may have: a caller that is cut
+# off while it sends may never read its refusal.
+_MIN_DISCARDED_BYTES = 256 * 1024
+_MAX_PIPELINED_BYTES = 64 * 1024  # behind a request that is being answered
 
 
 class ServerConnection(asyncio.Protocol):
@@ -47,37 +61,54 @@
         self._handle = handle
         self._limits = limits
         self._on_lost = on_lost
-        self._parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits().max_header_bytes
-        )
+        # The limit in force is checked here, as h11 takes one for the life of a connection.
+        self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
         self._task: asyncio.Task[None] | None = None
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = LimitTimer()
+        self._announced_idle_s = 0.0  # what the caller was told last
         self._can_write = asyncio.Event()
         self._can_write.set()
+        self._is_draining = False
+        self._closes_when_idle = False
         self._closes_after_response = False
+        self._has_announced_close = False
+        self._omits_body = False
         self._is_lingering = False
+        self._linger: Linger | None = None
+        self._close_reason: CloseReason | None = None
+        self._last_request_id: str | None = None
         self._discarded_bytes = 0
+        self._unread_bytes = 0  # discarded because the connection is closing
 
     @property
     def is_busy(self) -> bool:
         """Whether a request is being answered."""
         return self._exchange is not None
 
+    @property
+    def is_unfinished(self) -> bool:
+        """Whether a request has begun, or a response is not wholly sent."""
+        return self.is_busy or self._has_begun or self._has_arrived or self._unsent_bytes > 0
+
     def close_after_response(self) -> None:
-        """Close the connection after the next response."""
-        self._closes_after_response = True
+        """Announce the close in the next response that no request which was read follows."""
+        self._is_draining = True
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request has begun."""
-        if not self.is_busy and not self._parser.trailing_data[0]:
-            self._linger()
-
-    def abort(self) -> None:
-        """Abort the connection."""
-        if self._transport is not None:
-            self._transport.abort()
+        """Close the connection when no request has begun."""
+        self._closes_when_idle = True
+        if not self.is_busy and not self._has_begun and not self._has_arrived:
+            self._close(CloseReason.DRAIN)
+
+    def abort(self, reason: CloseReason | None = None) -> None:
+        """Abort the connection; log what is lost if it is for a reason of this process."""
+        if self._transport is None:
+            return
+        if reason is not None and not self._transport.is_closing():
+            log_loss(self._exchange, self._last_request_id, reason, self._unsent_bytes)
+        self._transport.abort()
 
     async def drain(self) -> None:
         """Wait until the write buffer has drained."""
@@ -90,17 +121,25 @@
         if raw is not None:
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS)
-        self._set_timer(self._limits().idle_timeout_s, self._linger)
+        self._timer.start(self._idle_limit_s, self._on_idle_timeout)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, or discard them if the connection is closing."""
         if self._is_lingering:
+            self._unread_bytes += len(data)
             self._discard(len(data))
+            if self._linger is not None and self._parser.their_state is not h11.SEND_BODY:
+                self._linger.end_soon()
             return
-        if not self.is_busy and not self._parser.trailing_data[0]:
-            self._set_timer(self._limits().header_timeout_s, self._on_header_timeout)
+        if self._parser.their_state is h11.MUST_CLOSE:  # the last request was read
+            self._unread_bytes += len(data)
+            return
+        if not self.is_busy and not self._has_begun:
+            self._timer.start(self._header_limit_s, self._on_header_timeout)
         self._parser.receive_data(data)
         self._parse()
+        if not self._may_parse and len(self._parser.trailing_data[0]) > _MAX_PIPELINED_BYTES:
+            cast(asyncio.Transport, self._transport).pause_reading()
 
     def eof_received(self) -> bool:
         """Close the connection when the caller closes its side."""
@@ -108,10 +147,19 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the running request and report the end of the connection."""
-        self._cancel_timer()
+        self._timer.cancel()
+        if self._linger is not None:
+            self._linger.cancel()
         self._can_write.set()
         if self._task is not None:
             self._task.cancel()
+        if self._unread_bytes:
+            log_discarded_bytes(
+                self._last_request_id,
+                self._close_reason,
+                size=self._unread_bytes,
+                is_body=self._parser.their_state is h11.SEND_BODY,
+            )
         self._on_lost(self)
 
     def pause_writing(self) -> None:
@@ -119,52 +167,92 @@
         self._can_write.clear()
 
     def resume_writing(self) -> None:
-        """Let waiting writers continue."""
+        """Let waiting writers continue, and the next request begin."""
         self._can_write.set()
+        if not self.is_busy:
+            self._parse()
 
     def send_head(self, head: ResponseHead) -> None:
         """Write the status line and the headers."""
-        headers = list(head.headers.end_to_end())
-        length = head.headers.get("content-length")
-        if length is None and not _is_bodiless(head.status):
-            headers.append(("Transfer-Encoding", "chunked"))
-        if self._must_close:
-            headers.append(("Connection", "close"))
-        else:
-            headers.append(("Keep-Alive", f"timeout={int(self._limits().idle_timeout_s)}"))
-        self._write(h11.Response(status_code=head.status, headers=headers))
+        assert self._exchange is not None
+        request, must_close = self._exchange.head, self._must_close
+        keep_alive_s = None if must_close else self._limits().idle_timeout_s
+        event = response_event(request, head, keep_alive_s=keep_alive_s)
+        self._has_announced_close = must_close
+        self._announced_idle_s = keep_alive_s or 0.0
+        self._omits_body = is_bodiless(request, head.status)
+        self._write(event)
 
     def send_data(self, data: bytes) -> None:
-        """Write a part of the body."""
-        self._write(h11.Data(data=data))
+        """Write a part of the body, if the response has one."""
+        if not self._omits_body:
+            self._write(h11.Data(data=data))
 
     def send_end(self) -> None:
         """Write the end of the body and wait for the next request."""
         self._write(h11.EndOfMessage())
+        if self._exchange is not None:
+            self._last_request_id = self._exchange.request_id
         self._exchange = None
-        if self._closes_after_response or self._parser.our_state is h11.MUST_CLOSE:
-            self._linger()
+        self._discarded_bytes = 0
+        if self._has_announced_close or self._parser.our_state is h11.MUST_CLOSE:
+            self._close(CloseReason.LAST_RESPONSE)
         elif self._parser.their_state is h11.DONE:
             self._begin_next_request()
         else:  # the rest of a refused body is still to be read
-            self._set_timer(self._limits().header_timeout_s, self._linger)
+            close = partial(self._close, CloseReason.REFUSED_BODY)
+            self._timer.start(self._header_limit_s, close)
 
     def send_continue(self) -> None:
         """Send ``100 Continue`` to a caller that waits for it."""
         if self._parser.they_are_waiting_for_100_continue:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
 
+    @property
+    def _has_begun(self) -> bool:
+        """Whether bytes of another request have been read that can still be answered."""
+        return (
+            not self._is_lingering
+            and self._parser.their_state in (h11.IDLE, h11.DONE)
+            and bool(self._parser.trailing_data[0])
+        )
+
+    @property
+    def _has_arrived(self) -> bool:
+        """Whether bytes, or the end of the stream, have arrived and were not read yet."""
+        return not self._is_lingering and has_unread_bytes(self._transport)
+
+    @property
+    def _unsent_bytes(self) -> int:
+        if self._linger is not None:
+            return self._linger.unsent_bytes
+        return 0 if self._transport is None else unsent_bytes(self._transport)
+
     @property
     def _must_close(self) -> bool:
-        return self._closes_after_response or self._parser.their_state in (
-            h11.MUST_CLOSE,
-            h11.ERROR,
+        return (
+            self._closes_after_response
+            or self._parser.their_state in (h11.MUST_CLOSE, h11.ERROR)
+            or (self._is_draining and not self._has_begun)
+            # The caller may send no body now, and its next request would be read as the body.
+            or self._parser.they_are_waiting_for_100_continue
         )
 
+    @property
+    def _may_parse(self) -> bool:
+        """Whether input may be taken now; answers must not pile up for a caller that reads none."""
+        state = self._parser.their_state
+        if self._is_lingering or state in (h11.DONE, h11.MUST_CLOSE):
+            return False
+        return state is not h11.IDLE or self._can_write.is_set()
+
     def _parse(self) -> None:
-        while not self._is_lingering:
+        while self._may_parse:
             try:
                 event = self._parser.next_event()
+                if event is h11.NEED_DATA:
+                    self._check_incomplete_size()
+                    cast(asyncio.Transport, self._transport).resume_reading()
             except h11.RemoteProtocolError as error:
                 self._reject_input(error)
                 return
@@ -178,20 +266,18 @@
                 case _:
                     return
 
+    def _check_incomplete_size(self) -> None:
+        """Raise `h11.RemoteProtocolError` if a head is too large before it is complete."""
+        if len(self._parser.trailing_data[0]) > self._limits().max_header_bytes:
+            raise h11.RemoteProtocolError("head too large", error_status_hint=431)
+
     def _begin_request(self, event: h11.Request) -> None:
-        self._cancel_timer()
-        raw = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in event.headers.raw_items()]
-        head = RequestHead(
-            method=event.method.decode("ascii"),
-            target=event.target.decode("ascii"),
-            headers=Headers(raw),
-        )
+        self._timer.cancel()
+        head = request_head(event)
         self._exchange = Exchange(head=head, output=self, arrived_s=now_s())
-        if _head_size_bytes(event) > self._limits().max_header_bytes:
-            self._refuse_request(431)
-            return
-        if _has_conflicting_lengths(head.headers):
-            self._refuse_request(400)
+        status = refusal_status(event, head, max_header_bytes=self._limits().max_header_bytes)
+        if status is not None:
+            self._refuse_request(status)
             return
         self._task = asyncio.create_task(self._answer(self._exchange), name="exchange")
 
@@ -202,19 +288,22 @@
         self._exchange.respond(plain_head(status))
 
     async def _answer(self, exchange: Exchange) -> None:
+        task = asyncio.current_task()
+        log = logger.bind(step="answer")
         try:
             await self._handle(exchange)
         except asyncio.CancelledError:
-            return
+            if task is None or task.cancelling():
+                return  # the connection has ended
+            log.bind(request_id=exchange.request_id).error("what the request awaited was cancelled")
         except Exception:
-            logger.bind(step="answer").exception("request handler failed")
+            log.bind(request_id=exchange.request_id).exception("request handler failed")
         finally:
-            self._task = None
-        if exchange.is_ended:
-            return
-        if exchange.is_started:
+            if self._task is task:  # otherwise the next request is being answered
+                self._task = None
+        if exchange.is_started and not exchange.is_ended:
             exchange.abort()
-        else:
+        elif not exchange.is_ended:
             exchange.respond(plain_head(500))
 
     def _on_body_data(self, data: bytes) -> None:
@@ -231,81 +320,79 @@
 
     def _begin_next_request(self) -> None:
         self._parser.start_next_cycle()
-        has_more = bool(self._parser.trailing_data[0])
-        limits = self._limits()
-        if has_more:
-            self._set_timer(limits.header_timeout_s, self._on_header_timeout)
+        if self._closes_when_idle and not self._has_begun:
+            self._close(CloseReason.DRAIN)
+            return
+        if self._has_begun:
+            self._timer.start(self._header_limit_s, self._on_header_timeout)
         else:
-            self._set_timer(limits.idle_timeout_s, self._linger)
+            self._timer.start(self._idle_limit_s, self._on_idle_timeout)
         asyncio.get_running_loop().call_soon(self._parse)
 
     def _reject_input(self, error: h11.RemoteProtocolError) -> None:
         """Answer malformed input with an error status, and close the connection."""
         if self._exchange is not None:  # malformed body: the abort cancels its request
-            self.abort()
+            self.abort(CloseReason.MALFORMED)
             return
         self._closes_after_response = True
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            status = 431 if error.error_status_hint == 431 else 400
-            headers = [("Content-Length", "0"), ("Connection", "close")]
-            self._write(h11.Response(status_code=status, headers=headers))
-            self._write(h11.EndOfMessage())
-        self._linger()
+            self._write_error(431 if error.error_status_hint == 431 else 400)
+        self._close(CloseReason.MALFORMED)
+
+    def _header_limit_s(self) -> float:
+        return self._limits().header_timeout_s
+
+    def _idle_limit_s(self) -> float:
+        """Return the longest idle time, which is not less than the caller was told."""
+        return max(self._announced_idle_s, self._limits().idle_timeout_s)
+
+    def _on_idle_timeout(self) -> None:
+        if self._has_arrived:  # read first; the event loop has looked for data before that
+            self._timer.start(lambda: 0.0, self._on_idle_timeout)
+        else:
+            self._close(CloseReason.IDLE)
 
     def _on_header_timeout(self) -> None:
         """Close a connection whose request did not arrive in time."""
+        if not self._can_write.is_set():  # the request may be complete; it waits for the answers
+            self._timer.start(self._header_limit_s, self._on_header_timeout)
+            return
         if self._parser.our_state is h11.IDLE:
-            headers = [("Content-Length", "0"), ("Connection", "close")]
-            self._write(h11.Response(status_code=408, headers=headers))
-            self._write(h11.EndOfMessage())
-        self._linger()
+            self._write_error(408)
+        self._close(CloseReason.SLOW_HEAD)
+
+    def _write_error(self, status: int) -> None:
+        headers = [("Content-Length", "0"), ("Connection", "close")]
+        self._write(h11.Response(status_code=status, headers=headers))
+        self._write(h11.EndOfMessage())
 
-    def _linger(self) -> None:
+    def _close(self, reason: CloseReason) -> None:
         """Close the write side; read on until the caller closes too, so it gets the response."""
         if self._is_lingering or self._transport is None:
             return
         self._is_lingering = True
+        self._close_reason = reason
         if self._transport.is_closing():
             return
-        self._transport.write_eof()
-        self._set_timer(_LINGER_TIMEOUT_S, self.abort)
+        self._timer.cancel()
+        is_sending = self._parser.their_state is h11.SEND_BODY
+        self._linger = Linger(
+            transport=self._transport,
+            timeout_s=self._limits().header_timeout_s if is_sending else _CALLER_CLOSE_TIMEOUT_S,
+            end=lambda: self.abort(reason),
+        )
+        self._linger.start()
+        if self._unread_bytes:
+            self._linger.end_soon()
 
     def _discard(self, size: int) -> None:
         self._discarded_bytes += size
-        if self._discarded_bytes > _MAX_DISCARDED_BYTES:
-            self.abort()
+        if self._discarded_bytes > max(_MIN_DISCARDED_BYTES, self._limits().max_body_bytes):
+            self._close(CloseReason.REFUSED_BODY)
+            if self._transport is not None:
+                self._transport.pause_reading()
 
     def _write(self, event: h11.Event) -> None:
         data = self._parser.send(event)
         if data and self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
-
-    def _set_timer(self, delay_s: float, callback: Callable[[], None]) -> None:
-        self._cancel_timer()
-        self._timer = asyncio.get_running_loop().call_later(delay_s, callback)
-
-    def _cancel_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
-
-def _is_bodiless(status: int) -> bool:
-    return status in (204, 304) or status < 200
-
-
-# Two spaces, the version and a line end in the request line; the empty line at the end of the head.
-_REQUEST_LINE_BYTES = len("  HTTP/1.1") + 2 * len("\r\n")
-
-
-def _head_size_bytes(event: h11.Request) -> int:
-    """Return the size of a request head, which `h11` limits only while it is incomplete."""
-    fields = sum(len(name) + len(value) + 4 for name, value in event.headers.raw_items())
-    return len(event.method) + len(event.target) + _REQUEST_LINE_BYTES + fields
-
-
-def _has_conflicting_lengths(headers: Headers) -> bool:
-    """Return whether a request states its length twice; receivers may then disagree on its end."""
-    return headers.get("transfer-encoding") is not None and (
-        headers.get("content-length") is not None
-    )
