A stopping node answers what it can't serve before its grace period ends

Cause: requests that arrive during a planned stop kept their own deadline, which may lie behind the end of the process. Their deadline is now 0.15 s before that end. A stream that has not run is refused with 503 at its deadline, no longer with 504, so that its caller may go elsewhere.

Requests that arrived before the stop keep their deadlines: the platform's grace period is longer than callers wait for a first answer.

--- a/flamingoshelf/gateway/_admission.py
+++ b/flamingoshelf/gateway/_admission.py
@@ -1,6 +1,7 @@
 """Admission of requests: finds route, workspace and deadline, or refuses the request."""
 
 import hashlib
+from collections.abc import Callable
 
 import attrs
 from result import Err, Ok, Result
@@ -32,7 +33,8 @@
     configuration : GatewayConfiguration
         Configuration in force at admission.
     deadline_s : float
-        Time by which the caller must have an answer, by the event loop's clock.
+        Time by which the caller must have an answer, by the event loop's clock; not later than
+        this node ends if it stops.
     arrived_s : float
         Time at which the head was read, by the same clock.
     body : bytes
@@ -104,11 +106,21 @@
         The configuration in force.
     wire : WireFormat
         Reads request heads.
+    answer_by_s : callable
+        Returns the time by which this node must have answered all requests; infinite unless it
+        stops.
     """
 
-    def __init__(self, *, configuration: ActiveConfiguration, wire: WireFormat) -> None:
+    def __init__(
+        self,
+        *,
+        configuration: ActiveConfiguration,
+        wire: WireFormat,
+        answer_by_s: Callable[[], float] = lambda: float("inf"),
+    ) -> None:
         self._configuration = configuration
         self._wire = wire
+        self._answer_by_s = answer_by_s
 
     def admit(self, head: RequestHead, *, arrived_s: float) -> Result[AdmittedRequest, Refusal]:
         """Return the request with its route and workspace, or its refusal."""
@@ -132,7 +144,7 @@
                 route=route,
                 workspace=workspace.ok_value,
                 configuration=self._configuration.current,
-                deadline_s=arrived_s + min(wait_s, route.timeout_s),
+                deadline_s=min(arrived_s + min(wait_s, route.timeout_s), self._answer_by_s()),
                 arrived_s=arrived_s,
             )
         )
--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -100,6 +100,7 @@
         )
         self._has_server_list = False
         self._is_leaving = False
+        self._answer_by_s = float("inf")
         self._members = MemberList()
         self._node_limits = NodeLimits(
             settings=lambda: self._settings,
@@ -220,6 +221,7 @@
                 data_centre=settings.data_centre,
                 metrics=self._metrics,
                 random_source=self._random,
+                answer_by_s=lambda: self._answer_by_s,
             ).handle,
             limits=lambda: self._configuration.limits,
         )
@@ -273,6 +275,7 @@
         if self._coordination is not None:
             self._coordination.leave()
         plan = ShutdownPlan(grace_s=self._settings.shutdown_grace_s)
+        self._answer_by_s = plan.answer_by_s
         logger.bind(step="stop", running=self._caller_server.running_requests).info(
             "shutdown started"
         )
--- a/flamingoshelf/gateway/_request_path.py
+++ b/flamingoshelf/gateway/_request_path.py
@@ -34,6 +34,7 @@
     data_centre: str,
     metrics: Metrics,
     random_source: random.Random,
+    answer_by_s: Callable[[], float] = lambda: float("inf"),
 ) -> Gateway:
     """Return the handler of callers' requests; the parameters are those of its parts."""
     targets = TargetSelector(
@@ -63,7 +64,7 @@
     )
     return Gateway(
         configuration=configuration,
-        admission=Admission(configuration=configuration, wire=wire),
+        admission=Admission(configuration=configuration, wire=wire, answer_by_s=answer_by_s),
         plain=plain,
         streams=streams,
         metrics=metrics,
--- a/flamingoshelf/gateway/_shutdown.py
+++ b/flamingoshelf/gateway/_shutdown.py
@@ -13,6 +13,7 @@
 _BALANCER_NOTICE_S = 2.6
 _KILL_MARGIN_S = 0.25  # part of the grace period reserved for ending the process
 _POLL_INTERVAL_S = 0.02  # between checks for unfinished requests
+_ANSWER_MARGIN_S = 0.15  # for refusals of what can't be answered to reach their callers
 
 
 class ShutdownPlan:
@@ -25,15 +26,20 @@
     Parameters
     ----------
     grace_s : float
-        Seconds from SIGTERM until the platform kills the process.
+        Seconds from now, when SIGTERM came, until the platform kills the process.
     """
 
     def __init__(self, *, grace_s: float) -> None:
-        self._grace_s = grace_s
+        self._end_s = now_s() + grace_s - _KILL_MARGIN_S
+
+    @property
+    def answer_by_s(self) -> float:
+        """Time by which requests must have their final answers."""
+        return self._end_s - _ANSWER_MARGIN_S
 
     async def run(self, server: HttpServer) -> None:
         """Drain and stop `server`; return when all requests are answered or the time is over."""
-        end_s = now_s() + self._grace_s - _KILL_MARGIN_S
+        end_s = self._end_s
         server.drain()
         await asyncio.sleep(min(_BALANCER_NOTICE_S, max(0.0, end_s - now_s())))
         server.stop_accepting()
--- a/flamingoshelf/gateway/_stream_state.py
+++ b/flamingoshelf/gateway/_stream_state.py
@@ -81,7 +81,8 @@
 def final_refusal(state: StreamState, *, remaining_s: float) -> Refusal:
     """Return the refusal of a request for which no further turn is tried."""
     if remaining_s <= 0:
-        detail, reason, status = "No time is left.", RefusalReason.DEADLINE_UNREACHABLE, 504
+        detail, reason = "No time is left.", RefusalReason.DEADLINE_UNREACHABLE
+        status = 504 if state.sent else 503
     elif state.sent:
         detail, reason, status = "The engine gave no answer.", RefusalReason.BACKEND_FAILED, 502
     else:
--- a/flamingoshelf/gateway/tests/test_silent_engines.py
+++ b/flamingoshelf/gateway/tests/test_silent_engines.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+import attrs
 import pytest
 
+from flamingoshelf.gateway import Admission
+from flamingoshelf.gateway._shutdown import ShutdownPlan
 from flamingoshelf.gateway.tests.conftest import (
     CALLER,
     SILENT,
@@ -12,10 +15,13 @@
     lost,
     not_run,
     refused,
+    route,
 )
+from flamingoshelf.http1 import Headers, RequestHead
 from flamingoshelf.placement import FailureKind, RunOutcome
 from flamingoshelf.refusals import Refusal, RefusalReason
 from flamingoshelf.routing import CallKind
+from flamingoshelf.utils import now_s
 
 pytestmark = pytest.mark.looptime
 
@@ -200,3 +206,38 @@
     refusal, _ = await forward()
     assert (refusal.status, refusal.not_run) == (503, True)
     assert asyncio.get_running_loop().time() - began_s < 3.6  # then the caller leaves
+
+
+# Guards against: a request that waits when its node ends is cut off without an answer.
+@pytest.mark.parametrize(("silence", "status"), [("prefill", 503), ("run", 502)])
+async def test_request_that_a_stopping_node_can_not_serve_is_refused(
+    forwarder, client, placer, new_exchange, list_engines, configuration, silence, status
+):
+    list_engines(["p1"], ["d1"])
+    placer.later_refusals = [FULL] * 100
+    if silence == "prefill":
+        client.prefills["p1"] = [SILENT]
+    client.queue_answers("d1", Answer(after_s=60.0))
+    head = RequestHead(method="POST", target="/r/1", headers=Headers([("Host", "h")]))
+    stops_s = now_s() + 1.0
+    plan = ShutdownPlan(grace_s=1.0)
+    admission = new_admission(configuration, OpenWire(), plan)
+    request = admission.admit(head, arrived_s=now_s()).unwrap()
+    request = attrs.evolve(
+        request, route=route(CallKind.STREAM, timeout_s=14.0, latency_goal_s=0.9, may_resume=True)
+    )
+    exchange, _ = new_exchange(request)
+    refusal = await forwarder.forward(exchange, request)
+    assert now_s() < stops_s
+    assert (refusal.status, refusal.not_run) == (status, status == 503)
+
+
+def new_admission(configuration, wire, plan):
+    return Admission(configuration=configuration, wire=wire, answer_by_s=lambda: plan.answer_by_s)
+
+
+class OpenWire:
+    """Decodes a request of a caller with a key."""
+
+    def decode_request(self, head):
+        return attrs.evolve(CALLER, key="key")
