Engines that can't run a request now are excluded, not only avoided

A request may use an engine that failed it again if no other is in use. The same list also held engines that asked the node for a pause, that the node doesn't list, and the engine of a silent run: the run was resumed at its own engine, and an engine in its pause was granted four times until the request was refused. Cause: one list for two meanings.

--- a/flamingoshelf/placement/_dispatcher.py
+++ b/flamingoshelf/placement/_dispatcher.py
@@ -358,7 +358,9 @@
             decode_id = self._selector.decode(request, now, near=prefill_id, blocked=blocked)
             if decode_id is not None:
                 return self._grant(queued, prefill_id, decode_id, is_late=not is_on_time)
-            most_free = self._engines.most_free_decode(now, blocked, avoid=request.avoid)
+            most_free = self._engines.most_free_decode(
+                now, blocked, avoid=request.avoid, exclude=request.exclude
+            )
             if most_free is not None:
                 blocked.add(most_free)
             elif not request.avoid:
--- a/flamingoshelf/placement/_engine_selector.py
+++ b/flamingoshelf/placement/_engine_selector.py
@@ -36,7 +36,7 @@
         Engines in the best health tier come first.
         """
         choices = []
-        for engine in self._engines.usable_prefills(avoid=request.avoid):
+        for engine in self._engines.usable_prefills(avoid=request.avoid, exclude=request.exclude):
             tracker = self._engines.prefill_tracker(engine.key)
             if tracker.accepts_work(now_s, max_wait_s=_MAX_PREFILL_BACKLOG_S):
                 done_s = tracker.wait_s(now_s) + tracker.work_s(request.prompt_tokens)
@@ -68,7 +68,7 @@
         """
         prefill_data_centre = self._engines.data_centre(near)
         groups: dict[tuple[int, bool], list[str]] = {}
-        for engine in self._engines.usable_decodes(avoid=request.avoid):
+        for engine in self._engines.usable_decodes(avoid=request.avoid, exclude=request.exclude):
             if engine.key not in blocked:
                 group = self._engines.tier(engine.key), engine.data_centre != prefill_data_centre
                 groups.setdefault(group, []).append(engine.key)
--- a/flamingoshelf/placement/_engines.py
+++ b/flamingoshelf/placement/_engines.py
@@ -139,13 +139,23 @@
         self._target_role[key] = role
         self._usable.clear()
 
-    def usable_prefills(self, *, avoid: Iterable[str] = ()) -> list[BackendInstance]:
-        """Return the prefill engines that may get work, if possible none of those in `avoid`."""
-        return self._usable_engines(EngineRole.PREFILL, avoid)
+    def usable_prefills(
+        self, *, avoid: Iterable[str] = (), exclude: Iterable[str] = ()
+    ) -> list[BackendInstance]:
+        """Return the prefill engines that may get work.
 
-    def usable_decodes(self, *, avoid: Iterable[str] = ()) -> list[BackendInstance]:
-        """Return the decode engines that may get work, if possible none of those in `avoid`."""
-        return self._usable_engines(EngineRole.DECODE, avoid)
+        None of `exclude` is returned, and if possible none of `avoid`.
+        """
+        return self._usable_engines(EngineRole.PREFILL, avoid, exclude)
+
+    def usable_decodes(
+        self, *, avoid: Iterable[str] = (), exclude: Iterable[str] = ()
+    ) -> list[BackendInstance]:
+        """Return the decode engines that may get work.
+
+        None of `exclude` is returned, and if possible none of `avoid`.
+        """
+        return self._usable_engines(EngineRole.DECODE, avoid, exclude)
 
     def expected_decodes(self) -> list[BackendInstance]:
         """Return the decode engines in use and those that are down for a moment only."""
@@ -174,11 +184,20 @@
         return None if engine is None else engine.data_centre
 
     def most_free_decode(
-        self, now_s: float, blocked: Iterable[str], *, avoid: Iterable[str] = ()
+        self,
+        now_s: float,
+        blocked: Iterable[str],
+        *,
+        avoid: Iterable[str] = (),
+        exclude: Iterable[str] = (),
     ) -> str | None:
-        """Return the decode engine with most free memory, except those in `blocked` or `avoid`."""
-        excluded = set(blocked)
-        engines = [e for e in self.usable_decodes(avoid=avoid) if e.key not in excluded]
+        """Return the decode engine with most free memory that isn't in `blocked`.
+
+        Engines in `avoid` and `exclude` are left out as in `usable_decodes`.
+        """
+        reserved = set(blocked)
+        usable = self.usable_decodes(avoid=avoid, exclude=exclude)
+        engines = [engine for engine in usable if engine.key not in reserved]
         choice = max(
             engines, key=lambda e: self.decode_tracker(e.key).free_tokens(now_s), default=None
         )
@@ -235,18 +254,27 @@
             runs=self.decode_tracker(key).runs,
         ).info("engine refused work for lack of room; backing off")
 
-    def _usable_engines(self, role: EngineRole, avoid: Iterable[str]) -> list[BackendInstance]:
+    def _usable_engines(
+        self, role: EngineRole, avoid: Iterable[str], exclude: Iterable[str]
+    ) -> list[BackendInstance]:
         usable = self._usable.get(role)
         if usable is None:
             listed = self._listed.values()
             usable = [e for e in listed if e.role is role and self.is_usable(e.key)]
             self._usable[role] = usable
-        avoided = set(avoid)
+        excluded = set(exclude)
+        avoided = excluded.union(avoid)
         if not avoided:
             return usable
         others = [engine for engine in usable if engine.key not in avoided]
+        if others:
+            return others
         # With no other engine in use, one that was silent may be tried again once it answers.
-        return others or [e for e in usable if not self._health.is_suspected(e.key)]
+        return [
+            engine
+            for engine in usable
+            if engine.key not in excluded and not self._health.is_suspected(engine.key)
+        ]
 
     def _resize(self, tracker: DecodeEngineTracker) -> None:
         if self._applied_profile is not None:
--- a/flamingoshelf/placement/_types.py
+++ b/flamingoshelf/placement/_types.py
@@ -67,7 +67,10 @@
     deadline_left_s : float
         Seconds until the whole answer must be complete.
     avoid : tuple of str
-        Engines that failed this request before.
+        Engines to avoid: they failed this request, or are excluded.
+    exclude : tuple of str
+        Engines of `avoid` that can't run this request now. The others may be used again if no other
+        engine is left.
     repeat_cost : int
         Engine calls of this turn that repeat earlier calls of the request; 0 for a first attempt.
     is_resumed : bool
@@ -88,6 +91,7 @@
     wait_left_s: float
     deadline_left_s: float
     avoid: tuple[str, ...] = ()
+    exclude: tuple[str, ...] = ()
     repeat_cost: int = 0
     is_resumed: bool = False
     content: str = ""
