Plain calls: drop a large failure before another answer is streamed

A failure status with a body over the buffer kept its server busy until another server's large answer had been streamed.

--- a/flamingoshelf/gateway/_plain_forwarder.py
+++ b/flamingoshelf/gateway/_plain_forwarder.py
@@ -257,6 +257,9 @@
                 )
                 other.cancel()
                 self._end(other, is_failure=None)
+        for other in state.attempts:
+            if other is not attempt:
+                await other.close()
         state.exchange.backend_server = attempt.key
         is_failure: bool | None = None
         try:
