A probe without a free connection says nothing about its engine

With all connections of the node to an engine in use, the probe failed and the engine was marked down for the whole fleet. Test: test_probe_without_a_free_connection_marks_no_engine_down failed.

--- a/flamingoshelf/gateway/_engine_prober.py
+++ b/flamingoshelf/gateway/_engine_prober.py
@@ -8,6 +8,7 @@
 from flamingoshelf.exceptions import FlamingoshelfError
 from flamingoshelf.gateway._backend_client import ServerPausedError
 from flamingoshelf.gateway._engine_control import EngineControl
+from flamingoshelf.http1 import NoFreeConnectionError
 from flamingoshelf.placement import Dispatcher
 from flamingoshelf.utils import TaskGroup, now_s
 
@@ -58,7 +59,7 @@
         began_s = now_s()
         try:
             await self._control.report(engine)
-        except ServerPausedError as error:
+        except (ServerPausedError, NoFreeConnectionError) as error:
             logger.bind(step="probe", peer=key).debug("probe held back: {}", error.message)
             return
         except FlamingoshelfError as error:
