Log the parts of the prompt and the events sent with each crash, and reports of other nodes

The crash line now has the header with the parts (its first 400 characters) and the number of events that the run had sent; a report or a success that another node tells is logged with its digest. No decision changes. The new test fails without the change (the line has no field prompt).

--- a/flamingoshelf/gateway/_crash_detector.py
+++ b/flamingoshelf/gateway/_crash_detector.py
@@ -19,6 +19,7 @@
 # A crashed process refuses connections until it is restarted, which takes seconds.
 _CHECK_DELAYS_S = (0.02, 0.2)
 _CONNECT_TIMEOUT_S = 0.2  # a running server accepts within milliseconds
+_MAX_LOGGED_PROMPT = 400  # characters of the header that lists the parts of a prompt
 
 
 class CrashDetector:
@@ -47,15 +48,22 @@
         # Callers treat a 4xx as their own error and do not retry.
         return None if refusal is None else attrs.evolve(refusal, status=503)
 
-    def record_lost_run(self, request: AdmittedRequest, instance: BackendInstance) -> None:
-        """Check in the background whether the server of a lost run has crashed."""
-        self._tasks.start(self._check_server(request, instance), name="look")
+    def record_lost_run(
+        self, request: AdmittedRequest, instance: BackendInstance, *, events: int = 0
+    ) -> None:
+        """Check in the background whether the server of a lost run has crashed.
+
+        `events` is the number of events that the run had sent.
+        """
+        self._tasks.start(self._check_server(request, instance, events), name="look")
 
     def record_success(self, request: AdmittedRequest) -> None:
         """Clear the suspicion against content that ran to completion."""
         self._guard().report_success(request.content)
 
-    async def _check_server(self, request: AdmittedRequest, instance: BackendInstance) -> None:
+    async def _check_server(
+        self, request: AdmittedRequest, instance: BackendInstance, events: int
+    ) -> None:
         """Try to connect after each delay; report a crash if a connection is refused."""
         for delay_s in _CHECK_DELAYS_S:
             await asyncio.sleep(delay_s)
@@ -65,6 +73,8 @@
                     step="crash",
                     peer=instance.key,
                     content=request.content,
+                    prompt=request.caller.prompt[:_MAX_LOGGED_PROMPT],
+                    events=events,
                 ).warning("backend server crashed while running the request")
                 self._guard().report_crash(request.content, instance.key)
                 return
--- a/flamingoshelf/gateway/_stream_attempt.py
+++ b/flamingoshelf/gateway/_stream_attempt.py
@@ -262,7 +262,9 @@
             self._record_failure(engine.key, FailureKind.UNREACHABLE, error.message)
         except OutcomeUnknownError as error:
             log.warning("broke off after event {}: {}", state.relay.last_event_id, error.message)
-            self._tools.crash_detector.record_lost_run(state.request, engine)
+            self._tools.crash_detector.record_lost_run(
+                state.request, engine, events=self._run.event_count
+            )
             self._record_failure(engine.key, FailureKind.BROKE_OFF, error.message)
             return RelayResult.BROKEN
         self._set_has_run(False)
--- a/flamingoshelf/gateway/tests/conftest.py
+++ b/flamingoshelf/gateway/tests/conftest.py
@@ -290,7 +290,7 @@
     def check(self, request):
         return self.refusal
 
-    def record_lost_run(self, request, instance):
+    def record_lost_run(self, request, instance, *, events=0):
         self.lost.append(instance.key)
 
     def record_success(self, request):
--- a/flamingoshelf/gateway/tests/test_crash_detector.py
+++ b/flamingoshelf/gateway/tests/test_crash_detector.py
@@ -4,7 +4,9 @@
 
 import attrs
 import pytest
+from loguru import logger
 
+from flamingoshelf.gateway import CallerRequest
 from flamingoshelf.gateway._crash_detector import CrashDetector
 from flamingoshelf.gateway.tests.conftest import server
 from flamingoshelf.quarantine import Quarantine
@@ -54,3 +56,13 @@
     detector.record_success(new_request())
     await lose_runs(detector, new_request(), two)
     assert detector.check(new_request()) is None
+
+
+async def test_crash_line_tells_the_parts_of_the_prompt_and_the_events_sent(detector, new_request):
+    lines = []
+    sink = logger.add(lambda line: lines.append(line.record["extra"]), level="WARNING")
+    request = new_request(caller=CallerRequest(request_id="q1", prompt="5c1e:800,91bd:410"))
+    detector.record_lost_run(request, server_at("s", AddressPool().reserve(1)[0]), events=7)
+    await asyncio.sleep(0.1)
+    logger.remove(sink)
+    assert [(line["prompt"], line["events"]) for line in lines] == [("5c1e:800,91bd:410", 7)]
--- a/flamingoshelf/quarantine/_service.py
+++ b/flamingoshelf/quarantine/_service.py
@@ -3,6 +3,8 @@
 import random
 from collections.abc import Callable, Sequence
 
+from loguru import logger
+
 from flamingoshelf.base import NodeLink
 from flamingoshelf.quarantine._quarantine import Quarantine
 from flamingoshelf.quarantine._reports import ContentReport
@@ -77,8 +79,16 @@
 
     async def _receive(self, peer: str, report: ContentReport) -> None:
         if self._quarantine.merge(report):
+            self._log_report(peer, report)
             self._forward(report)
 
+    def _log_report(self, peer: str, report: ContentReport) -> None:
+        log = logger.bind(step="crash", peer=peer, content=report.digest)
+        if report.engine:
+            log.bind(engine=report.engine).info("crash reported by another node")
+        else:
+            log.bind(cleared=len(report.cleared)).info("content cleared by another node")
+
     def _forward(self, report: ContentReport) -> None:
         """Count a report and send it to a few random nodes."""
         self._metrics.count_event("content_crashed_engine" if report.engine else "content_cleared")
