Tests of whole nodes, failing: requests that share a part of their prompts crash engine after engine

The stand-in of an engine crashes, refuses connections for 1 s and comes back as a new one at its address; its log now has every arrival.

--- a/lab/gateway/_records.py
+++ b/lab/gateway/_records.py
@@ -21,13 +21,14 @@
     target: str
     body: bytes
     at_s: float
-    ended: str = ""  # "whole", "cut" (by the server) or "left" (cancelled by the gateway)
+    ended: str = ""  # "whole", "cut" or "crashed" (the server), "left" (cancelled by the gateway)
 
 
 class RunLog:
-    """Requests that ran, prefills and role orders, as recorded by the servers."""
+    """Requests that arrived or ran, prefills and role orders, as recorded by the servers."""
 
     def __init__(self) -> None:
+        self.arrivals: list[Run] = []
         self.runs: list[Run] = []
         self.prefills: list[Run] = []
         self.orders: list[dict[str, object]] = []
--- a/lab/gateway/_servers.py
+++ b/lab/gateway/_servers.py
@@ -11,7 +11,7 @@
 from flamingoshelf.utils import TaskGroup, now_s
 from lab.gateway._records import Run, RunLog, ServerFaults, Silence
 
-__all__ = ["EngineStandIn", "PlainStandIn"]
+__all__ = ["EngineStandIn", "PlainStandIn", "prompt_parts"]
 
 _MAX_BODY_BYTES = 8 * 1024 * 1024
 _TOKENS_PER_EVENT = 8
@@ -48,6 +48,11 @@
         self.silence.end()
         await self.tasks.stop()
 
+    def renew(self) -> None:
+        """Become a new server at the same address."""
+        self.instance_id = f"i-{next(_id_numbers):04d}"
+        self.started_ms += 1
+
     async def freeze(self, seconds: float) -> None:
         """Fall silent for a time with all connections open; then go on where it was.
 
@@ -96,13 +101,7 @@
             exchange.abort()
             return None
         request_id = exchange.head.headers.get("Request-Id") or ""
-        if self.faults.full:
-            headers = [("Not-Run", "1"), ("Request-Id", request_id)]
-            if self.faults.pause_s:
-                headers.append(("Retry-After", str(self.faults.pause_s)))
-            self._respond(exchange, 503, b"", *headers)
-            return None
-        return Run(
+        run = Run(
             server=self.instance_id,
             request_id=request_id,
             service=self.service,
@@ -112,6 +111,14 @@
             body=body,
             at_s=now_s(),
         )
+        self.log.arrivals.append(run)
+        if self.faults.full:
+            headers = [("Not-Run", "1"), ("Request-Id", request_id)]
+            if self.faults.pause_s:
+                headers.append(("Retry-After", str(self.faults.pause_s)))
+            self._respond(exchange, 503, b"", *headers)
+            return None
+        return run
 
     def _respond(
         self, exchange: Exchange, status: int, body: bytes, *items: tuple[str, str]
@@ -202,6 +209,10 @@
         of the role.
     kv_capacity_tokens : int
         Memory for KV caches.
+    crashing_part : str
+        Part of prompts under which the engine crashes as it begins to answer, or empty.
+    on_crash : callable
+        ``on_crash(engine)`` is called then; it stops the engine.
     held : dict of str to int
         Tokens in memory of each running request, by request id.
     sent : dict of str to int
@@ -213,6 +224,8 @@
     handle_lifetime_s = 0.5
     role_change_s = 0.3
     kv_capacity_tokens = 30_000
+    crashing_part = ""
+    on_crash: "Callable[[EngineStandIn], None]" = staticmethod(lambda engine: None)
 
     def __init__(
         self,
@@ -361,6 +374,10 @@
             *self._notices(),
         ]
         exchange.start_response(ResponseHead(status=200, headers=Headers(headers)))
+        if self.crashing_part and self.crashing_part in prompt_parts(run.headers):
+            run.ended = "crashed"
+            self.on_crash(self)
+            await asyncio.sleep(3600)
         first_event = int(run.headers.get("Last-Event-Id") or 0) + 1
         cut_at_event = (
             self.random.randint(first_event, events) if self._draw_fault(self.faults.cut) else None
@@ -380,6 +397,11 @@
         exchange.end()
 
 
+def prompt_parts(headers: Headers) -> list[str]:
+    """Return the identifiers of the parts of a request's prompt."""
+    return [part.partition(":")[0] for part in (headers.get("Prompt-Prefix") or "").split(",")]
+
+
 def _token_counts(headers: Headers) -> tuple[int, int]:
     prompt_tokens, _, output_tokens = (headers.get("Token-Counts") or "0,0").partition(",")
     return int(prompt_tokens), int(output_tokens)
--- a/lab/gateway/_site.py
+++ b/lab/gateway/_site.py
@@ -101,6 +101,15 @@
         """Write a server's registration to the store."""
         self.store.put("servers", server.instance_id, server.entry())
 
+    async def replace_crashed(self, server: EngineStandIn | PlainStandIn, outage_s: float) -> None:
+        """Stop a server as in a crash; a new one starts at its address after a time."""
+        await server.stop()
+        await asyncio.sleep(outage_s)
+        self.store.remove("servers", server.instance_id)
+        server.renew()
+        await server.start()
+        self.register(server)
+
     def configure(self, **changes: Any) -> None:
         """Write the next version of the configuration; `changes` replace top-level fields."""
         self.version += 3
