--- a/flamingoshelf/callers/_completion_request.py
+++ b/flamingoshelf/callers/_completion_request.py
@@ -7,7 +7,9 @@
 import attrs
 from result import Err, Ok, Result
 
+from flamingoshelf.callers._prefix_blocks import prefix_hashes
 from flamingoshelf.objects import Catalog, Kind, ModelVersion
+from flamingoshelf.quarantine import content_digest, part_key
 from flamingoshelf.refusals import Refusal, RefusalReason
 from flamingoshelf.utils import check_range
 
@@ -15,6 +17,7 @@
 
 _DEFAULT_MAX_TOKENS = 256
 _TEMPLATE_TOKEN_ALLOWANCE = 16
+_MAX_PARTS = 48  # of a prompt that are told apart; shared parts come first
 
 
 @attrs.frozen(kw_only=True)
@@ -35,6 +38,8 @@
         Whether the answer is sent token by token.
     is_chat : bool
         Whether it is a chat completion.
+    messages : tuple of str
+        Role and text of each message of a chat, of which the prompt consists.
     """
 
     model: str
@@ -43,6 +48,14 @@
     max_tokens: int
     stream: bool
     is_chat: bool
+    messages: tuple[str, ...] = ()
+
+    @property
+    def content_keys(self) -> tuple[str, ...]:
+        """Keys of the whole prompt, and of each part that other prompts may have, too."""
+        parts = self.messages or [f"{value:x}" for value in prefix_hashes(self.prompt)]
+        keys = (part_key(self.model, part) for part in dict.fromkeys(parts[:_MAX_PARTS]))
+        return (content_digest(self.model, self.prompt), *keys)
 
 
 def parse_completion(
@@ -56,7 +69,8 @@
         document = json.loads(body)
         if not isinstance(document, dict):
             raise ValueError("the body must be a JSON object")
-        prompt = _chat_prompt(document) if is_chat else _required_text(document, "prompt")
+        messages = _chat_messages(document) if is_chat else ()
+        prompt = "\n".join(messages) if is_chat else _required_text(document, "prompt")
         model_name = _required_text(document, "model")
         max_tokens = _max_tokens(document)
         stream = _optional_flag(document, "stream")
@@ -83,6 +97,7 @@
             max_tokens=max_tokens,
             stream=stream,
             is_chat=is_chat,
+            messages=messages,
         )
     )
 
@@ -94,7 +109,7 @@
     )
 
 
-def _chat_prompt(document: dict[str, Any]) -> str:
+def _chat_messages(document: dict[str, Any]) -> tuple[str, ...]:
     messages = document.get("messages")
     if not isinstance(messages, list) or not messages:
         raise ValueError("messages must be a list with at least one message")
@@ -107,7 +122,7 @@
         if not isinstance(role, str) or not isinstance(content, str):
             raise ValueError(f"messages[{position}] must have a role and a content, both text")
         lines.append(f"{role}: {content}")
-    return "\n".join(lines)
+    return tuple(lines)
 
 
 def _required_text(document: dict[str, Any], field: str) -> str:
--- a/flamingoshelf/callers/_completion_run.py
+++ b/flamingoshelf/callers/_completion_run.py
@@ -24,7 +24,7 @@
 from flamingoshelf.exceptions import EngineError, FlamingoshelfError, ProtocolError
 from flamingoshelf.limits import Charge, Limiter
 from flamingoshelf.objects import Workspace
-from flamingoshelf.quarantine import ContentGuard, content_digest
+from flamingoshelf.quarantine import ContentGuard
 from flamingoshelf.refusals import Refusal, RetryReason
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import TaskGroup, now_s
@@ -39,6 +39,7 @@
 _TRANSFER_TIMEOUT_S = 3.0
 _STALL_TIMEOUT_S = 5.0
 _MIN_RESUME_WAIT_S = 10.0
+_BEGUN_TOKENS = 2  # an engine that goes on after its first token has begun without a crash
 
 
 class RefusedError(FlamingoshelfError):
@@ -104,7 +105,9 @@
         self._prefix_hashes = prefix_hashes(request.prompt)
         self._avoided_servers: tuple[str, ...] = ()
         self._charge: Charge | None = None
-        self._content_digest = content_digest(request.model, request.prompt)
+        self._content_keys = request.content_keys
+        self._attempt_tokens = 0
+        self._has_begun = False  # whether the engine of this attempt went on after a first token
         self._was_sent = False
         self._arrived_s = now_s()
 
@@ -140,7 +143,6 @@
                         async for event in events:
                             yield event
                     self._lifecycle.trigger("finish")
-                    self._dependencies.quarantine.report_success(self._content_digest)
                     return
                 except (EngineError, ProtocolError) as error:
                     self._prepare_retry(error, grant)
@@ -152,25 +154,32 @@
             self._lifecycle.close()
 
     def _check_quarantine(self) -> None:
-        refusal = self._dependencies.quarantine.check(self._content_digest)
+        refusal = self._dependencies.quarantine.check(self._content_keys)
         if refusal is not None:
             self._value_or_raise(Err(refusal))
 
     async def _run_attempt(self, grant: Grant) -> AsyncGenerator[DecodedToken | DecodeEnd, None]:
         was_sent = False
+        self._attempt_tokens = 0
+        self._has_begun = False
         try:
             self._lifecycle.trigger("grant")
             await self._charge_tokens()
             self._lifecycle.trigger("charged")
+            self._check_quarantine()
             was_sent = self._was_sent = True
             await self._prefill(grant)
             await self._transfer(grant)
+            self._check_quarantine()
             async with aclosing(self._decode(grant)) as events:
                 async for event in events:
                     yield event
         except BaseException:
             self._clean_up(grant, was_sent=was_sent)
             raise
+        finally:
+            if self._has_begun:
+                self._dependencies.quarantine.record_end(self._content_keys)
         self._dependencies.placer.release(grant)
 
     def _clean_up(self, grant: Grant, *, was_sent: bool) -> None:
@@ -267,6 +276,7 @@
             async for event in stream:
                 if isinstance(event, DecodeEnd):
                     self._answer.check_end(event, server=grant.decode_server)
+                    self._record_begin()
                     yield event
                     return
                 self._accept_token(event, grant)
@@ -276,9 +286,17 @@
 
     def _accept_token(self, token: DecodedToken, grant: Grant) -> None:
         self._answer.accept(token, server=grant.decode_server)
+        self._attempt_tokens += 1
+        if self._attempt_tokens >= _BEGUN_TOKENS:
+            self._record_begin()
         if len(self._answer) == 1:
             self._dependencies.metrics.record_first_token(now_s() - self._arrived_s)
 
+    def _record_begin(self) -> None:
+        if not self._has_begun:
+            self._has_begun = True
+            self._dependencies.quarantine.record_begin(self._content_keys)
+
     def _prepare_retry(self, error: EngineError | ProtocolError, grant: Grant) -> None:
         failure = classify(error, grant)
         logger.bind(request_id=self._request_id, step=error.step, peer=error.peer).info(
@@ -290,8 +308,8 @@
             metrics.count_event(f"prefill_wasted_{failure.reason.value}")
         if failure.is_server_failure:
             self._dependencies.placer.report_failure(failure.server)
-        if indicates_engine_crash(error):
-            self._dependencies.quarantine.report_crash(self._content_digest, failure.server)
+        if indicates_engine_crash(error) and not self._has_begun:
+            self._dependencies.quarantine.report_crash(failure.server, [self._content_keys])
         self._avoided_servers = (failure.server,)
         self._lifecycle.trigger("retry")
 
--- a/flamingoshelf/callers/tests/conftest.py
+++ b/flamingoshelf/callers/tests/conftest.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import json
+import random
 
 import aiosonic
 import attrs
@@ -27,7 +28,7 @@
 from flamingoshelf.http_client import new_http_client
 from flamingoshelf.limits import Charge
 from flamingoshelf.objects import Catalog, parse_document
-from flamingoshelf.quarantine import Quarantine
+from flamingoshelf.quarantine import Quarantine, QuarantineService
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import TaskGroup
 from lab.local_fleet import LocalFleet
@@ -234,7 +235,9 @@
     dependencies = CompletionDependencies(
         engines=engines,
         placer=placer,
-        quarantine=Quarantine(),
+        quarantine=QuarantineService(
+            quarantine=Quarantine(), peers=tuple, metrics=metrics, random_source=random.Random(1)
+        ),
         limiter=limiter,
         metrics=metrics,
         background=background,
--- a/flamingoshelf/cluster/_messages.py
+++ b/flamingoshelf/cluster/_messages.py
@@ -26,10 +26,13 @@
         Version of the configuration in force, 0 if there is none.
     leaving : tuple of LeavingRun
         Backend servers that leave and are listed as ready.
+    crashes : int
+        Digest of the crashes that the node knows, 0 if it knows none.
     """
 
     configuration_version: int = 0
     leaving: tuple[LeavingRun, ...] = ()
+    crashes: int = 0
 
 
 @message
--- a/flamingoshelf/daemon/_node.py
+++ b/flamingoshelf/daemon/_node.py
@@ -207,13 +207,14 @@
         )
 
     def _build_quarantine(self) -> QuarantineService:
-        return QuarantineService(
+        quarantine = QuarantineService(
             quarantine=Quarantine(lifted=lambda: self._catalog().fleet.lifted_quarantines),
-            link=self._link,
             peers=self._node_names,
             metrics=self._metrics,
             random_source=self._random,
         )
+        quarantine.connect(self._link)
+        return quarantine
 
     def _build_placer(self) -> PlacerComponents:
         return build_placer(
--- a/flamingoshelf/gateway/_admission.py
+++ b/flamingoshelf/gateway/_admission.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from collections.abc import Callable
+from functools import cached_property
 
 import attrs
 from result import Err, Ok, Result
@@ -10,11 +11,14 @@
 from flamingoshelf.gateway._refusals import NO_CONFIGURATION
 from flamingoshelf.gateway._wire import CallerRequest, WireFormat
 from flamingoshelf.http1 import RequestHead
+from flamingoshelf.quarantine import part_key
 from flamingoshelf.refusals import Refusal, RefusalReason
 from flamingoshelf.routing import GatewayConfiguration, Route, Workspace
 
 __all__ = ["Admission", "AdmittedRequest"]
 
+_MAX_PARTS = 48  # of a prompt that are told apart; shared parts come first
+
 
 @attrs.frozen(kw_only=True)
 class AdmittedRequest:
@@ -89,6 +93,13 @@
         digest.update(self.body)
         return digest.hexdigest()
 
+    @cached_property
+    def content_keys(self) -> tuple[str, ...]:
+        """Keys of the whole content, and of each part of the prompt."""
+        model = self.caller.model
+        parts = dict.fromkeys(self.caller.prompt_parts[:_MAX_PARTS])
+        return (self.content, *(part_key(model, part) for part in parts))
+
     @property
     def priority(self) -> int:
         """Rank among other requests, 0 most urgent; the workspace's overrides the route's."""
--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -11,7 +11,7 @@
 from flamingoshelf.gateway._active_configuration import ActiveConfiguration
 from flamingoshelf.gateway._backend_client import BackendClient
 from flamingoshelf.gateway._configuration_exchange import ConfigurationExchange
-from flamingoshelf.gateway._crash_detector import CrashDetector
+from flamingoshelf.gateway._crash_protection import CrashProtection
 from flamingoshelf.gateway._engine_control import EngineControl, EngineWire
 from flamingoshelf.gateway._engine_prober import EngineProber
 from flamingoshelf.gateway._load_poller import LoadPoller
@@ -39,7 +39,6 @@
     PlainCallMeter,
     WorkspaceLimits,
 )
-from flamingoshelf.quarantine import ContentGuard, Quarantine, QuarantineService
 from flamingoshelf.retries import RetryBudgets
 from flamingoshelf.routing import InstanceDirectory, ServerNotices
 from flamingoshelf.store import KindStore, StoreEras
@@ -144,9 +143,15 @@
             other_nodes=self._responsive_nodes,
         )
         self._plain_calls = PlainCallMeter()
-        self._quarantine = Quarantine()
-        self._content_guard: ContentGuard = self._quarantine
-        self._crash_detector = CrashDetector(guard=lambda: self._content_guard)
+        self._crash_protection = CrashProtection(
+            store=store,
+            eras=eras,
+            members=self._members,
+            directory=self._directory,
+            metrics=self._metrics,
+            random_source=self._random,
+            may_write=lambda: self._coordination is None or self._coordination.is_coordinator,
+        )
         self._placer = FleetPlacer(
             node_name=settings.node_name,
             dispatchers=self._dispatchers,
@@ -205,6 +210,7 @@
             exchange=self._configuration_exchange,
             directory=self._directory,
             notices=self._notices,
+            quarantine=self._crash_protection.quarantine,
         )
         self._caller_server = HttpServer(
             address=settings.caller_address,
@@ -215,7 +221,7 @@
                 notices=self._notices,
                 placer=self._placer,
                 plain_calls=self._plain_calls,
-                crash_detector=self._crash_detector,
+                crash_detector=self._crash_protection.detector,
                 budget=self._budgets.budget,
                 wire=wire,
                 data_centre=settings.data_centre,
@@ -249,6 +255,7 @@
         await self._pool.start()
         await self._placer.start()
         await self._store_follower.start()
+        await self._crash_protection.start()
         await self._registration.start()
         await self._role_controller.start()
         await self._prober.start()
@@ -293,7 +300,7 @@
             await self._coordination.stop()
         if self._link is not None:
             await self._link.stop()
-        await self._crash_detector.stop()
+        await self._crash_protection.stop()
         await self._client.stop()
         await self._pool.stop()
         await self._status_server.stop()
@@ -321,24 +328,12 @@
         self._configuration_exchange.connect(link)
         self._dispatchers.register(link)
         self._store_follower.set_link(link)
-        self._content_guard = await self._share_quarantine(link)
+        self._crash_protection.connect(link)
         await link.start()
         await coordination.start()
         self._link, self._coordination = link, coordination
         self._placer.connect(link, coordination)
 
-    async def _share_quarantine(self, link: WebsocketNodeLink) -> QuarantineService:
-        """Return the quarantine of crashing content, shared with the other nodes over `link`."""
-        shared = QuarantineService(
-            quarantine=self._quarantine,
-            link=link,
-            peers=lambda: [member.name for member in self._members],
-            metrics=self._metrics,
-            random_source=self._random,
-        )
-        await shared.start()
-        return shared
-
     def _render_metrics(self) -> bytes:
         """Return all metrics; count the log lines dropped since the last call."""
         dropped = self._dropped_log_lines()
--- a/flamingoshelf/gateway/_peer_news.py
+++ b/flamingoshelf/gateway/_peer_news.py
@@ -3,6 +3,7 @@
 from flamingoshelf.cluster import LeavingRun, NodeNews
 from flamingoshelf.gateway._active_configuration import ActiveConfiguration
 from flamingoshelf.gateway._configuration_exchange import ConfigurationExchange
+from flamingoshelf.quarantine import QuarantineService
 from flamingoshelf.routing import InstanceDirectory, LeavingServer, ServerNotices
 
 __all__ = ["PeerNews"]
@@ -23,6 +24,8 @@
         Registered backend servers.
     notices : ServerNotices
         Learns of servers that leave.
+    quarantine : QuarantineService
+        Learns which nodes know of other crashes.
     """
 
     def __init__(
@@ -32,7 +35,9 @@
         exchange: ConfigurationExchange,
         directory: InstanceDirectory,
         notices: ServerNotices,
+        quarantine: QuarantineService,
     ) -> None:
+        self._quarantine = quarantine
         self._configuration = configuration
         self._exchange = exchange
         self._directory = directory
@@ -47,11 +52,13 @@
                 LeavingRun(server=server.instance_id, started_ms=server.started_ms)
                 for server in leaving[:_MAX_TOLD_SERVERS]
             ),
+            crashes=self._quarantine.digest,
         )
 
     def record(self, peer: str, news: NodeNews) -> None:
         """Take in what another node tells."""
         self._exchange.record_version(peer, news.configuration_version)
+        self._quarantine.record_digest(peer, news.crashes)
         for run in news.leaving:
             server = LeavingServer(instance_id=run.server, started_ms=run.started_ms)
             self._notices.record_leaving(server, source=peer)
--- a/flamingoshelf/gateway/_plain_forwarder.py
+++ b/flamingoshelf/gateway/_plain_forwarder.py
@@ -14,7 +14,7 @@
     ServerPausedError,
     WrongInstanceError,
 )
-from flamingoshelf.gateway._crash_detector import CrashDetector
+from flamingoshelf.gateway._crash_detector import BEGUN_EVENTS, CrashDetector
 from flamingoshelf.gateway._plain_attempt import PlainAttempt
 from flamingoshelf.gateway._plain_state import PlainState, final_refusal
 from flamingoshelf.gateway._target_selector import TargetSelector
@@ -144,6 +144,8 @@
         instance = self._choose_server(state)
         if instance is None:
             return "no other server"
+        if state.was_sent and self._crash_detector.check(state.request) is not None:
+            return "its content is quarantined"
         if state.remaining_s < _MIN_REMAINING_S:
             state.is_out_of_time = True
             return "no time is left"
@@ -269,7 +271,9 @@
         except OutcomeUnknownError as error:
             is_failure = True
             self._log(state, attempt).warning("outcome unknown: {}", error.message)
-            self._crash_detector.record_lost_run(state.request, attempt.instance)
+            self._crash_detector.record_lost_run(
+                state.request, attempt.instance, events=BEGUN_EVENTS
+            )
             state.exchange.abort()
         except TimeoutError:
             self._log_timeout(state, attempt)
--- a/flamingoshelf/gateway/_stream_attempt.py
+++ b/flamingoshelf/gateway/_stream_attempt.py
@@ -110,6 +110,10 @@
         self._task.cancel()
         await asyncio.wait({self._task})
 
+    def cancel(self) -> None:
+        """End the attempt; it releases what it holds soon."""
+        self._task.cancel()
+
     def replace(self) -> None:
         """End the attempt, as another one has taken over; nothing more reaches the caller."""
         self._is_replaced = True
@@ -127,6 +131,8 @@
         return result
 
     async def _process_and_run(self) -> RelayResult:
+        if not self._state.may_run:  # refused since the turn was granted
+            return RelayResult.NOT_RUN
         if self._turn.prefill_id is not None:
             self._handle = await self._prefill(self._turn.prefill_id)
             if self._handle is None:
@@ -139,8 +145,6 @@
         result = await self._decode(engine)
         if result is not RelayResult.NOT_RUN:
             self._handle = None  # fetched by the decode engine, or lost with that engine
-        if result is RelayResult.COMPLETE:
-            self._tools.crash_detector.record_success(self._state.request)
         return result
 
     def _end(self, result: RelayResult | None) -> None:
@@ -153,6 +157,8 @@
         run = self._run
         if run is not None:
             run.stop()
+            if run.has_gone_on:
+                self._tools.crash_detector.record_end(self._state.request)
         if self._handle is not None and self._prefill_engine is not None:
             self._tools.client.release_handle(self._handle, self._prefill_engine)
         is_lost = run is not None and not run.has_begun and self._has_run
@@ -236,6 +242,7 @@
             relay=state.relay,
             request=state.request,
             on_first_event=lambda: placer.record_start(self._turn),
+            on_begin=lambda: self._tools.crash_detector.record_begin(state.request),
             on_suspicion=lambda: placer.record_failure(
                 state.service, engine.key, FailureKind.SILENT, detail="no event for a time"
             ),
--- a/flamingoshelf/gateway/_stream_forwarder.py
+++ b/flamingoshelf/gateway/_stream_forwarder.py
@@ -94,7 +94,8 @@
         relay = StreamRelay(exchange=exchange, request=request, metrics=self._metrics)
         state = StreamState(request=request, service=service, relay=relay)
         try:
-            refusal = await self._serve(state)
+            with self._crash_detector.watch(request, state.refuse):
+                refusal = await self._serve(state)
         finally:
             for attempt in state.attempts:
                 await attempt.stop()
@@ -110,6 +111,8 @@
                 state.changed.clear()
                 if any(attempt.is_answered for attempt in state.attempts):
                     return None
+                if state.refusal is not None:
+                    return state.refusal
                 attempts = state.open_attempts
                 if beginning is not None and beginning.done():
                     refusal = None if attempts else beginning.result()
--- a/flamingoshelf/gateway/_stream_relay.py
+++ b/flamingoshelf/gateway/_stream_relay.py
@@ -8,6 +8,7 @@
 from flamingoshelf.exceptions import OutcomeUnknownError
 from flamingoshelf.gateway._admission import AdmittedRequest
 from flamingoshelf.gateway._backend_client import BackendResponse
+from flamingoshelf.gateway._crash_detector import BEGUN_EVENTS
 from flamingoshelf.gateway._events import EventSplitter, StreamEvent
 from flamingoshelf.gateway._silence_watch import SilenceWatch
 from flamingoshelf.http1 import Exchange
@@ -144,6 +145,8 @@
         The caller's request.
     on_first_event : callable
         Called when the first event of the run arrives.
+    on_begin : callable
+        Called when the run has gone on after its first event, or has ended with it.
     on_suspicion : callable
         Called each time the engine has sent nothing for longer than the route's goal for pauses.
     watch : SilenceWatch
@@ -156,12 +159,15 @@
         relay: StreamRelay,
         request: AdmittedRequest,
         on_first_event: Callable[[], None],
+        on_begin: Callable[[], None],
         on_suspicion: Callable[[], None],
         watch: SilenceWatch,
     ) -> None:
         self._relay = relay
         self._request = request
         self._on_first_event = on_first_event
+        self._on_begin = on_begin
+        self._has_gone_on = False
         self._event_count = 0
         self._first_event_s: float | None = None
         self._last_event_s = 0.0
@@ -181,6 +187,11 @@
         """Whether the first event of the run has arrived."""
         return self._first_event_s is not None
 
+    @property
+    def has_gone_on(self) -> bool:
+        """Whether the run has gone on after its first event, or has ended with it."""
+        return self._has_gone_on
+
     @property
     def seconds(self) -> float:
         """Seconds from the first event of the run to its last."""
@@ -214,6 +225,7 @@
         if splitter.partial_event:
             raise OutcomeUnknownError("the stream ends within an event", step="decode")
         self._relay.end(response)
+        self._record_begin()
         return RelayResult.COMPLETE
 
     async def _relay_failure(self, response: BackendResponse) -> RelayResult:
@@ -243,6 +255,8 @@
             self._longest_pause_s = max(self._longest_pause_s, now - self._last_event_s)
         self._last_event_s = now
         self._event_count += 1
+        if self._event_count >= BEGUN_EVENTS:
+            self._record_begin()
         for watch in (self._suspicion, self._watch):
             watch.record_progress()
             watch.hold()  # a caller that reads slowly is no silence of the engine
@@ -250,6 +264,11 @@
         for watch in (self._suspicion, self._watch):
             watch.record_progress()
 
+    def _record_begin(self) -> None:
+        if not self._has_gone_on:
+            self._has_gone_on = True
+            self._on_begin()
+
     def _stall_limit_s(self) -> float | None:
         """Return the pause after which the run counts as silent; None if none may resume it."""
         if not self._request.route.may_resume:
--- a/flamingoshelf/gateway/_stream_state.py
+++ b/flamingoshelf/gateway/_stream_state.py
@@ -7,7 +7,7 @@
 
 from flamingoshelf.gateway._admission import AdmittedRequest
 from flamingoshelf.gateway._backend_client import BackendClient
-from flamingoshelf.gateway._crash_detector import CrashDetector
+from flamingoshelf.gateway._crash_detector import BEGUN_EVENTS, CrashDetector
 from flamingoshelf.gateway._stream_relay import StreamRelay
 from flamingoshelf.placement import Placer
 from flamingoshelf.refusals import Refusal, RefusalReason
@@ -54,7 +54,9 @@
     attempts : list of StreamAttempt
         All attempts so far.
     changed : asyncio.Event
-        Set when an attempt falls silent, goes on or ends.
+        Set when an attempt falls silent, goes on or ends, or when the request is refused.
+    refusal : Refusal or None
+        Set if the content was quarantined before an answer had begun.
     """
 
     request: AdmittedRequest
@@ -68,6 +70,7 @@
     unlisted: set[str] = attrs.field(factory=set)
     attempts: "list[StreamAttempt]" = attrs.field(factory=list)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    refusal: Refusal | None = None
     is_charged: bool = False
     has_called_prefill: bool = False
     has_called_decode: bool = False
@@ -80,10 +83,21 @@
     @property
     def may_run(self) -> bool:
         """Whether another decode engine may run the request."""
+        if self.refusal is not None:
+            return False
         if self.sent and not self.request.route.may_repeat:
             return False
         return self.sent < self.request.route.max_attempts
 
+    def refuse(self, refusal: Refusal) -> None:
+        """Refuse the request, and end its attempts, unless an engine has begun to answer it."""
+        if self.relay.event_count >= BEGUN_EVENTS:
+            return
+        self.refusal = refusal
+        for attempt in self.open_attempts:
+            attempt.cancel()
+        self.changed.set()
+
     @property
     def repeat_cost(self) -> int:
         """Number of engine calls in the next turn that repeat an earlier call."""
--- a/flamingoshelf/gateway/_wire.py
+++ b/flamingoshelf/gateway/_wire.py
@@ -35,7 +35,11 @@
     last_event_id : int or None
         Last event that the caller received of a broken stream.
     prompt : str
-        Header value that identifies the parts of the prompt.
+        Header value that lists the parts of the prompt.
+    prompt_parts : tuple of str
+        Identifiers of the parts of the prompt in order; requests may share them.
+    model : str
+        Model that the request asks for, or an empty string.
     """
 
     request_id: str
@@ -46,6 +50,8 @@
     expected_output_tokens: int | None = None
     last_event_id: int | None = None
     prompt: str = ""
+    prompt_parts: tuple[str, ...] = ()
+    model: str = ""
 
 
 @attrs.frozen(kw_only=True)
--- a/flamingoshelf/gateway/tests/conftest.py
+++ b/flamingoshelf/gateway/tests/conftest.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
 
 import attrs
 import pytest
@@ -18,6 +18,7 @@
 from flamingoshelf.gateway._backend_client import NotRunError, ServerPausedError, WrongInstanceError
 from flamingoshelf.gateway.tests.fake_placer import FakePlacer
 from flamingoshelf.http1 import Exchange, Headers, RequestHead, ResponseHead
+from flamingoshelf.refusals import Refusal, RefusalReason
 from flamingoshelf.routing import (
     BackendInstance,
     CallKind,
@@ -280,12 +281,22 @@
     return FakeClient()
 
 
+QUARANTINED = Refusal(
+    reason=RefusalReason.QUARANTINED,
+    status=503,
+    detail="crashes engines",
+    not_run=True,
+    retry_after_s=600.0,
+)
+
+
 class FakeCrashDetector:
     """Records lost runs; refuses requests with the refusal that the test sets."""
 
     def __init__(self):
         self.lost = []
         self.refusal = None
+        self.watches = []
 
     def check(self, request):
         return self.refusal
@@ -296,6 +307,23 @@
     def record_success(self, request):
         pass
 
+    def record_begin(self, request):
+        pass
+
+    def record_end(self, request):
+        pass
+
+    @contextmanager
+    def watch(self, request, on_refusal):
+        self.watches.append(on_refusal)
+        yield
+
+    def refuse(self):
+        """Refuse the content from now on."""
+        self.refusal = QUARANTINED
+        for on_refusal in self.watches:
+            on_refusal(self.refusal)
+
 
 @pytest.fixture
 def crash_detector():
--- a/flamingoshelf/gateway/tests/test_plain_forwarder.py
+++ b/flamingoshelf/gateway/tests/test_plain_forwarder.py
@@ -238,6 +238,16 @@
     assert refusal is crash_detector.refusal and client.calls == []
 
 
+async def test_lost_call_is_not_repeated_once_its_content_is_refused(
+    forward, client, crash_detector
+):
+    client.queue_answers("a", lost())
+    crash_detector.record_lost_run = lambda *args, **fields: crash_detector.refuse()
+    refusal, _ = await forward(SAFE)
+    assert (refusal.status, refusal.not_run) == (502, False)
+    assert client.called_servers() == ["a"]
+
+
 @pytest.mark.parametrize("kind", [SAFE, UNSAFE])
 async def test_server_that_asks_for_a_pause_is_left_alone(forward, client, notices, kind):
     notices.record_pause(server("a"), 30.0)
--- a/flamingoshelf/objects/_kinds.py
+++ b/flamingoshelf/objects/_kinds.py
@@ -98,7 +98,7 @@
     key_freshness_s : float
         Longest time that a node accepts keys without a confirmed configuration.
     lifted_quarantines : tuple of str
-        Digests of request contents that are run although they crashed engines.
+        Keys of request contents that are run although they crashed engines.
     outage_key_lifetime_s : float
         Longest time that keys are accepted without a confirmed configuration while every data
         centre reports that the object service is unreachable.
--- a/flamingoshelf/platform/_wire.py
+++ b/flamingoshelf/platform/_wire.py
@@ -42,6 +42,7 @@
             raise ValueError("Request-Id is missing")
         wait_ms = _number(head.headers.get("Deadline-Ms"))
         prompt, output = _token_counts(head.headers.get("Token-Counts"))
+        prompt_parts = head.headers.get("Prompt-Prefix") or ""
         return CallerRequest(
             request_id=request_id,
             wait_s=None if wait_ms is None else wait_ms / 1000,
@@ -50,7 +51,9 @@
             max_output_tokens=output,
             expected_output_tokens=_number(head.headers.get("Length-Hint")),
             last_event_id=_number(head.headers.get("Last-Event-Id")),
-            prompt=head.headers.get("Prompt-Prefix") or "",
+            prompt=prompt_parts,
+            prompt_parts=_part_ids(prompt_parts),
+            model=head.headers.get("Model") or "",
         )
 
     def encode_request(
@@ -135,6 +138,12 @@
     return _number(prompt), _number(output)
 
 
+def _part_ids(value: str) -> tuple[str, ...]:
+    """Return the identifiers in a list of ``ID:TOKENS`` entries."""
+    ids = (entry.partition(":")[0].strip().lower() for entry in value.split(","))
+    return tuple(part for part in ids if part)
+
+
 def _bearer(value: str | None) -> str | None:
     scheme, _, key = (value or "").partition(" ")
     return key.strip() if scheme.lower() == _KEY_SCHEME and key.strip() else None
--- a/flamingoshelf/quarantine/__init__.py
+++ b/flamingoshelf/quarantine/__init__.py
@@ -1,6 +1,21 @@
-"""Quarantine of request contents that crash engines."""
+"""Quarantine of request contents that crash servers."""
 
-from flamingoshelf.quarantine._quarantine import ContentGuard, Quarantine, content_digest
+from flamingoshelf.quarantine._archive import CrashArchive
+from flamingoshelf.quarantine._attribution import Culprit, attribute_crashes
+from flamingoshelf.quarantine._content_keys import content_digest, part_key
+from flamingoshelf.quarantine._guard import ContentGuard
+from flamingoshelf.quarantine._quarantine import Quarantine
+from flamingoshelf.quarantine._reports import CrashReport
 from flamingoshelf.quarantine._service import QuarantineService
 
-__all__ = ["ContentGuard", "Quarantine", "QuarantineService", "content_digest"]
+__all__ = [
+    "ContentGuard",
+    "CrashArchive",
+    "CrashReport",
+    "Culprit",
+    "Quarantine",
+    "QuarantineService",
+    "attribute_crashes",
+    "content_digest",
+    "part_key",
+]
--- a/flamingoshelf/quarantine/_quarantine.py
+++ b/flamingoshelf/quarantine/_quarantine.py
@@ -1,195 +1,273 @@
-"""Contents that are suspected of crashing engines, and contents that are refused for it.
-
-A content is a prompt for a model; nodes identify it by its digest.
-"""
+"""Crashes of servers, and the contents that are refused for them."""
 
 import hashlib
-import secrets
-from collections import OrderedDict
-from collections.abc import Callable, Collection
-from typing import Protocol
+from collections.abc import Callable, Collection, Iterable, Sequence
 
 import attrs
+from loguru import logger
 
-from flamingoshelf.quarantine._reports import ContentReport
+from flamingoshelf.quarantine._attribution import Culprit, attribute_crashes
+from flamingoshelf.quarantine._reports import CrashReport
+from flamingoshelf.quarantine._sound_runs import AnswerTime
 from flamingoshelf.refusals import Refusal, RefusalReason
 from flamingoshelf.utils import now_s
 
-__all__ = ["ContentGuard", "Quarantine", "content_digest"]
+__all__ = ["Quarantine"]
 
-_CRASHES_TO_QUARANTINE = 2
+_CRASH_LIFETIME_S = 600.0
+# Reports without the start of the run are of the same crash if they are closer than this.
 _SAME_CRASH_WINDOW_S = 2.0
-_SUSPICION_LIFETIME_S = 120.0
-_QUARANTINE_LIFETIME_S = 600.0
-_MAX_ENTRIES = 2048
-_MAX_KNOWN_REPORTS = 4 * _MAX_ENTRIES  # two crashes and two successes for each content
-
+_MAX_CRASHES = 512
+_MAX_TABLE_KEYS = 16_384  # about 0.5 MB, so that a message holds the whole table
+_MAX_SUSPECTS = 64  # of one crash
+_MAX_KEYS = 64  # of one request
+_DIGEST_BYTES = 7  # so that the digest is a small integer in CBOR and JSON
 
-def content_digest(model: str, prompt: str) -> str:
-    """Return the digest by which all nodes identify a content.
-
-    Examples
-    --------
-    >>> len(content_digest("writer", "Value the van."))
-    32
-    """
-    return hashlib.blake2b(f"{model}\x00{prompt}".encode(), digest_size=16).hexdigest()
 
-
-@attrs.define(kw_only=True)
-class _Entry:
-    """Crashes that one content is suspected of.
-
-    Parameters
-    ----------
-    last_crash_s : dict
-        Time in seconds of the last counted crash of each engine.
-    engine_by_report : dict
-        Engine of each counted crash report, by report id.
-    expires_s : float
-        Time in seconds at which the suspicion or the quarantine ends.
-    """
-
-    last_crash_s: dict[str, float] = attrs.field(factory=dict)
-    engine_by_report: dict[str, str] = attrs.field(factory=dict)
-    expires_s: float = 0.0
+@attrs.define(kw_only=True, eq=False)
+class _Crash:
+    server: str
+    started_ms: int
+    time_s: float
+    suspects: set[tuple[str, ...]] = attrs.field(factory=set)
+    cleared: set[str] = attrs.field(factory=set)
 
     @property
-    def is_quarantined(self) -> bool:
-        return len(self.engine_by_report) >= _CRASHES_TO_QUARANTINE
-
-
-class ContentGuard(Protocol):
-    """Quarantine interface for the code that runs requests."""
-
-    def check(self, digest: str) -> Refusal | None:
-        """Return why a content is refused, or None if it may run."""
+    def key_count(self) -> int:
+        """Number of keys that the record holds."""
+        return sum(len(keys) for keys in self.suspects) + len(self.cleared)
 
-    def report_crash(self, digest: str, engine: str) -> object:
-        """Record that an engine crashed while it held the content."""
-
-    def report_success(self, digest: str) -> object:
-        """Record that the content ran to its end."""
+    @property
+    def blamed(self) -> set[str]:
+        """Keys that may have caused the crash."""
+        return set().union(*self.suspects) - self.cleared
 
 
 class Quarantine:
-    """Contents that engines held when they crashed; implements `ContentGuard`.
+    """Table of crashes, and what they are attributed to.
 
-    Each node has its own copy. Nodes exchange reports, which `merge` applies. A report counts once,
-    however often and in whichever order reports arrive.
+    A server that crashes may have begun to answer one of several requests, each of which has
+    several keys. All are suspected, until one of them has been suspected in more crashes than the
+    others, or the others were answered elsewhere. Each node has its own table. Nodes exchange
+    reports, which `merge` adds up in any order and however often they come.
 
     Parameters
     ----------
     lifted : callable
-        Returns the digests whose quarantine operators have lifted.
+        Returns the keys whose quarantine operators have lifted.
     """
 
     def __init__(self, *, lifted: Callable[[], Collection[str]] = tuple) -> None:
         self._lifted = lifted
-        self._entries: OrderedDict[str, _Entry] = OrderedDict()
-        self._known_report_ids: OrderedDict[str, None] = OrderedDict()  # the oldest first
+        self._crashes: list[_Crash] = []
+        self._culprits: list[Culprit] = []
+        self._suspected: set[str] = set()
+        self._digest = 0
+        self._listeners: list[Callable[[], None]] = []
 
-    def check(self, digest: str) -> Refusal | None:
-        """Return why a content is refused, or None if it may run."""
-        entry = self._find_entry(digest)
-        if entry is None or not entry.is_quarantined or self._is_lifted(digest):
+    @property
+    def digest(self) -> int:
+        """Digest of the table, equal at nodes that know the same; 0 if it is empty."""
+        self._drop_expired()
+        return self._digest
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after each change of the table."""
+        self._listeners.append(listener)
+
+    def check(self, keys: Collection[str]) -> Refusal | None:
+        """Return why a request with these keys is refused, or None if it may run."""
+        if not self._crashes:
             return None
-        return Refusal(
-            reason=RefusalReason.QUARANTINED,
-            status=422,
-            detail=f"This content (digest {digest}) crashed {len(entry.engine_by_report)} engines.",
-            not_run=True,
-            retry_after_s=entry.expires_s - now_s(),
-            step="quarantine",
+        self._drop_expired()
+        having = set(keys)
+        for culprit in self._culprits:
+            if culprit.keys <= having and not self._is_lifted(culprit):
+                return _refusal(culprit)
+        return None
+
+    def report_crash(
+        self,
+        server: str,
+        suspects: Iterable[Sequence[str]],
+        *,
+        started_ms: int = 0,
+        age_s: float = 0.0,
+    ) -> CrashReport | None:
+        """Record the crash of a server; return what is new of it, or None.
+
+        Parameters
+        ----------
+        server : str
+            Server that crashed.
+        suspects : iterable of sequence of str
+            Keys of each request that it had not begun to answer.
+        started_ms : int
+            Unix time of the start of its run in milliseconds, 0 if unknown.
+        age_s : float
+            Seconds since the crash.
+        """
+        keys = tuple(tuple(keys[:_MAX_KEYS]) for keys in suspects)
+        return self.merge(
+            CrashReport(server=server, started_ms=started_ms, age_s=age_s, suspects=keys)
         )
 
-    def report_crash(self, digest: str, engine: str) -> ContentReport | None:
-        """Record that an engine crashed while it held the content; return the report if it counts.
+    def has_crash(self, server: str, started_ms: int) -> bool:
+        """Return whether the crash of a run of a server is known."""
+        return self._find(server, started_ms, now_s()) is not None
 
-        Further reports of the same engine within a short time do not count, as several requests
-        with this content may have been on the engine when it crashed.
-        """
-        report = ContentReport(report_id=secrets.token_hex(8), digest=digest, engine=engine)
-        return report if self.merge(report) else None
+    def is_suspected(self, key: str) -> bool:
+        """Return whether a key may have caused a crash."""
+        return key in self._suspected
 
-    def report_success(self, digest: str) -> ContentReport | None:
-        """Clear a suspected content that ran to its end; return the report if it was suspected.
+    def clear(self, key: str, answered: AnswerTime) -> list[CrashReport]:
+        """Clear a key of the crashes that an answer to a request with it outlived.
 
-        A quarantined content stays refused, as a request that started before the quarantine may
-        still succeed.
+        A key that is refused by itself is only cleared of crashes before the answer began. Return
+        what is new.
         """
-        entry = self._find_entry(digest)
-        if entry is None or entry.is_quarantined:
+        if key not in self._suspected:
+            return []
+        is_refused = any(culprit.keys == {key} for culprit in self._culprits)
+        before_s = answered.began_s if is_refused else answered.until_s
+        cleared = [
+            crash for crash in self._crashes if key in crash.blamed and crash.time_s <= before_s
+        ]
+        for crash in cleared:
+            crash.cleared.add(key)
+        if cleared:
+            self._update()
+        return [_report(crash, cleared=[key]) for crash in cleared]
+
+    def merge(self, report: CrashReport) -> CrashReport | None:
+        """Add a report; return what is new of it, or None."""
+        if report.age_s >= _CRASH_LIFETIME_S:
             return None
-        report = ContentReport(
-            report_id=secrets.token_hex(8),
-            digest=digest,
-            cleared=tuple(sorted(entry.engine_by_report)),
-        )
-        self.merge(report)
-        return report
-
-    def merge(self, report: ContentReport) -> bool:
-        """Apply a report; return whether to forward it to other nodes."""
-        if report.report_id in self._known_report_ids:
-            return False
-        self._remember_report_id(report.report_id)
-        if report.engine:
-            return self._add_crash(report)
-        for cleared_id in report.cleared:  # their reports may arrive after this one
-            self._remember_report_id(cleared_id)
-        entry = self._find_entry(report.digest)
-        if entry is not None and not entry.is_quarantined:
-            for cleared_id in report.cleared:
-                entry.engine_by_report.pop(cleared_id, None)
-            if not entry.engine_by_report:
-                del self._entries[report.digest]
-        return True
+        self._drop_expired()
+        time_s = now_s() - report.age_s
+        known = self._find(report.server, report.started_ms, time_s)
+        crash = known or _Crash(server=report.server, started_ms=report.started_ms, time_s=time_s)
+        room = max(0, _MAX_SUSPECTS - len(crash.suspects))
+        suspects = [keys for keys in report.suspects if keys not in crash.suspects][:room]
+        cleared = set(report.cleared) - crash.cleared
+        if not suspects and not cleared:
+            return None
+        if known is None:  # also if the news that it was cleared of something came first
+            self._crashes.append(crash)
+        crash.suspects.update(suspects)
+        crash.cleared.update(cleared)
+        self._update()
+        return _report(crash, suspects=suspects, cleared=cleared)
+
+    def reports(self, *, of_refused_only: bool = False) -> list[CrashReport]:
+        """Return all crashes, or only the evidence for what is refused."""
+        self._drop_expired()
+        if not of_refused_only:
+            return [_report(crash, crash.suspects, crash.cleared) for crash in self._crashes]
+        refused = [tuple(sorted(culprit.keys)) for culprit in self._culprits]
+        return [
+            _report(crash, suspects)
+            for crash in self._crashes
+            if (suspects := [keys for keys in refused if crash.blamed.issuperset(keys)])
+        ]
 
     def quarantined(self) -> dict[str, float]:
-        """Return the quarantined digests with the remaining time of each in seconds."""
-        now = now_s()
+        """Return what is refused with the remaining time of each in seconds.
+
+        Keys that are refused only together are joined by ``+``.
+        """
+        self._drop_expired()
         return {
-            digest: round(entry.expires_s - now, 1)
-            for digest, entry in self._entries.items()
-            if entry.is_quarantined and entry.expires_s > now and not self._is_lifted(digest)
+            "+".join(sorted(culprit.keys)): round(_remaining_s(culprit), 1)
+            for culprit in self._culprits
+            if not self._is_lifted(culprit)
         }
 
-    def crashed_engines(self, digest: str) -> tuple[str, ...]:
-        """Return the engine of each counted crash of the content."""
-        entry = self._find_entry(digest)
-        return () if entry is None else tuple(entry.engine_by_report.values())
-
-    def _add_crash(self, report: ContentReport) -> bool:
-        """Count a crash unless a crash of the same engine was counted shortly before."""
-        entry = self._find_entry(report.digest) or _Entry()
-        now = now_s()
-        if now - entry.last_crash_s.get(report.engine, float("-inf")) < _SAME_CRASH_WINDOW_S:
-            return False
-        entry.last_crash_s[report.engine] = now
-        entry.engine_by_report[report.report_id] = report.engine
-        entry.expires_s = now + (
-            _QUARANTINE_LIFETIME_S if entry.is_quarantined else _SUSPICION_LIFETIME_S
-        )
-        self._entries[report.digest] = entry
-        self._entries.move_to_end(report.digest)
-        while len(self._entries) > _MAX_ENTRIES:
-            self._entries.popitem(last=False)
-        return True
-
-    def _remember_report_id(self, report_id: str) -> None:
-        """Record a report id, so that the report is ignored when it arrives again."""
-        self._known_report_ids[report_id] = None
-        while len(self._known_report_ids) > _MAX_KNOWN_REPORTS:
-            self._known_report_ids.popitem(last=False)
-
-    def _find_entry(self, digest: str) -> _Entry | None:
-        """Return the entry of a digest; drop it if it has expired."""
-        entry = self._entries.get(digest)
-        if entry is not None and entry.expires_s <= now_s():
-            del self._entries[digest]
-            return None
-        return entry
-
-    def _is_lifted(self, digest: str) -> bool:
-        return digest in self._lifted()
+    def _find(self, server: str, started_ms: int, time_s: float) -> _Crash | None:
+        """Return the record of a crash."""
+        for crash in self._crashes:
+            if crash.server != server or crash.started_ms != started_ms:
+                continue
+            if started_ms or abs(crash.time_s - time_s) < _SAME_CRASH_WINDOW_S:
+                return crash
+        return None
+
+    def _drop_expired(self) -> None:
+        oldest_s = now_s() - _CRASH_LIFETIME_S
+        if any(crash.time_s <= oldest_s for crash in self._crashes):
+            self._crashes = [crash for crash in self._crashes if crash.time_s > oldest_s]
+            self._update()
+
+    def _update(self) -> None:
+        """Attribute the crashes again after a change, and tell the listeners."""
+        self._limit_size()
+        before = {culprit.keys for culprit in self._culprits}
+        blamed = {crash: crash.blamed for crash in self._crashes}
+        self._suspected = set().union(*blamed.values())
+        self._culprits = attribute_crashes(blamed, {crash: crash.time_s for crash in blamed})
+        self._digest = _digest(self._crashes)
+        for culprit in self._culprits:
+            if culprit.keys not in before:
+                logger.bind(
+                    step="quarantine",
+                    content=sorted(culprit.keys)[:_MAX_KEYS],
+                    crashes=len(culprit.crash_times_s),
+                    known_crashes=len(self._crashes),
+                ).warning("content quarantined")
+        for keys in before - {culprit.keys for culprit in self._culprits}:
+            logger.bind(step="quarantine", content=sorted(keys)[:_MAX_KEYS]).info(
+                "content no longer quarantined"
+            )
+        for listener in self._listeners:
+            listener()
+
+    def _limit_size(self) -> None:
+        """Drop the oldest crashes beyond the limits, those that no content is refused for first."""
+        excess_keys = sum(crash.key_count for crash in self._crashes) - _MAX_TABLE_KEYS
+        if len(self._crashes) <= _MAX_CRASHES and excess_keys <= 0:
+            return
+        refused = [culprit.keys for culprit in self._culprits]
+        self._crashes.sort(key=lambda c: (any(k <= c.blamed for k in refused), c.time_s))
+        while len(self._crashes) > _MAX_CRASHES or excess_keys > 0:
+            excess_keys -= self._crashes.pop(0).key_count
+
+    def _is_lifted(self, culprit: Culprit) -> bool:
+        return not culprit.keys.isdisjoint(self._lifted())
+
+
+def _remaining_s(culprit: Culprit) -> float:
+    return culprit.remains_until_s(_CRASH_LIFETIME_S) - now_s()
+
+
+def _refusal(culprit: Culprit) -> Refusal:
+    keys = ", ".join(sorted(culprit.keys))
+    return Refusal(
+        reason=RefusalReason.QUARANTINED,
+        status=422,
+        detail=f"Requests with this content ({keys}) crashed {len(culprit.crash_times_s)} servers.",
+        not_run=True,
+        retry_after_s=_remaining_s(culprit),
+        step="quarantine",
+    )
+
+
+def _report(
+    crash: _Crash, suspects: Iterable[tuple[str, ...]] = (), cleared: Iterable[str] = ()
+) -> CrashReport:
+    return CrashReport(
+        server=crash.server,
+        started_ms=crash.started_ms,
+        age_s=round(now_s() - crash.time_s, 3),
+        suspects=tuple(sorted(suspects)),
+        cleared=tuple(sorted(cleared)),
+    )
+
+
+def _digest(crashes: Iterable[_Crash]) -> int:
+    """Return a digest of crashes that doesn't depend on their order, 0 if there are none."""
+    total = 0
+    for crash in crashes:
+        known = (crash.server, crash.started_ms, sorted(crash.suspects), sorted(crash.cleared))
+        digest = hashlib.blake2b(repr(known).encode(), digest_size=_DIGEST_BYTES).digest()
+        total ^= int.from_bytes(digest)
+    return total
--- a/flamingoshelf/quarantine/_reports.py
+++ b/flamingoshelf/quarantine/_reports.py
@@ -1,30 +1,47 @@
-"""Message about a content that crashed an engine or ran to its end."""
+"""Messages by which nodes share what they know of crashed servers."""
 
 import attrs
 
 from flamingoshelf.nodes import message
 
-__all__ = ["ContentReport"]
+__all__ = ["CrashReport", "CrashReports", "CrashReportsRequest"]
 
 
 @message
 @attrs.frozen(kw_only=True)
-class ContentReport:
-    """Report that an engine crashed while it held a content, or that the content ran to its end.
+class CrashReport:
+    """What a node knows of one crash; reports of the same crash add up.
 
     Parameters
     ----------
-    report_id : str
-        Identifier by which nodes detect duplicates of a report.
-    digest : str
-        Digest of the content.
-    engine : str
-        Engine that crashed; empty if the content ran to its end.
+    server : str
+        Server that crashed.
+    started_ms : int
+        Unix time of the start of its run in milliseconds, 0 if unknown.
+    age_s : float
+        Seconds since the crash.
+    suspects : tuple of tuple of str
+        Keys of each request that the server had not begun to answer.
     cleared : tuple of str
-        Ids of earlier crash reports that no longer count, as the content ran to its end since.
+        Keys that other servers have answered since.
     """
 
-    report_id: str
-    digest: str
-    engine: str = ""
+    server: str
+    started_ms: int = 0
+    age_s: float = 0.0
+    suspects: tuple[tuple[str, ...], ...] = ()
     cleared: tuple[str, ...] = ()
+
+
+@message
+@attrs.frozen(kw_only=True)
+class CrashReportsRequest:
+    """Request for all crashes that a node knows."""
+
+
+@message
+@attrs.frozen(kw_only=True)
+class CrashReports:
+    """Reply with all crashes that a node knows."""
+
+    reports: tuple[CrashReport, ...] = ()
--- a/flamingoshelf/quarantine/_service.py
+++ b/flamingoshelf/quarantine/_service.py
@@ -1,32 +1,43 @@
-"""Exchange of crash and success reports between nodes."""
+"""Exchange of what nodes know of crashes."""
 
+import asyncio
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 
 from loguru import logger
 
 from flamingoshelf.base import NodeLink
+from flamingoshelf.exceptions import FlamingoshelfError
 from flamingoshelf.quarantine._quarantine import Quarantine
-from flamingoshelf.quarantine._reports import ContentReport
+from flamingoshelf.quarantine._reports import CrashReport, CrashReports, CrashReportsRequest
+from flamingoshelf.quarantine._sound_runs import SoundRuns
 from flamingoshelf.refusals import Refusal
 from flamingoshelf.telemetry import Metrics
+from flamingoshelf.utils import TaskGroup
 
-__all__ = ["ContentReport", "QuarantineService"]
+__all__ = ["QuarantineService"]
 
 _FANOUT = 5
+_REQUEST_TIMEOUT_S = 1.0
+# News of a crash reaches most nodes within milliseconds; only what is missing later is asked for.
+_MIN_DELAY_S = 0.1
+_MAX_DELAY_S = 0.3  # spreads the requests of nodes that start together
+_START_ATTEMPTS = 10
+_START_PEERS = 3  # nodes asked at the start; one alone may have started just before
 
 
 class QuarantineService:
-    """Quarantine of this node, replicated between all nodes by gossip.
+    """Quarantine of this node, shared between all nodes; implements `ContentGuard`.
 
-    A node forwards each report that is new to it to a few random nodes.
+    A node forwards news of a crash to a few random nodes. It asks a node whose digest of the table
+    differs for all that it knows, so that news that got lost is made up for, and a node that starts
+    learns of earlier crashes. When a key becomes suspected, each node that receives an answer to a
+    request with that key clears it.
 
     Parameters
     ----------
     quarantine : Quarantine
-        This node's copy.
-    link : NodeLink
-        Messages to and from other nodes.
+        This node's table.
     peers : callable
         Returns the names of all nodes.
     metrics : Metrics
@@ -39,59 +50,174 @@
         self,
         *,
         quarantine: Quarantine,
-        link: NodeLink,
         peers: Callable[[], Sequence[str]],
         metrics: Metrics,
         random_source: random.Random,
     ) -> None:
         self._quarantine = quarantine
-        self._link = link
         self._peers = peers
         self._metrics = metrics
         self._random = random_source
+        self._link: NodeLink | None = None
+        self._sound = SoundRuns()
+        self._digests: dict[str, int] = {}  # last one that each node told
+        self._asked: set[str] = set()
+        self._tasks = TaskGroup(owner="quarantine")
+
+    @property
+    def digest(self) -> int:
+        """Digest of what this node knows, to be told to other nodes."""
+        return self._quarantine.digest
+
+    def connect(self, link: NodeLink) -> None:
+        """Exchange reports with other nodes over `link`."""
+        self._link = link
+        link.register(CrashReport, self._on_report)
+        link.register(CrashReportsRequest, self._on_request)
 
     async def start(self) -> None:
-        """Register the handler for reports of other nodes."""
-        self._link.register(ContentReport, self._receive)
+        """Ask other nodes for the crashes before the start."""
+        self._tasks.start(self._catch_up(), name="catch_up")
 
     async def stop(self) -> None:
-        """Do nothing: there are no tasks."""
-
-    def check(self, digest: str) -> Refusal | None:
-        """Return why a content is refused, or None if it may run."""
-        return self._quarantine.check(digest)
+        """Cancel requests to other nodes."""
+        await self._tasks.stop()
 
-    def report_crash(self, digest: str, engine: str) -> None:
-        """Record that an engine crashed while it held the content, and notify other nodes."""
-        report = self._quarantine.report_crash(digest, engine)
-        if report is not None:
-            self._forward(report)
+    def check(self, keys: Collection[str]) -> Refusal | None:
+        """Return why a request with these keys is refused, or None if it may run."""
+        return self._quarantine.check(keys)
 
-    def report_success(self, digest: str) -> None:
-        """Record that the content ran to its end, and notify other nodes if it was suspected."""
-        report = self._quarantine.report_success(digest)
-        if report is not None:
-            self._forward(report)
+    def report_crash(
+        self,
+        server: str,
+        suspects: Iterable[Sequence[str]],
+        *,
+        started_ms: int = 0,
+        age_s: float = 0.0,
+    ) -> None:
+        """Record a crash, and notify other nodes."""
+        news = self._quarantine.report_crash(server, suspects, started_ms=started_ms, age_s=age_s)
+        if news is not None:
+            self._metrics.count_event("content_crashed_engine")
+            self._spread(news)
+
+    def has_crash(self, server: str, started_ms: int) -> bool:
+        """Return whether the crash of a run of a server is known."""
+        return self._quarantine.has_crash(server, started_ms)
+
+    def record_begin(self, keys: Collection[str]) -> None:
+        """Record that a server goes on after it has begun to answer a request."""
+        self._sound.record_begin(keys)
+        for key in keys:
+            self._clear(key)
+
+    def record_end(self, keys: Collection[str]) -> None:
+        """Record the end of an answer whose begin was recorded."""
+        self._sound.record_end(keys)
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after each change of what is known."""
+        self._quarantine.subscribe(listener)
 
     def quarantined(self) -> dict[str, float]:
-        """Return the quarantined digests with the remaining time of each in seconds."""
+        """Return what is refused with the remaining time of each in seconds."""
         return self._quarantine.quarantined()
 
-    async def _receive(self, peer: str, report: ContentReport) -> None:
-        if self._quarantine.merge(report):
-            self._log_report(peer, report)
-            self._forward(report)
-
-    def _log_report(self, peer: str, report: ContentReport) -> None:
-        log = logger.bind(step="crash", peer=peer, content=report.digest)
-        if report.engine:
-            log.bind(engine=report.engine).info("crash reported by another node")
-        else:
-            log.bind(cleared=len(report.cleared)).info("content cleared by another node")
-
-    def _forward(self, report: ContentReport) -> None:
-        """Count a report and send it to a few random nodes."""
-        self._metrics.count_event("content_crashed_engine" if report.engine else "content_cleared")
-        others = [name for name in self._peers() if name != self._link.node_name]
+    def reports(self, *, of_refused_only: bool = False) -> list[CrashReport]:
+        """Return all crashes, or only the evidence for what is refused."""
+        return self._quarantine.reports(of_refused_only=of_refused_only)
+
+    def merge(self, reports: Iterable[CrashReport], *, source: str) -> None:
+        """Add reports that another node or the store has kept."""
+        for report in reports:
+            news = self._quarantine.merge(report)
+            if news is not None:
+                self._log_news(news, source)
+                self._clear_suspects(news)
+
+    def record_digest(self, peer: str, digest: int) -> None:
+        """Record the digest of another node; ask that node for what is missing here."""
+        self._digests[peer] = digest
+        if digest not in (0, self.digest) and peer not in self._asked and self._link is not None:
+            self._asked.add(peer)
+            self._tasks.start(self._ask_if_different(self._link, peer), name="ask")
+
+    async def _ask_if_different(self, link: NodeLink, peer: str) -> None:
+        try:
+            await asyncio.sleep(self._random.uniform(_MIN_DELAY_S, _MAX_DELAY_S))
+            if self._digests[peer] not in (0, self.digest):
+                await self._ask(link, peer)
+        finally:
+            self._asked.discard(peer)
+
+    async def _ask(self, link: NodeLink, peer: str) -> bool:
+        """Add what another node knows; return whether it answered."""
+        try:
+            reply = await link.request(peer, CrashReportsRequest(), timeout_s=_REQUEST_TIMEOUT_S)
+        except FlamingoshelfError as error:
+            logger.bind(step="quarantine", peer=peer).info(
+                "crash reports not received: {}", error.message
+            )
+            return False
+        assert isinstance(reply, CrashReports)
+        self.merge(reply.reports, source=peer)
+        return True
+
+    async def _catch_up(self) -> None:
+        answered: set[str] = set()
+        for _ in range(_START_ATTEMPTS):
+            others = [name for name in self._others() if name not in answered]
+            if self._link is not None and others:
+                peer = self._random.choice(others)
+                if await self._ask(self._link, peer):
+                    answered.add(peer)
+                if len(answered) == _START_PEERS:
+                    return
+            await asyncio.sleep(self._random.uniform(_MIN_DELAY_S, _MAX_DELAY_S))
+
+    async def _on_report(self, peer: str, report: CrashReport) -> None:
+        news = self._quarantine.merge(report)
+        if news is not None:
+            self._log_news(news, peer)
+            self._spread(news)
+
+    async def _on_request(self, peer: str, request: CrashReportsRequest) -> CrashReports:
+        return CrashReports(reports=tuple(self.reports()))
+
+    def _spread(self, news: CrashReport) -> None:
+        """Send news to a few random nodes, and clear what this node has seen running well."""
+        self._forward(news)
+        self._clear_suspects(news)
+
+    def _clear_suspects(self, news: CrashReport) -> None:
+        for key in set().union(*news.suspects):
+            self._clear(key)
+
+    def _clear(self, key: str) -> None:
+        """Clear a suspected key if this node received an answer to a request with it since."""
+        if not self._quarantine.is_suspected(key):
+            return
+        answered = self._sound.last_answer(key)
+        if answered is None:
+            return
+        for news in self._quarantine.clear(key, answered):
+            self._metrics.count_event("content_cleared")
+            self._forward(news)
+
+    def _forward(self, news: CrashReport) -> None:
+        others = self._others()
         for peer in self._random.sample(others, min(_FANOUT, len(others))):
-            self._link.notify(peer, report)
+            assert self._link is not None
+            self._link.notify(peer, news)
+
+    def _others(self) -> list[str]:
+        if self._link is None:
+            return []
+        return [name for name in self._peers() if name != self._link.node_name]
+
+    def _log_news(self, news: CrashReport, source: str) -> None:
+        log = logger.bind(step="crash", peer=source, engine=news.server, age_s=news.age_s)
+        if news.suspects:
+            log.bind(suspects=len(news.suspects)).info("crash reported by another node")
+        if news.cleared:
+            log.bind(cleared=list(news.cleared)).info("content cleared by another node")
--- /dev/null
+++ b/flamingoshelf/quarantine/tests/test_archive.py
@@ -0,0 +1,101 @@
+"""Evidence that is kept in the store while all nodes start again."""
+
+import asyncio
+import copy
+
+import pytest
+
+from flamingoshelf.cluster.tests.conftest import FakeStore
+from flamingoshelf.quarantine import CrashArchive
+from flamingoshelf.utils import now_s
+
+pytestmark = pytest.mark.looptime
+KEY = ("gateway-quarantine", "crashes")
+
+
+@pytest.fixture
+def store():
+    return FakeStore()
+
+
+@pytest.fixture
+async def new_archive(store, network):
+    archives = []
+
+    async def start(name, *, may_write=True, clock_ahead_s=0.0):
+        archive = CrashArchive(
+            store=store,
+            quarantine=network.add(name).services[name],
+            may_write=lambda: may_write,
+            eras=store.eras,
+            wall_time_s=lambda: 1e9 + now_s() + clock_ahead_s,
+        )
+        archives.append(archive)
+        await archive.start()
+        await asyncio.sleep(0.1)
+        return network.services[name]
+
+    yield start
+    for archive in archives:
+        await archive.stop()
+
+
+async def crash_twice(service, key="bad"):
+    for number in range(2):
+        service.report_crash(f"e{number}", [(f"r{number}", key)], started_ms=7)
+        await asyncio.sleep(1.0)
+
+
+# Nodes that had all started again let engines crash anew under the same part.
+async def test_node_that_starts_reads_what_is_refused(new_archive, network, store):
+    await crash_twice(await new_archive("n0"))
+    await asyncio.sleep(100.0)
+    del network.services["n0"]
+    await new_archive("n1", clock_ahead_s=3.0)
+    assert network.refusing("r9", "bad") == ["n1"]
+    assert not network.refusing("r0")
+    assert 480 < network.services["n1"].quarantined()["bad"] < 500
+    await asyncio.sleep(500.0)
+    await new_archive("n2")
+    assert not network.refusing("r9", "bad")
+
+
+async def test_only_one_node_writes_and_the_next_one_takes_over(new_archive, store):
+    await crash_twice(await new_archive("n0", may_write=False))
+    assert KEY not in store.objects
+    await crash_twice(await new_archive("n1"))
+    assert len(store.objects[KEY].content["crashes"]) == 2
+    written = store.revision
+    await asyncio.sleep(60.0)
+    assert store.revision == written
+
+
+async def test_evidence_is_written_again_after_a_restore_without_it(new_archive, store):
+    store.eras.observe(1, source="store")
+    before = copy.deepcopy(store.objects)
+    await crash_twice(await new_archive("n0"))
+    store.restore(before)
+    await asyncio.sleep(2.0)
+    assert len(store.objects[KEY].content["crashes"]) == 2
+
+
+async def test_store_that_is_down_or_loses_answers_is_asked_again(new_archive, network, store):
+    store.is_down = True
+    service = await new_archive("n0")
+    await crash_twice(service)
+    store.is_down, store.loses_answers = False, True
+    await asyncio.sleep(1.0)
+    store.loses_answers = False
+    await asyncio.sleep(1.0)
+    await new_archive("n1")
+    assert network.refusing("r9", "bad") == ["n0", "n1"]
+
+
+@pytest.mark.parametrize(
+    "content", [None, [], {"crashes": 3}, {"crashes": [{"crashed_ms": "x"}, 4, {"server": "e"}]}]
+)
+async def test_what_another_writer_has_put_there_is_ignored(new_archive, network, store, content):
+    await store.put(*KEY, content, is_likely_new=True)
+    await crash_twice(await new_archive("n0"))
+    await new_archive("n1")
+    assert network.refusing("r9", "bad") == ["n0", "n1"]
--- a/flamingoshelf/routing/_directory.py
+++ b/flamingoshelf/routing/_directory.py
@@ -104,6 +104,14 @@
             and entry.instance.started_ms <= server.started_ms
         ]
 
+    def has_successor(self, instance: BackendInstance) -> bool:
+        """Return whether a later run of a server, or another server at its address, is listed."""
+        return any(
+            entry.instance.started_ms > instance.started_ms
+            for entry in self._entries.values()
+            if entry.instance.address == instance.address
+        )
+
     def ids(self) -> set[str]:
         """Return the ids of all registered instances, including draining ones."""
         return set(self._entries)
--- a/lab/local_fleet.py
+++ b/lab/local_fleet.py
@@ -15,7 +15,7 @@
 from flamingoshelf.dispatch import DispatcherService, FleetPlacer, TwoChoicePlacer
 from flamingoshelf.limits import Charge
 from flamingoshelf.objects import Catalog, parse_document
-from flamingoshelf.quarantine import Quarantine
+from flamingoshelf.quarantine import Quarantine, QuarantineService
 from flamingoshelf.refusals import Refusal
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import TaskGroup
@@ -208,7 +208,12 @@
         dependencies = CompletionDependencies(
             engines=self.engines,
             placer=placer,
-            quarantine=Quarantine(),
+            quarantine=QuarantineService(
+                quarantine=Quarantine(),
+                peers=tuple,
+                metrics=metrics,
+                random_source=random.Random(1),
+            ),
             limiter=self.limiter,
             metrics=metrics,
             background=TaskGroup(owner=name),
