Quarantine: older answers prove nothing, and nodes that are cut off read the store

- An answer that had been running for long cleared its keys of each crash while it ran.
A part that turns harmful while such an answer goes on, as with new weights, would have been cleared again and again.
Now an answer counts if it began at most 1 s before the crash.
Likewise a run of one event that ends with its connection is no evidence: it may be a crash.
Test: case "harmful since a moment ago" of test_reports, which fails without the change.
- A node that reaches callers, engines and the store, but no other node, learned nothing of the others' crashes until it met them again.
Test: test_nodes_that_are_cut_off_from_each_other_learn_through_the_store, which can't pass without the new argument.

Besides two tests for streams that end inside an event and with their connection; they pass on the code before.

--- a/flamingoshelf/gateway/_crash_protection.py
+++ b/flamingoshelf/gateway/_crash_protection.py
@@ -34,6 +34,8 @@
         Source of the random choice of nodes.
     may_write : callable
         Returns whether this node writes the copy in the store.
+    is_cut_off : callable
+        Returns whether there are nodes that this one can't reach.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         metrics: Metrics,
         random_source: random.Random,
         may_write: Callable[[], bool],
+        is_cut_off: Callable[[], bool],
     ) -> None:
         self._quarantine = QuarantineService(
             quarantine=Quarantine(),
@@ -58,6 +61,7 @@
             store=store,
             quarantine=self._quarantine,
             may_write=may_write,
+            is_cut_off=is_cut_off,
             eras=eras,
             wall_time_s=time.time,
         )
--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -151,6 +151,7 @@
             metrics=self._metrics,
             random_source=self._random,
             may_write=lambda: self._coordination is None or self._coordination.is_coordinator,
+            is_cut_off=self._may_others_place,
         )
         self._placer = FleetPlacer(
             node_name=settings.node_name,
--- a/flamingoshelf/gateway/_stream_attempt.py
+++ b/flamingoshelf/gateway/_stream_attempt.py
@@ -13,6 +13,7 @@
     ServerPausedError,
     WrongInstanceError,
 )
+from flamingoshelf.gateway._crash_detector import BEGUN_EVENTS
 from flamingoshelf.gateway._prefill_timeout import prefill_timeout_s
 from flamingoshelf.gateway._silence_watch import SilenceWatch
 from flamingoshelf.gateway._stream_relay import RelayResult, RunRelay
@@ -157,7 +158,7 @@
         run = self._run
         if run is not None:
             run.stop()
-            if run.has_gone_on:
+            if run.event_count >= BEGUN_EVENTS:
                 self._tools.crash_detector.record_end(self._state.request)
         if self._handle is not None and self._prefill_engine is not None:
             self._tools.client.release_handle(self._handle, self._prefill_engine)
--- a/flamingoshelf/gateway/_stream_relay.py
+++ b/flamingoshelf/gateway/_stream_relay.py
@@ -146,7 +146,7 @@
     on_first_event : callable
         Called when the first event of the run arrives.
     on_begin : callable
-        Called when the run has gone on after its first event, or has ended with it.
+        Called when the run has gone on after its first event.
     on_suspicion : callable
         Called each time the engine has sent nothing for longer than the route's goal for pauses.
     watch : SilenceWatch
@@ -167,7 +167,6 @@
         self._request = request
         self._on_first_event = on_first_event
         self._on_begin = on_begin
-        self._has_gone_on = False
         self._event_count = 0
         self._first_event_s: float | None = None
         self._last_event_s = 0.0
@@ -187,11 +186,6 @@
         """Whether the first event of the run has arrived."""
         return self._first_event_s is not None
 
-    @property
-    def has_gone_on(self) -> bool:
-        """Whether the run has gone on after its first event, or has ended with it."""
-        return self._has_gone_on
-
     @property
     def seconds(self) -> float:
         """Seconds from the first event of the run to its last."""
@@ -225,7 +219,6 @@
         if splitter.partial_event:
             raise OutcomeUnknownError("the stream ends within an event", step="decode")
         self._relay.end(response)
-        self._record_begin()
         return RelayResult.COMPLETE
 
     async def _relay_failure(self, response: BackendResponse) -> RelayResult:
@@ -255,8 +248,8 @@
             self._longest_pause_s = max(self._longest_pause_s, now - self._last_event_s)
         self._last_event_s = now
         self._event_count += 1
-        if self._event_count >= BEGUN_EVENTS:
-            self._record_begin()
+        if self._event_count == BEGUN_EVENTS:
+            self._on_begin()
         for watch in (self._suspicion, self._watch):
             watch.record_progress()
             watch.hold()  # a caller that reads slowly is no silence of the engine
@@ -264,11 +257,6 @@
         for watch in (self._suspicion, self._watch):
             watch.record_progress()
 
-    def _record_begin(self) -> None:
-        if not self._has_gone_on:
-            self._has_gone_on = True
-            self._on_begin()
-
     def _stall_limit_s(self) -> float | None:
         """Return the pause after which the run counts as silent; None if none may resume it."""
         if not self._request.route.may_resume:
--- a/flamingoshelf/gateway/tests/test_stream_forwarder.py
+++ b/flamingoshelf/gateway/tests/test_stream_forwarder.py
@@ -357,3 +357,20 @@
     client.queue_answers("d2", Answer(body=events(1, 3)))
     _, output = await forward()
     assert output.is_complete and "d1" not in client.called_servers()
+
+
+# An answer without a length ends with its connection, also when its engine breaks off.
+async def test_stream_that_ends_inside_an_event_is_resumed(forward, client, crash_detector):
+    client.queue_answers("d1", Answer(body=[*events(1, 2), b"id: 3\nda"]))
+    client.queue_answers("d2", Answer(body=events(3, 4)))
+    refusal, output = await forward(may_resume=True)
+    assert refusal is None and output.is_complete
+    assert output.body == b"".join(events(1, 4))
+    assert crash_detector.lost == ["d1"]
+
+
+async def test_stream_that_ends_inside_an_event_does_not_look_complete(forward, client):
+    client.queue_answers("d1", Answer(body=[*events(1, 2), b"id: 3\nda"]))
+    refusal, output = await forward()
+    assert refusal is None and output.is_aborted and not output.is_complete
+    assert output.body == b"".join(events(1, 2))
--- a/flamingoshelf/quarantine/_archive.py
+++ b/flamingoshelf/quarantine/_archive.py
@@ -39,6 +39,9 @@
         Quarantine of this node.
     may_write : callable
         Returns whether this node is the one to write, so that not all nodes do.
+    is_cut_off : callable
+        Returns whether there are nodes that this one can't reach: they tell their crashes through
+        the store only.
     eras : StoreEras
         Eras of the store; a restored store may have lost the evidence.
     wall_time_s : callable
@@ -51,12 +54,14 @@
         store: KindStore,
         quarantine: QuarantineService,
         may_write: Callable[[], bool],
+        is_cut_off: Callable[[], bool],
         eras: StoreEras,
         wall_time_s: Callable[[], float],
     ) -> None:
         self._store = store
         self._quarantine = quarantine
         self._may_write = may_write
+        self._is_cut_off = is_cut_off
         self._wall_time_s = wall_time_s
         self._stored: set[_CrashId] | None = None  # crashes that the store has, if it is known
         self._changed = asyncio.Event()
@@ -85,8 +90,9 @@
             try:
                 async with asyncio.timeout(_CHECK_INTERVAL_S):
                     await self._changed.wait()
-            except TimeoutError:
-                continue  # this node may have become the one to write
+            except TimeoutError:  # this node may have become the one to write
+                if self._is_cut_off():
+                    await self._repeat(self._read)
 
     def _has_changed(self) -> bool:
         refused = {_crash_id(report) for report in self._quarantine.reports(of_refused_only=True)}
@@ -112,8 +118,7 @@
         stored = snapshot.objects.get(_NAME)
         reports = [] if stored is None else list(self._decode(stored.content))
         self._stored = {_crash_id(report) for report in reports}
-        self._quarantine.merge(reports, source="store")
-        if reports:
+        if self._quarantine.merge(reports, source="store"):
             logger.bind(step="quarantine", crashes=len(reports)).info("crashes read from the store")
 
     async def _write(self) -> None:
--- a/flamingoshelf/quarantine/_quarantine.py
+++ b/flamingoshelf/quarantine/_quarantine.py
@@ -17,6 +17,8 @@
 _CRASH_LIFETIME_S = 600.0
 # Reports without the start of the run are of the same crash if they are closer than this.
 _SAME_CRASH_WINDOW_S = 2.0
+# An answer that began this long before a crash still shows that its keys didn't cause it.
+_SOUND_BEFORE_CRASH_S = 1.0
 _MAX_CRASHES = 512
 _MAX_TABLE_KEYS = 16_384  # about 0.5 MB, so that a message holds the whole table
 _MAX_SUSPECTS = 64  # of one crash
@@ -123,13 +125,16 @@
     def clear(self, key: str, answered: AnswerTime) -> list[CrashReport]:
         """Clear a key of the crashes that an answer to a request with it outlived.
 
-        A key that is refused by itself is only cleared of crashes before the answer began. Return
-        what is new.
+        An answer that began long before a crash says nothing: what is sound may become harmful, as
+        with new weights. A key that is refused by itself is only cleared of crashes before the
+        answer began. Return what is new.
         """
         if key not in self._suspected:
             return []
         is_refused = any(culprit.keys == {key} for culprit in self._culprits)
-        before_s = answered.began_s if is_refused else answered.until_s
+        before_s = answered.began_s
+        if not is_refused:
+            before_s = min(answered.until_s, answered.began_s + _SOUND_BEFORE_CRASH_S)
         cleared = [
             crash for crash in self._crashes if key in crash.blamed and crash.time_s <= before_s
         ]
--- a/flamingoshelf/quarantine/_service.py
+++ b/flamingoshelf/quarantine/_service.py
@@ -127,13 +127,16 @@
         """Return all crashes, or only the evidence for what is refused."""
         return self._quarantine.reports(of_refused_only=of_refused_only)
 
-    def merge(self, reports: Iterable[CrashReport], *, source: str) -> None:
-        """Add reports that another node or the store has kept."""
+    def merge(self, reports: Iterable[CrashReport], *, source: str) -> bool:
+        """Add reports that another node or the store has kept; return whether any is new."""
+        is_new = False
         for report in reports:
             news = self._quarantine.merge(report)
             if news is not None:
+                is_new = True
                 self._log_news(news, source)
                 self._clear_suspects(news)
+        return is_new
 
     def record_digest(self, peer: str, digest: int) -> None:
         """Record the digest of another node; ask that node for what is missing here."""
--- a/flamingoshelf/quarantine/tests/test_archive.py
+++ b/flamingoshelf/quarantine/tests/test_archive.py
@@ -22,11 +22,12 @@
 async def new_archive(store, network):
     archives = []
 
-    async def start(name, *, may_write=True, clock_ahead_s=0.0):
+    async def start(name, *, may_write=True, is_cut_off=False, clock_ahead_s=0.0):
         archive = CrashArchive(
             store=store,
             quarantine=network.add(name).services[name],
             may_write=lambda: may_write,
+            is_cut_off=lambda: is_cut_off,
             eras=store.eras,
             wall_time_s=lambda: 1e9 + now_s() + clock_ahead_s,
         )
@@ -42,7 +43,7 @@
 
 async def crash_twice(service, key="bad"):
     for number in range(2):
-        service.report_crash(f"e{number}", [(f"r{number}", key)], started_ms=7)
+        service.report_crash(f"e{number} {key}", [(f"r{number}", key)], started_ms=7)
         await asyncio.sleep(1.0)
 
 
@@ -70,6 +71,16 @@
     assert store.revision == written
 
 
+async def test_nodes_that_are_cut_off_from_each_other_learn_through_the_store(new_archive, network):
+    one = await new_archive("n0", is_cut_off=True)
+    other = await new_archive("n1", is_cut_off=True)
+    for service, key in ((one, "bad1"), (other, "bad2")):
+        await crash_twice(service, key)
+        await asyncio.sleep(1.5)
+    await asyncio.sleep(2.5)
+    assert network.refusing("r9", "bad1") == network.refusing("r9", "bad2") == ["n0", "n1"]
+
+
 async def test_evidence_is_written_again_after_a_restore_without_it(new_archive, store):
     store.eras.observe(1, source="store")
     before = copy.deepcopy(store.objects)
--- a/flamingoshelf/quarantine/tests/test_quarantine.py
+++ b/flamingoshelf/quarantine/tests/test_quarantine.py
@@ -37,6 +37,11 @@
             False,
             id="success that began afterwards",
         ),
+        pytest.param(
+            [("crash", "e1"), ("ok", 9), ("wait", 1), ("crash", "e2"), ("ok", 9)],
+            True,
+            id="harmful since a moment ago",
+        ),
         pytest.param(
             [("crash", "e1"), ("wait", 1), ("crash", "e2"), ("wait", 601)], False, id="expired"
         ),
--- a/flamingoshelf/quarantine/tests/test_service.py
+++ b/flamingoshelf/quarantine/tests/test_service.py
@@ -77,9 +77,9 @@
 # A part that all requests share was suspected when a rack failed under several of them.
 async def test_part_that_another_node_receives_answers_to_is_cleared(network):
     network.add("n0", "n1")
-    network.services["n1"].record_begin(["r1", "shared"])
-    await asyncio.sleep(1.0)
     for number in range(3):
+        network.services["n1"].record_begin([f"q{number}", "shared"])
+        await asyncio.sleep(0.5)
         network.services["n0"].report_crash(f"e{number}", [(f"r{number}", "shared")])
         await network.deliver_pending()
         await asyncio.sleep(0.5)
