Lab: engines register a new role, and lose what they held in a crash

A fault of the stand-in, not of the gateway. It now registers its role, and a crash ends a change and clears handles, orders and fencing tokens, as a restart does on the platform.

--- a/lab/gateway/_servers.py
+++ b/lab/gateway/_servers.py
@@ -213,6 +213,8 @@
         Part of prompts under which the engine crashes as it begins to answer, or empty.
     on_crash : callable
         ``on_crash(engine)`` is called then; it stops the engine.
+    on_role_change : callable
+        ``on_role_change(engine)`` is called after each change of the role, to register it.
     held : dict of str to int
         Tokens in memory of each running request, by request id.
     sent : dict of str to int
@@ -226,6 +228,7 @@
     kv_capacity_tokens = 30_000
     crashing_part = ""
     on_crash: "Callable[[EngineStandIn], None]" = staticmethod(lambda engine: None)
+    on_role_change: "Callable[[EngineStandIn], None]" = staticmethod(lambda engine: None)
 
     def __init__(
         self,
@@ -250,6 +253,13 @@
         self.held: dict[str, int] = {}
         self.sent: dict[str, int] = {}
 
+    async def stop(self) -> None:
+        """Stop immediately, as in a crash; what it held and knew is gone."""
+        await super().stop()
+        self.is_changing = False
+        self.orders = self.newest_fencing_token = 0
+        self._handles.clear()
+
     def entry(self) -> dict[str, object]:
         """Return the engine's registration, as it is written to the store."""
         models = [{"name": "m", "version": 1, "adapters": []}]
@@ -310,6 +320,7 @@
         await self.silence.sleep(self.role_change_s)
         self.role = role
         self.is_changing = False
+        self.on_role_change(self)
 
     async def _prefill(self, exchange: Exchange, body: bytes) -> None:
         if self.role != "prefill" or self.is_changing:
--- a/lab/gateway/_site.py
+++ b/lab/gateway/_site.py
@@ -165,7 +165,7 @@
         self.metrics_addresses.append(metrics)
 
     def _engine(self, role: str) -> EngineStandIn:
-        return EngineStandIn(
+        engine = EngineStandIn(
             role=role,
             peers=self.engine_at,
             address=self._addresses.reserve()[0],
@@ -174,6 +174,8 @@
             log=self.log,
             random_source=self._random,
         )
+        engine.on_role_change = self.register
+        return engine
 
     def _plain(self) -> PlainStandIn:
         return PlainStandIn(
