Count a crash again only for requests that were sent after the one before

Cause: the time between crashes stood for what it should tell: whether servers failed together, as those of one rack, whatever they ran. What such servers ran had been sent before the first of these crashes. So a report now says how long each suspected request had been at its server, and a crash counts again for a key only if a request with it was sent after the crash before. The constant is gone.

--- a/flamingoshelf/callers/_completion_run.py
+++ b/flamingoshelf/callers/_completion_run.py
@@ -24,7 +24,7 @@
 from flamingoshelf.exceptions import EngineError, FlamingoshelfError, ProtocolError
 from flamingoshelf.limits import Charge, Limiter
 from flamingoshelf.objects import Workspace
-from flamingoshelf.quarantine import ContentGuard
+from flamingoshelf.quarantine import ContentGuard, Suspect
 from flamingoshelf.refusals import Refusal, RetryReason
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import TaskGroup, now_s
@@ -107,6 +107,7 @@
         self._charge: Charge | None = None
         self._content_keys = request.content_keys
         self._attempt_tokens = 0
+        self._attempt_began_s = 0.0
         self._has_begun = False  # whether the engine of this attempt went on after a first token
         self._was_sent = False
         self._arrived_s = now_s()
@@ -161,6 +162,7 @@
     async def _run_attempt(self, grant: Grant) -> AsyncGenerator[DecodedToken | DecodeEnd, None]:
         was_sent = False
         self._attempt_tokens = 0
+        self._attempt_began_s = now_s()
         self._has_begun = False
         try:
             self._lifecycle.trigger("grant")
@@ -309,7 +311,9 @@
         if failure.is_server_failure:
             self._dependencies.placer.report_failure(failure.server)
         if indicates_engine_crash(error) and not self._has_begun:
-            self._dependencies.quarantine.report_crash(failure.server, [self._content_keys])
+            waited_s = now_s() - self._attempt_began_s
+            suspect = Suspect(keys=self._content_keys, waited_s=waited_s)
+            self._dependencies.quarantine.report_crash(failure.server, [suspect])
         self._avoided_servers = (failure.server,)
         self._lifecycle.trigger("retry")
 
--- a/flamingoshelf/gateway/_admission.py
+++ b/flamingoshelf/gateway/_admission.py
@@ -79,7 +79,7 @@
             else min(self.deadline_s, self.arrived_s + abandon_after_s)
         )
 
-    @property
+    @cached_property
     def content(self) -> str:
         """Digest of the request's content; a repeated request has the same one."""
         digest = hashlib.blake2b(digest_size=12)
--- a/flamingoshelf/gateway/_crash_detector.py
+++ b/flamingoshelf/gateway/_crash_detector.py
@@ -10,7 +10,7 @@
 from flamingoshelf.exceptions import PeerUnreachableError
 from flamingoshelf.gateway._admission import AdmittedRequest
 from flamingoshelf.http1 import BackendConnection
-from flamingoshelf.quarantine import ContentGuard
+from flamingoshelf.quarantine import ContentGuard, Suspect
 from flamingoshelf.refusals import Refusal
 from flamingoshelf.routing import BackendInstance
 from flamingoshelf.utils import TaskGroup, now_s
@@ -33,6 +33,7 @@
     request_id: str
     keys: tuple[str, ...]
     prompt: str
+    sent_s: float
 
 
 @attrs.define(kw_only=True)
@@ -102,11 +103,16 @@
             self._watches.pop(watch, None)
 
     def record_lost_run(
-        self, request: AdmittedRequest, instance: BackendInstance, *, events: int = 0
+        self,
+        request: AdmittedRequest,
+        instance: BackendInstance,
+        *,
+        sent_s: float,
+        events: int = 0,
     ) -> None:
         """Check in the background whether the server of a lost run has crashed.
 
-        `events` is the number of events that the run had sent.
+        The request was sent to it at `sent_s`; the run had sent a number of `events`.
         """
         if events >= BEGUN_EVENTS:
             return
@@ -120,6 +126,7 @@
                 request_id=request.request_id,
                 keys=request.content_keys,
                 prompt=request.caller.prompt[:_MAX_LOGGED_PROMPT],
+                sent_s=sent_s,
             )
         )
         if lost.reported:
@@ -179,7 +186,10 @@
             ).warning("backend server crashed before it had begun to answer the request")
         self._guard.report_crash(
             lost.instance.key,
-            [request.keys for request in requests],
+            [
+                Suspect(keys=item.keys, waited_s=max(0.0, round(lost.lost_s - item.sent_s, 3)))
+                for item in requests
+            ],
             started_ms=lost.instance.started_ms,
             age_s=now_s() - lost.lost_s,
         )
--- a/flamingoshelf/gateway/_plain_forwarder.py
+++ b/flamingoshelf/gateway/_plain_forwarder.py
@@ -219,7 +219,9 @@
             state.sent += 1
             state.last_error = error
             log.warning("outcome unknown: {}", error.message)
-            self._crash_detector.record_lost_run(state.request, attempt.instance)
+            self._crash_detector.record_lost_run(
+                state.request, attempt.instance, sent_s=attempt.started_s
+            )
         self._end(attempt, is_failure=is_failure)
         return False
 
@@ -272,7 +274,10 @@
             is_failure = True
             self._log(state, attempt).warning("outcome unknown: {}", error.message)
             self._crash_detector.record_lost_run(
-                state.request, attempt.instance, events=BEGUN_EVENTS
+                state.request,
+                attempt.instance,
+                sent_s=attempt.started_s,
+                events=BEGUN_EVENTS,
             )
             state.exchange.abort()
         except TimeoutError:
--- a/flamingoshelf/gateway/_stream_attempt.py
+++ b/flamingoshelf/gateway/_stream_attempt.py
@@ -205,7 +205,7 @@
             self._record_failure(engine_id, FailureKind.UNREACHABLE, error.message)
         except OutcomeUnknownError as error:
             log.warning("prefill failed: {}", error.message)
-            self._tools.crash_detector.record_lost_run(state.request, engine)
+            self._tools.crash_detector.record_lost_run(state.request, engine, sent_s=began_s)
             self._record_failure(engine_id, FailureKind.BROKE_OFF, error.message)
         except TimeoutError:
             self._report_slow_prefill(now_s() - began_s)
@@ -249,6 +249,7 @@
             ),
             watch=self._watch,
         )
+        sent_s = now_s()
         self._set_has_run(True)
         state.has_called_decode = True
         self._limit_overlap()
@@ -271,7 +272,7 @@
         except OutcomeUnknownError as error:
             log.warning("broke off after event {}: {}", state.relay.last_event_id, error.message)
             self._tools.crash_detector.record_lost_run(
-                state.request, engine, events=self._run.event_count
+                state.request, engine, sent_s=sent_s, events=self._run.event_count
             )
             self._record_failure(engine.key, FailureKind.BROKE_OFF, error.message)
             return RelayResult.BROKEN
--- a/flamingoshelf/gateway/tests/conftest.py
+++ b/flamingoshelf/gateway/tests/conftest.py
@@ -301,7 +301,7 @@
     def check(self, request):
         return self.refusal
 
-    def record_lost_run(self, request, instance, *, events=0):
+    def record_lost_run(self, request, instance, *, sent_s, events=0):
         self.lost.append(instance.key)
 
     def record_success(self, request):
--- a/flamingoshelf/gateway/tests/test_crash_detector.py
+++ b/flamingoshelf/gateway/tests/test_crash_detector.py
@@ -10,9 +10,10 @@
 from flamingoshelf.gateway import CallerRequest
 from flamingoshelf.gateway._crash_detector import BEGUN_EVENTS, CrashDetector
 from flamingoshelf.gateway.tests.conftest import server
-from flamingoshelf.quarantine import Quarantine, QuarantineService
+from flamingoshelf.quarantine import Quarantine, QuarantineService, Suspect
 from flamingoshelf.refusals import Refusal
 from flamingoshelf.telemetry import Metrics
+from flamingoshelf.utils import now_s
 from lab.processes import AddressPool
 
 _numbers = iter(range(10_000))
@@ -64,7 +65,7 @@
 async def lose_runs(detector, *runs):
     """Lose runs one after the other, each of a request at an address."""
     for request, address in runs:
-        detector.record_lost_run(request, server_at(f"s{next(_numbers)}", address))
+        detector.record_lost_run(request, server_at(f"s{next(_numbers)}", address), sent_s=now_s())
         await asyncio.sleep(0.3)
     await asyncio.sleep(0.1)
 
@@ -90,7 +91,7 @@
 async def test_request_whose_answer_had_begun_is_not_suspected(detector, new_request):
     for address in AddressPool().reserve(3):
         instance = server_at(f"s{address}", address)
-        detector.record_lost_run(new_request(), instance, events=BEGUN_EVENTS)
+        detector.record_lost_run(new_request(), instance, events=BEGUN_EVENTS, sent_s=now_s())
         await asyncio.sleep(0.3)
     assert detector.check(new_request()) is None
 
@@ -123,13 +124,13 @@
     monkeypatch.setattr(
         "flamingoshelf.gateway._crash_detector._refuses_connections", accepts_connections
     )
-    detector.record_lost_run(new_parts_request("bad"), server("s1"))
-    detector.record_lost_run(new_parts_request("other"), server("s2"))
+    detector.record_lost_run(new_parts_request("bad"), server("s1"), sent_s=now_s())
+    detector.record_lost_run(new_parts_request("other"), server("s2"), sent_s=now_s())
     await asyncio.sleep(0.5)
-    guard.report_crash("s1", [("another",)])
+    guard.report_crash("s1", [Suspect(keys=("another",))])
     await asyncio.sleep(0.5)
-    guard.report_crash("s2", [("one more",)])
-    detector.record_lost_run(new_parts_request("bad"), server("s2"))  # noticed last
+    guard.report_crash("s2", [Suspect(keys=("one more",))])
+    detector.record_lost_run(new_parts_request("bad"), server("s2"), sent_s=now_s())  # noticed last
     assert detector.check(new_parts_request("bad")) is not None
     assert detector.check(new_parts_request("other")) is None
 
@@ -143,7 +144,7 @@
     )
     for number in range(2):
         instance = server(f"s{number}")
-        detector.record_lost_run(new_parts_request("bad"), instance)
+        detector.record_lost_run(new_parts_request("bad"), instance, sent_s=now_s())
         await asyncio.sleep(1.0)
         succeeded.add(instance.key)
         await asyncio.sleep(6.0)
@@ -162,7 +163,7 @@
     bad, sound = new_parts_request("bad"), new_parts_request("a")
     with detector.watch(bad, refused.append), detector.watch(sound, refused.append):
         for number in range(4):
-            guard.report_crash(f"s{number}", [new_parts_request("bad").content_keys])
+            guard.report_crash(f"s{number}", [Suspect(keys=new_parts_request("bad").content_keys)])
             await asyncio.sleep(0.5)
     assert [refusal.status for refusal in refused] == [503]  # once
 
--- a/flamingoshelf/quarantine/__init__.py
+++ b/flamingoshelf/quarantine/__init__.py
@@ -5,7 +5,7 @@
 from flamingoshelf.quarantine._content_keys import content_digest, part_key
 from flamingoshelf.quarantine._guard import ContentGuard
 from flamingoshelf.quarantine._quarantine import Quarantine
-from flamingoshelf.quarantine._reports import CrashReport
+from flamingoshelf.quarantine._reports import CrashReport, Suspect
 from flamingoshelf.quarantine._service import QuarantineService
 
 __all__ = [
@@ -15,6 +15,7 @@
     "Culprit",
     "Quarantine",
     "QuarantineService",
+    "Suspect",
     "attribute_crashes",
     "content_digest",
     "part_key",
--- a/flamingoshelf/quarantine/_archive.py
+++ b/flamingoshelf/quarantine/_archive.py
@@ -12,14 +12,14 @@
 from loguru import logger
 
 from flamingoshelf.exceptions import FlamingoshelfError
-from flamingoshelf.quarantine._reports import CrashReport
+from flamingoshelf.quarantine._reports import CrashReport, Suspect
 from flamingoshelf.quarantine._service import QuarantineService
 from flamingoshelf.store import KindStore, StoreEras
 from flamingoshelf.utils import TaskGroup
 
 __all__ = ["CrashArchive"]
 
-_CrashId = tuple[str, int, tuple[tuple[str, ...], ...]]  # server, start of its run, suspects
+_CrashId = tuple[str, int, tuple[Suspect, ...]]  # server, start of its run, suspects
 
 _KIND = "gateway-quarantine"
 _NAME = "crashes"
--- a/flamingoshelf/quarantine/_attribution.py
+++ b/flamingoshelf/quarantine/_attribution.py
@@ -11,8 +11,6 @@
 CrashT = TypeVar("CrashT")
 
 _CRASHES_TO_BLAME = 2
-# Servers that fail together, as those of one rack, crash within this time whatever they run.
-_SAME_MOMENT_S = 0.1
 _SUSPICION_LIFETIME_S = 120.0  # crashes further apart are not held against the same key
 
 
@@ -38,7 +36,7 @@
 
 
 def attribute_crashes(
-    suspected: Mapping[CrashT, Iterable[str]], times_s: Mapping[CrashT, float]
+    sent_s: Mapping[CrashT, Mapping[str, float]], crashed_s: Mapping[CrashT, float]
 ) -> list[Culprit]:
     """Return the culprits that explain the crashes, those of most crashes first.
 
@@ -48,28 +46,34 @@
 
     Parameters
     ----------
-    suspected : mapping
-        Keys suspected of each crash.
-    times_s : mapping
+    sent_s : mapping
+        Keys suspected of each crash, each with the time in seconds at which a request with that key
+        was sent to the server, the last one if there were several.
+    crashed_s : mapping
         Time in seconds of each crash.
 
     Examples
     --------
-    >>> suspected = {1: ["a", "b"], 2: ["b", "c"], 3: ["c"]}
-    >>> [sorted(c.keys) for c in attribute_crashes(suspected, {1: 0.0, 2: 5.0, 3: 9.0})]
+    >>> crashed_s = {1: 1.0, 2: 5.0, 3: 9.0, 4: 12.0}
+    >>> sent_s = {1: {"a": 0.9, "b": 0.9}, 2: {"b": 4.9, "c": 4.9}, 3: {"c": 8.9}}
+    >>> [sorted(culprit.keys) for culprit in attribute_crashes(sent_s, crashed_s)]
     []
-    >>> suspected[4] = ["b"]
-    >>> [sorted(c.keys) for c in attribute_crashes(suspected, {1: 0.0, 2: 5.0, 3: 9.0, 4: 12.0})]
+    >>> sent_s[4] = {"b": 11.9}
+    >>> [sorted(culprit.keys) for culprit in attribute_crashes(sent_s, crashed_s)]
     [['b']]
     """
     crashes_by_key: dict[str, set[CrashT]] = defaultdict(set)
-    for crash, keys in suspected.items():
+    for crash, keys in sent_s.items():
         for key in keys:
             crashes_by_key[key].add(crash)
+
+    def count_repeats(key: str, crashes: Iterable[CrashT]) -> int:
+        return _count_repeats((crashed_s[crash], sent_s[crash][key]) for crash in crashes)
+
     culprits = []
     while crashes_by_key:
         weights = {
-            key: (_count_repeats(times_s[crash] for crash in crashes), len(crashes))
+            key: (count_repeats(key, crashes), len(crashes))
             for key, crashes in crashes_by_key.items()
         }
         heaviest = max(weights.values())
@@ -80,10 +84,9 @@
             if weight == heaviest:
                 keys_by_crashes[frozenset(crashes_by_key[key])].add(key)
         for crashes, found in keys_by_crashes.items():
-            others = [other for other in keys_by_crashes if other != crashes]
-            own = crashes.difference(*others)
-            if _count_repeats(times_s[crash] for crash in own) >= _CRASHES_TO_BLAME:
-                times = tuple(sorted(times_s[crash] for crash in crashes))
+            own = crashes.difference(*(other for other in keys_by_crashes if other != crashes))
+            if max(count_repeats(key, own) for key in found) >= _CRASHES_TO_BLAME:
+                times = tuple(sorted(crashed_s[crash] for crash in crashes))
                 culprits.append(Culprit(keys=frozenset(found), crash_times_s=times))
         explained = frozenset().union(*keys_by_crashes)
         crashes_by_key = {
@@ -92,17 +95,19 @@
     return culprits
 
 
-def _count_repeats(times_s: Iterable[float]) -> int:
+def _count_repeats(crashes: Iterable[tuple[float, float]]) -> int:
     """Return the number of crashes in the longest series without a long gap.
 
-    Crashes at the same moment count once.
+    Each crash is given by its time and the time at which the suspected request was sent. One whose
+    request had been sent before the previous crash doesn't count: servers that fail together, as
+    those of one rack, do so whatever they run.
     """
     longest = series = 0
     previous_s = float("-inf")
-    for time_s in sorted(times_s):
-        if time_s - previous_s < _SAME_MOMENT_S:
+    for crashed_s, sent_s in sorted(crashes):
+        if sent_s < previous_s:
             continue
-        series = series + 1 if time_s - previous_s <= _SUSPICION_LIFETIME_S else 1
+        series = series + 1 if crashed_s - previous_s <= _SUSPICION_LIFETIME_S else 1
         longest = max(longest, series)
-        previous_s = time_s
+        previous_s = crashed_s
     return longest
--- a/flamingoshelf/quarantine/_guard.py
+++ b/flamingoshelf/quarantine/_guard.py
@@ -1,8 +1,9 @@
 """Interface between the quarantine and the code that runs requests."""
 
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable
 from typing import Protocol
 
+from flamingoshelf.quarantine._reports import Suspect
 from flamingoshelf.refusals import Refusal
 
 __all__ = ["ContentGuard"]
@@ -21,12 +22,12 @@
     def report_crash(
         self,
         server: str,
-        suspects: Iterable[Sequence[str]],
+        suspects: Iterable[Suspect],
         *,
         started_ms: int = 0,
         age_s: float = 0.0,
     ) -> None:
-        """Record that a server crashed before it had begun to answer requests with these keys.
+        """Record that a server crashed before it had begun to answer some requests.
 
         The crash was `age_s` seconds ago; `started_ms` is the Unix time of the start of the
         server's run in milliseconds, 0 if unknown.
--- a/flamingoshelf/quarantine/_quarantine.py
+++ b/flamingoshelf/quarantine/_quarantine.py
@@ -1,13 +1,13 @@
 """Crashes of servers, and the contents that are refused for them."""
 
 import hashlib
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable
 
 import attrs
 from loguru import logger
 
 from flamingoshelf.quarantine._attribution import Culprit, attribute_crashes
-from flamingoshelf.quarantine._reports import CrashReport
+from flamingoshelf.quarantine._reports import CrashReport, Suspect
 from flamingoshelf.quarantine._sound_runs import AnswerTime
 from flamingoshelf.refusals import Refusal, RefusalReason
 from flamingoshelf.utils import now_s
@@ -31,18 +31,25 @@
     server: str
     started_ms: int
     time_s: float
-    suspects: set[tuple[str, ...]] = attrs.field(factory=set)
+    suspects: set[Suspect] = attrs.field(factory=set)
     cleared: set[str] = attrs.field(factory=set)
 
     @property
     def key_count(self) -> int:
         """Number of keys that the record holds."""
-        return sum(len(keys) for keys in self.suspects) + len(self.cleared)
+        return sum(len(suspect.keys) for suspect in self.suspects) + len(self.cleared)
 
     @property
-    def blamed(self) -> set[str]:
-        """Keys that may have caused the crash."""
-        return set().union(*self.suspects) - self.cleared
+    def blamed(self) -> dict[str, float]:
+        """Keys that may have caused the crash, each with the last time it was sent in seconds."""
+        sent_s: dict[str, float] = {}
+        for suspect in self.suspects:
+            for key in suspect.keys:
+                if key not in self.cleared:
+                    sent_s[key] = max(
+                        sent_s.get(key, float("-inf")), self.time_s - suspect.waited_s
+                    )
+        return sent_s
 
 
 class Quarantine:
@@ -91,7 +98,7 @@
     def report_crash(
         self,
         server: str,
-        suspects: Iterable[Sequence[str]],
+        suspects: Iterable[Suspect],
         *,
         started_ms: int = 0,
         age_s: float = 0.0,
@@ -102,16 +109,16 @@
         ----------
         server : str
             Server that crashed.
-        suspects : iterable of sequence of str
-            Keys of each request that it had not begun to answer.
+        suspects : iterable of Suspect
+            Requests that it had not begun to answer.
         started_ms : int
             Unix time of the start of its run in milliseconds, 0 if unknown.
         age_s : float
             Seconds since the crash.
         """
-        keys = tuple(tuple(keys[:_MAX_KEYS]) for keys in suspects)
+        known = tuple(attrs.evolve(s, keys=s.keys[:_MAX_KEYS]) for s in suspects)
         return self.merge(
-            CrashReport(server=server, started_ms=started_ms, age_s=age_s, suspects=keys)
+            CrashReport(server=server, started_ms=started_ms, age_s=age_s, suspects=known)
         )
 
     def has_crash(self, server: str, started_ms: int) -> bool:
@@ -153,7 +160,7 @@
         known = self._find(report.server, report.started_ms, time_s)
         crash = known or _Crash(server=report.server, started_ms=report.started_ms, time_s=time_s)
         room = max(0, _MAX_SUSPECTS - len(crash.suspects))
-        suspects = [keys for keys in report.suspects if keys not in crash.suspects][:room]
+        suspects = [item for item in report.suspects if item not in crash.suspects][:room]
         cleared = set(report.cleared) - crash.cleared
         if not suspects and not cleared:
             return None
@@ -169,11 +176,10 @@
         self._drop_expired()
         if not of_refused_only:
             return [_report(crash, crash.suspects, crash.cleared) for crash in self._crashes]
-        refused = [tuple(sorted(culprit.keys)) for culprit in self._culprits]
         return [
             _report(crash, suspects)
             for crash in self._crashes
-            if (suspects := [keys for keys in refused if crash.blamed.issuperset(keys)])
+            if (suspects := [s for c in self._culprits if (s := _as_suspect(c, crash)) is not None])
         ]
 
     def quarantined(self) -> dict[str, float]:
@@ -232,7 +238,7 @@
         if len(self._crashes) <= _MAX_CRASHES and excess_keys <= 0:
             return
         refused = [culprit.keys for culprit in self._culprits]
-        self._crashes.sort(key=lambda c: (any(k <= c.blamed for k in refused), c.time_s))
+        self._crashes.sort(key=lambda c: (any(k <= c.blamed.keys() for k in refused), c.time_s))
         while len(self._crashes) > _MAX_CRASHES or excess_keys > 0:
             excess_keys -= self._crashes.pop(0).key_count
 
@@ -256,14 +262,23 @@
     )
 
 
+def _as_suspect(culprit: Culprit, crash: _Crash) -> Suspect | None:
+    """Return a culprit as the suspect of a crash, or None if it isn't one."""
+    blamed = crash.blamed
+    if not culprit.keys <= blamed.keys():
+        return None
+    sent_s = max(blamed[key] for key in culprit.keys)
+    return Suspect(keys=tuple(sorted(culprit.keys)), waited_s=round(crash.time_s - sent_s, 3))
+
+
 def _report(
-    crash: _Crash, suspects: Iterable[tuple[str, ...]] = (), cleared: Iterable[str] = ()
+    crash: _Crash, suspects: Iterable[Suspect] = (), cleared: Iterable[str] = ()
 ) -> CrashReport:
     return CrashReport(
         server=crash.server,
         started_ms=crash.started_ms,
         age_s=round(now_s() - crash.time_s, 3),
-        suspects=tuple(sorted(suspects)),
+        suspects=tuple(sorted(suspects, key=attrs.astuple)),
         cleared=tuple(sorted(cleared)),
     )
 
@@ -272,7 +287,8 @@
     """Return a digest of crashes that doesn't depend on their order, 0 if there are none."""
     total = 0
     for crash in crashes:
-        known = (crash.server, crash.started_ms, sorted(crash.suspects), sorted(crash.cleared))
+        suspects = sorted(attrs.astuple(suspect) for suspect in crash.suspects)
+        known = (crash.server, crash.started_ms, suspects, sorted(crash.cleared))
         digest = hashlib.blake2b(repr(known).encode(), digest_size=_DIGEST_BYTES).digest()
         total ^= int.from_bytes(digest)
     return total
--- a/flamingoshelf/quarantine/_reports.py
+++ b/flamingoshelf/quarantine/_reports.py
@@ -4,7 +4,23 @@
 
 from flamingoshelf.nodes import message
 
-__all__ = ["CrashReport", "CrashReports", "CrashReportsRequest"]
+__all__ = ["CrashReport", "CrashReports", "CrashReportsRequest", "Suspect"]
+
+
+@attrs.frozen(kw_only=True)
+class Suspect:
+    """A request that a server had not begun to answer when it crashed.
+
+    Parameters
+    ----------
+    keys : tuple of str
+        Keys of its content.
+    waited_s : float
+        Seconds from its sending to the crash.
+    """
+
+    keys: tuple[str, ...]
+    waited_s: float = 0.0
 
 
 @message
@@ -20,8 +36,8 @@
         Unix time of the start of its run in milliseconds, 0 if unknown.
     age_s : float
         Seconds since the crash.
-    suspects : tuple of tuple of str
-        Keys of each request that the server had not begun to answer.
+    suspects : tuple of Suspect
+        Requests that the server had not begun to answer.
     cleared : tuple of str
         Keys that other servers have answered since.
     """
@@ -29,7 +45,7 @@
     server: str
     started_ms: int = 0
     age_s: float = 0.0
-    suspects: tuple[tuple[str, ...], ...] = ()
+    suspects: tuple[Suspect, ...] = ()
     cleared: tuple[str, ...] = ()
 
 
--- a/flamingoshelf/quarantine/_service.py
+++ b/flamingoshelf/quarantine/_service.py
@@ -9,7 +9,12 @@
 from flamingoshelf.base import NodeLink
 from flamingoshelf.exceptions import FlamingoshelfError
 from flamingoshelf.quarantine._quarantine import Quarantine
-from flamingoshelf.quarantine._reports import CrashReport, CrashReports, CrashReportsRequest
+from flamingoshelf.quarantine._reports import (
+    CrashReport,
+    CrashReports,
+    CrashReportsRequest,
+    Suspect,
+)
 from flamingoshelf.quarantine._sound_runs import SoundRuns
 from flamingoshelf.refusals import Refusal
 from flamingoshelf.telemetry import Metrics
@@ -90,7 +95,7 @@
     def report_crash(
         self,
         server: str,
-        suspects: Iterable[Sequence[str]],
+        suspects: Iterable[Suspect],
         *,
         started_ms: int = 0,
         age_s: float = 0.0,
@@ -193,7 +198,7 @@
         self._clear_suspects(news)
 
     def _clear_suspects(self, news: CrashReport) -> None:
-        for key in set().union(*news.suspects):
+        for key in {key for suspect in news.suspects for key in suspect.keys}:
             self._clear(key)
 
     def _clear(self, key: str) -> None:
--- a/flamingoshelf/quarantine/tests/test_archive.py
+++ b/flamingoshelf/quarantine/tests/test_archive.py
@@ -6,7 +6,7 @@
 import pytest
 
 from flamingoshelf.cluster.tests.conftest import FakeStore
-from flamingoshelf.quarantine import CrashArchive
+from flamingoshelf.quarantine import CrashArchive, Suspect
 from flamingoshelf.utils import now_s
 
 pytestmark = pytest.mark.looptime
@@ -43,7 +43,8 @@
 
 async def crash_twice(service, key="bad"):
     for number in range(2):
-        service.report_crash(f"e{number} {key}", [(f"r{number}", key)], started_ms=7)
+        lost = Suspect(keys=(f"r{number}", key), waited_s=0.1)
+        service.report_crash(f"e{number} {key}", [lost], started_ms=7)
         await asyncio.sleep(1.0)
 
 
--- a/flamingoshelf/quarantine/tests/test_quarantine.py
+++ b/flamingoshelf/quarantine/tests/test_quarantine.py
@@ -6,7 +6,7 @@
 
 from flamingoshelf.nodes._codec import Frame, FrameKind, encode_frame
 from flamingoshelf.nodes._connection import MAX_FRAME_BYTES
-from flamingoshelf.quarantine import Quarantine
+from flamingoshelf.quarantine import Quarantine, Suspect
 from flamingoshelf.quarantine._reports import CrashReports
 from flamingoshelf.quarantine._sound_runs import AnswerTime
 from flamingoshelf.refusals import RefusalReason
@@ -19,8 +19,13 @@
     ("events", "is_refused"),
     [
         pytest.param([("crash", "e1")], False, id="one crash"),
-        pytest.param([("crash", "e1"), ("wait", 1), ("crash", "e2")], True, id="two engines"),
-        pytest.param([("crash", "e1"), ("crash", "e2")], False, id="a rack fails"),
+        pytest.param([("crash", "e1"), ("crash", "e2")], True, id="two engines"),
+        pytest.param(
+            [("crash", "e1"), ("wait", 1), ("crash", "e2", 1.1)], False, id="a rack fails"
+        ),
+        pytest.param(
+            [("crash", "e1"), ("wait", 0.05), ("crash", "e2", 0.03)], True, id="in quick succession"
+        ),
         pytest.param([("crash", "e1"), ("crash", "e1")], False, id="one crash reported twice"),
         pytest.param([("crash", "e1"), ("wait", 3), ("crash", "e1")], True, id="one engine again"),
         pytest.param(
@@ -52,8 +57,9 @@
     quarantine = Quarantine()
     for event in events:
         match event:
-            case ("crash", engine):
-                quarantine.report_crash(engine, [("d",)])
+            case ("crash", engine, *waited_s):
+                suspect = Suspect(keys=("d",), waited_s=sum(waited_s))
+                quarantine.report_crash(engine, [suspect])
             case ("wait", seconds):
                 await asyncio.sleep(seconds)
             case ("ok", age_s):  # an answer that began some time ago and ends now
@@ -70,7 +76,8 @@
 
 async def crash(quarantine, *suspects, seconds=1.0):
     """Record a crash of a new engine under some requests, each given by its keys."""
-    quarantine.report_crash(f"e{now_s()}", [tuple(keys) for keys in suspects])
+    lost = [Suspect(keys=tuple(keys), waited_s=0.1) for keys in suspects]
+    quarantine.report_crash(f"e{now_s()}", lost)
     await asyncio.sleep(seconds)
 
 
