--- a/lab/gateway/_soak.py
+++ b/lab/gateway/_soak.py
@@ -14,6 +14,8 @@
 from flamingoshelf.utils import TaskGroup, now_s
 from lab.faults import Fault, FaultKind
 from lab.gateway._caller import Answer
+from lab.gateway._checks import EVENTS_PER_STREAM, check_call, check_orders, is_served
+from lab.gateway._crashing_part import CrashingCalls
 from lab.gateway._lost import NODE_FAULTS, SERVER_FAULTS, Call, Disruption, find_lost
 from lab.gateway._records import ServerFaults
 from lab.gateway._servers import EngineStandIn, PlainStandIn
@@ -28,8 +30,6 @@
 _CALL_INTERVAL_S = 0.05  # between two calls of a caller
 _DEADLINE_MS = 5000
 _PATHS = (NOTES, RESUMABLE, BOOKINGS, STOCK)
-_EVENTS_PER_STREAM = 20  # 0.2 s of an engine's time
-_NOT_RUN_STATUSES = (408, 421, 429, 503)
 _CHUNK_DELAY_S = 0.2  # of each chunk; heartbeats between nodes then exceed their timeout
 _RECOVERY_LIMIT_S = 15.0  # the platform requires that calls are served again within this time
 _STOP_LIMIT_S = 6.0  # for a planned stop: the grace period of 4 s and the time of a start
@@ -37,6 +37,7 @@
 _REST_S = 0.5  # at least, between two silences of a server
 _SKIPPED_S = 0.02  # a fault that ended so soon was skipped for the sake of another one
 _PAUSE_STATED_S = 0.3  # time in which a server turns requests away and asks for a pause
+_ENGINE_OUTAGE_S = 1.0  # after a crash under a part of a prompt
 _SERVER_FAULTS = (
     ServerFaults(reset_before=0.5),
     ServerFaults(reset_after=0.4),
@@ -48,7 +49,7 @@
 
 
 class _GatewayRun:
-    def __init__(self, site: GatewaySite, *, seed: int) -> None:
+    def __init__(self, site: GatewaySite, *, seed: int, has_crashing_parts: bool) -> None:
         self._site = site
         self._random = random.Random(seed)
         self._calls: list[Call] = []
@@ -59,6 +60,10 @@
         self._tasks = TaskGroup(owner="gateway_soak")
         self.breaches: list[str] = []
         self.judged = 0  # requests that met a silence and had to be answered
+        self.crashing = CrashingCalls(
+            site=site, call=self._call, on_crash=self._crash_under_part, random_source=self._random
+        )
+        self._has_crashing_parts = has_crashing_parts
 
     async def run(self, faults: Sequence[Fault], duration_s: float) -> None:
         """Load the site while faults are injected, then check; faults may overlap."""
@@ -70,6 +75,8 @@
             self._tasks.start(self._send_calls_on_kept_connections(), name="keeping caller")
             for _ in range(_KEEPING_CALLER_COUNT)
         ]
+        if self._has_crashing_parts:
+            callers.append(self._tasks.start(self.crashing.send(), name="crashing caller"))
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         async with asyncio.TaskGroup() as tasks:
@@ -104,15 +111,23 @@
             connection.close()
 
     async def _call(
-        self, address: str, path: str, connection: BackendConnection | None = None
+        self,
+        address: str,
+        path: str,
+        connection: BackendConnection | None = None,
+        *,
+        crashing: list[Call] | None = None,
     ) -> Answer:
+        """Send a call; record it in `crashing` if engines crash under it, else among the others."""
         is_stream = path in (NOTES, RESUMABLE)
+        prompt = self.crashing.prompt(is_crashing=crashing is not None) if is_stream else []
         answer = await self._site.caller.call(
             address,
             f"{path}{self._random.randrange(1000)}",
             method="GET" if path == STOCK else "POST",
             deadline_ms=_DEADLINE_MS,
-            tokens=(500, 8 * _EVENTS_PER_STREAM) if is_stream else None,
+            tokens=(500, 8 * EVENTS_PER_STREAM) if is_stream else None,
+            headers=prompt,
             connection=connection,
         )
         call = Call(
@@ -124,9 +139,22 @@
             ended_s=now_s(),
             answer=answer,
         )
-        self._calls.append(call)
+        (self._calls if crashing is None else crashing).append(call)
         return answer
 
+    def _crash_under_part(self, engine: EngineStandIn) -> None:
+        self._tasks.start(self._replace_crashed(engine), name="crash")
+
+    async def _replace_crashed(self, engine: EngineStandIn) -> None:
+        start_s = now_s()
+        await self._restart_exclusively(
+            engine.instance_id, self._site.replace_crashed(engine, _ENGINE_OUTAGE_S)
+        )
+        kind = FaultKind.KILL_ENGINE
+        self._disruptions.append(
+            Disruption(kind=kind, target=engine.service, start_s=start_s, end_s=now_s())
+        )
+
     async def _inject(self, fault: Fault) -> None:
         """Inject a fault, and record when it really began and ended."""
         target = ""
@@ -310,7 +338,7 @@
             for path in _PATHS:
                 try:
                     async with asyncio.timeout(_RECOVERY_LIMIT_S):
-                        while not _is_served(await self._call(address, path)):
+                        while not is_served(await self._call(address, path)):
                             await asyncio.sleep(_CALL_INTERVAL_S)
                 except TimeoutError:
                     self.breaches.append(f"{address}{path} not served after the faults")
@@ -321,65 +349,39 @@
 
     def _check_records(self) -> None:
         for call in self._calls:
-            self._check_call(call)
+            self.breaches += check_call(call, self._site.log)
         for run in (*self._site.log.runs, *self._site.log.prefills):
             if KEY in str(run.headers):
                 self.breaches.append(f"{run.server} saw a key")
         lost, self.judged = find_lost(self._calls, self._disruptions)
         self.breaches += lost
-        self._check_orders()
-
-    def _check_call(self, call: Call) -> None:
-        answer = call.answer
-        runs = self._site.log.runs_of(answer.request_id)
-        name = call.name
-        if call.path in (NOTES, BOOKINGS) and len(runs) > 1:
-            self.breaches.append(f"{name} ran {len(runs)} times")
-        if call.path in (NOTES, BOOKINGS) and answer.status in _NOT_RUN_STATUSES and runs:
-            self.breaches.append(f"{name} got {answer.status} and ran")
-        if call.path in (NOTES, RESUMABLE):
-            events = answer.events
-            if events != list(range(1, len(events) + 1)):
-                self.breaches.append(f"{name} got events {events}")
-            if _is_served(answer) and len(events) != _EVENTS_PER_STREAM:
-                self.breaches.append(f"{name} looks complete with {len(events)} events")
-        elif _is_served(answer) and f" {answer.request_id} ".encode() not in answer.body:
-            self.breaches.append(f"{name} got another answer: {answer.body!r}")
-
-    def _check_orders(self) -> None:
-        """Check that a fencing token has one holder and never decreases at an engine."""
-        holders: dict[object, object] = {}
-        newest: dict[object, int] = {}
-        for order in self._site.log.orders:
-            token, holder, server = order["fencingToken"], order["holder"], order["server"]
-            assert isinstance(token, int)
-            if holders.setdefault(token, holder) != holder:
-                self.breaches.append(f"token {token} was used by {holders[token]} and {holder}")
-            if token < newest.get(server, 0):
-                self.breaches.append(f"{server} got token {token} after {newest[server]}")
-            newest[server] = max(token, newest.get(server, 0))
-
-
-def _is_served(answer: Answer) -> bool:
-    return answer.is_complete and answer.status == 200
+        streams = [call for call in self._calls if call.path in (NOTES, RESUMABLE)]
+        self.breaches += self.crashing.find_breaches(streams, self._disruptions)
+        self.breaches += check_orders(self._site.log.orders)
 
 
 async def run_gateway_faults(
-    *, folder: Path, seed: int, faults: Sequence[Fault], duration_s: float
+    *,
+    folder: Path,
+    seed: int,
+    faults: Sequence[Fault],
+    duration_s: float,
+    has_crashing_parts: bool = False,
 ) -> tuple[list[str], dict[str, float]]:
     """Run a site of gateway nodes under faults; return the breaches and measures."""
     site = GatewaySite(
         folder=folder, node_count=3, prefill_count=2, decode_count=3, plain_count=2, seed=seed
     )
-    run = _GatewayRun(site, seed=seed)
+    run = _GatewayRun(site, seed=seed, has_crashing_parts=has_crashing_parts)
     try:
         await site.start()
         await run.run(faults, duration_s)
     finally:
         await site.stop()
-    served = sum(_is_served(call.answer) for call in run._calls)
+    served = sum(is_served(call.answer) for call in run._calls)
     return run.breaches, {
         "calls": len(run._calls),
         "served": served,
         "judged": run.judged,
+        "crashes": sum(len(part.crashes_s) for part in run.crashing.parts),
     }
--- a/lab/soak.py
+++ b/lab/soak.py
@@ -56,6 +56,8 @@
         Mean time between the starts of two faults.
     gateway_kinds : tuple of FaultKind
         Kinds of the faults of a site of gateway nodes.
+    has_crashing_parts : bool
+        Whether engines of such a site crash under parts of prompts.
     """
 
     seed: int
@@ -63,6 +65,7 @@
     load: float
     mean_gap_s: float
     gateway_kinds: tuple[FaultKind, ...] = tuple(FaultKind)
+    has_crashing_parts: bool = False
 
 
 @attrs.define(kw_only=True)
@@ -106,7 +109,11 @@
         kinds=options.gateway_kinds,
     )
     breaches, measures = await run_gateway_faults(
-        folder=folder, seed=options.seed, faults=faults, duration_s=options.duration_s
+        folder=folder,
+        seed=options.seed,
+        faults=faults,
+        duration_s=options.duration_s,
+        has_crashing_parts=options.has_crashing_parts,
     )
     injected = [f"{fault.start_s:.1f} s {fault.kind.value}" for fault in faults]
     return SoakReport(breaches=breaches, faults=injected, measures=dict(measures))
--- a/lab/tests/test_crashing_part.py
+++ b/lab/tests/test_crashing_part.py
@@ -5,16 +5,16 @@
 
 import pytest
 
-from lab.gateway._servers import prompt_parts
+from flamingoshelf.utils import now_s
+from lab.gateway._checks import is_served
+from lab.gateway._crashing_part import CrashingPart
 from lab.gateway._site import NOTES, RESUMABLE
 from lab.tests.test_gateway_site import wait_for_initial_roles, wait_until
 
 pytestmark = [pytest.mark.processes, pytest.mark.timeout(60)]
 
-CRASHING = "bad0"
 OUTAGE_S = 1.0
-CONTACT_S = 3.0  # time after which every node is to know what the others learned
-CRASHES = 5  # later than the contact time after this many, no more than three requests may arrive
+SETTLED_S = 6.0  # after the start; twice the time after which nodes know what others learned
 LATE_ARRIVALS = 3
 
 
@@ -23,17 +23,13 @@
 
     def __init__(self, site):
         self.site = site
-        self.crashes = []  # times
+        self.part = CrashingPart(site=site, part="bad", on_crash=self._on_crash)
+        self.part.activate()
         self.sound = []  # time and answer of each
-        self.crashing = []
         self._numbers = itertools.count()
         self._tasks = set()
-        for engine in site.engines:
-            engine.crashing_part = CRASHING
-            engine.on_crash = self._on_crash
 
     def _on_crash(self, engine):
-        self.crashes.append(asyncio.get_running_loop().time())
         self._start(self.site.replace_crashed(engine, OUTAGE_S))
 
     def _start(self, work):
@@ -42,50 +38,34 @@
         return task
 
     async def call(self, *, crashing, node=None):
-        """Send one call and record its answer."""
+        """Send one call and return its answer."""
         number = next(self._numbers)
-        parts = [f"a{number % 3}:200", *([f"{CRASHING}:300"] if crashing else []), f"f{number}:500"]
         addresses = self.site.node_addresses
-        path = (NOTES, RESUMABLE)[number % 2]
-        sent_s = asyncio.get_running_loop().time()
+        sent_s = now_s()
         answer = await self.site.caller.call(
             addresses[(number if node is None else node) % len(addresses)],
-            f"{path}{number}",
+            f"{(NOTES, RESUMABLE)[number % 2]}{number}",
             body=b"%d" % number,
             tokens=(1000, 160),
-            headers=[("Prompt-Prefix", ",".join(parts))],
+            headers=self.part.prompt(number, crashing=crashing),
         )
-        (self.crashing if crashing else self.sound).append((sent_s, answer))
+        if not crashing:
+            self.sound.append((sent_s, answer))
         return answer
 
     async def run(self, seconds, *, interval_s=0.1):
         """Send calls of both kinds at an interval, and wait for their answers."""
-        until_s = asyncio.get_running_loop().time() + seconds
+        until_s = now_s() + seconds
         calls = []
-        while asyncio.get_running_loop().time() < until_s:
+        while now_s() < until_s:
             calls += [self._start(self.call(crashing=flag)) for flag in (True, False)]
             await asyncio.sleep(interval_s)
         await asyncio.gather(*calls)
 
-    def arrivals(self, *, after_s=0.0):
-        """Return the calls with the crashing part that reached engines after a time."""
-        return [
-            run
-            for run in self.site.log.arrivals
-            if run.at_s > after_s and CRASHING in prompt_parts(run.headers)
-        ]
-
-    def late_arrivals(self):
-        """Return those later than the contact time after the fifth crash."""
-        if len(self.crashes) < CRASHES:
-            return []
-        return self.arrivals(after_s=self.crashes[CRASHES - 1] + CONTACT_S)
-
     def sound_share(self, *, after_s):
         """Return the share of sound calls sent after a time that were served."""
         answers = [answer for sent_s, answer in self.sound if sent_s > after_s]
-        assert len(answers) >= 10
-        served = sum(answer.status == 200 and answer.is_complete for answer in answers)
+        served = sum(is_served(answer) for answer in answers)
         print(served, "of", len(answers), "sound calls served")
         return served / len(answers)
 
@@ -109,11 +89,12 @@
 # Engine after engine crashed under requests that share a part, as no two of them were alike.
 async def test_crashing_part_ends_no_engine_after_engine(new_load):
     load = await new_load()
-    started_s = asyncio.get_running_loop().time()
+    started_s = now_s()
     await load.run(9.0)
-    print(len(load.crashes), "crashes,", len(load.late_arrivals()), "late arrivals")
-    assert len(load.late_arrivals()) <= LATE_ARRIVALS
-    assert load.sound_share(after_s=started_s + 2 * CONTACT_S) > 0.9
+    late = load.part.late_arrivals()
+    print(len(load.part.crashes_s), "crashes,", len(late), "late arrivals")
+    assert len(late) <= LATE_ARRIVALS
+    assert load.sound_share(after_s=started_s + SETTLED_S) > 0.9
 
 
 # Nodes that start again knew nothing of the crashes before, and each let some more happen.
@@ -121,7 +102,7 @@
 async def test_crashing_part_is_refused_by_nodes_that_start_again(new_load, killed):
     load = await new_load()
     await load.run(2.0)
-    before = len(load.arrivals())
+    before = len(load.part.arrivals())
     nodes = range(len(load.site.nodes))
     for group in [nodes] if killed == "all at once" else [[number] for number in nodes]:
         for number in group:
@@ -134,6 +115,6 @@
         for number in nodes:
             answer = await load.call(crashing=True, node=number)
             assert (answer.status, answer.headers.get("Retry-After") is not None) == (503, True)
-    assert len(load.arrivals()) == before
+    assert len(load.part.arrivals()) == before
     await wait_until(lambda: not load.site.nodes[0].log.count("Traceback"))
     assert (await load.call(crashing=False)).status == 200
--- a/lab/tests/test_soak.py
+++ b/lab/tests/test_soak.py
@@ -1,5 +1,6 @@
 """Short soak tests with seeded faults find no breach."""
 
+import attrs
 import pytest
 
 from lab.faults import BASE_KINDS, SILENCE_KINDS, FaultKind
@@ -54,3 +55,15 @@
     report = await run_gateway_soak(folder=tmp_path, options=options)
     assert report.breaches == [], report.faults
     assert report.measures["judged"] > 100
+
+
+# Engine after engine crashed under requests that share a part, also while nodes fail and return.
+@pytest.mark.parametrize("seed", [1001])
+async def test_crashing_parts_are_kept_from_engines_while_nodes_fail(tmp_path, seed):
+    options = attrs.evolve(
+        _options(seed, duration_s=20.0, mean_gap_s=2.5, gateway_kinds=tuple(FaultKind)),
+        has_crashing_parts=True,
+    )
+    report = await run_gateway_soak(folder=tmp_path, options=options)
+    assert report.breaches == [], report.faults
+    assert report.measures["crashes"] >= 2
