Quarantine: a wrong one ends soon; one message for all keys that an answer clears

- A part that all requests share is attributed crashes if no server answers anything between two of them, as while all servers crash again and again for another reason.
It was refused for 600 s, also when the servers were sound again.
A refusal now lasts 120 s, and twice as long after each further crash, up to 600 s: what does crash servers costs one of them each time, what doesn't is answered.
- Each key of a crash that a node clears was a message of its own to five nodes, and an attribution of its own.
They now go together.
Two nodes whose tables stay different, as beyond the limit of their size, asked each other again with every heartbeat; they ask once for the same two digests.
- Names: RecentAnswers in place of SoundRuns.

--- a/flamingoshelf/quarantine/_attribution.py
+++ b/flamingoshelf/quarantine/_attribution.py
@@ -11,7 +11,9 @@
 CrashT = TypeVar("CrashT")
 
 _CRASHES_TO_BLAME = 2
-_SUSPICION_LIFETIME_S = 120.0  # crashes further apart are not held against the same key
+_MIN_REFUSAL_S = 120.0
+_MAX_REFUSAL_S = 600.0
+_SUSPICION_LIFETIME_S = 120.0  # a crash later than this, or than this after a refusal, starts anew
 
 
 @attrs.frozen(kw_only=True)
@@ -30,9 +32,19 @@
     keys: frozenset[str]
     crash_times_s: tuple[float, ...]
 
-    def remains_until_s(self, lifetime_s: float) -> float:
-        """Return when too few crashes are left, if each counts for `lifetime_s`."""
-        return self.crash_times_s[-_CRASHES_TO_BLAME] + lifetime_s
+    @property
+    def is_one_key(self) -> bool:
+        """Whether the crashes are attributed to a single key."""
+        return len(self.keys) == 1
+
+    @property
+    def refused_until_s(self) -> float:
+        """Time in seconds until which requests with all keys are refused.
+
+        It doubles with each crash beyond those that are needed, so that a wrong attribution ends
+        soon and a right one costs few servers.
+        """
+        return self.crash_times_s[-1] + _refusal_s(len(self.crash_times_s))
 
 
 def attribute_crashes(
@@ -107,7 +119,14 @@
     for crashed_s, sent_s in sorted(crashes):
         if sent_s < previous_s:
             continue
-        series = series + 1 if crashed_s - previous_s <= _SUSPICION_LIFETIME_S else 1
+        is_in_series = crashed_s - previous_s <= _refusal_s(series) + _SUSPICION_LIFETIME_S
+        series = series + 1 if is_in_series else 1
         longest = max(longest, series)
         previous_s = crashed_s
     return longest
+
+
+def _refusal_s(crashes: int) -> float:
+    """Return for how long requests are refused after a number of crashes, in seconds."""
+    excess = crashes - _CRASHES_TO_BLAME
+    return min(_MAX_REFUSAL_S, _MIN_REFUSAL_S * 2.0**excess) if excess >= 0 else 0.0
--- a/flamingoshelf/quarantine/_quarantine.py
+++ b/flamingoshelf/quarantine/_quarantine.py
@@ -1,24 +1,24 @@
 """Crashes of servers, and the contents that are refused for them."""
 
 import hashlib
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 import attrs
 from loguru import logger
 
 from flamingoshelf.quarantine._attribution import Culprit, attribute_crashes
+from flamingoshelf.quarantine._recent_answers import AnswerTime
 from flamingoshelf.quarantine._reports import CrashReport, Suspect
-from flamingoshelf.quarantine._sound_runs import AnswerTime
 from flamingoshelf.refusals import Refusal, RefusalReason
 from flamingoshelf.utils import now_s
 
 __all__ = ["Quarantine"]
 
-_CRASH_LIFETIME_S = 600.0
+_CRASH_LIFETIME_S = 3600.0  # several of the longest refusals
 # Reports without the start of the run are of the same crash if they are closer than this.
 _SAME_CRASH_WINDOW_S = 2.0
 # An answer that began this long before a crash still shows that its keys didn't cause it.
-_SOUND_BEFORE_CRASH_S = 1.0
+_ANSWERED_BEFORE_CRASH_S = 1.0
 _MAX_CRASHES = 512
 _MAX_TABLE_KEYS = 16_384  # about 0.5 MB, so that a message holds the whole table
 _MAX_SUSPECTS = 64  # of one crash
@@ -90,8 +90,8 @@
             return None
         self._drop_expired()
         having = set(keys)
-        for culprit in self._culprits:
-            if culprit.keys <= having and not self._is_lifted(culprit):
+        for culprit in self._refused():
+            if culprit.keys <= having:
                 return _refusal(culprit)
         return None
 
@@ -129,27 +129,31 @@
         """Return whether a key may have caused a crash."""
         return key in self._suspected
 
-    def clear(self, key: str, answered: AnswerTime) -> list[CrashReport]:
-        """Clear a key of the crashes that an answer to a request with it outlived.
+    def clear(self, answered: Mapping[str, AnswerTime]) -> list[CrashReport]:
+        """Clear keys of the crashes that answers to requests with them outlived.
 
-        An answer that began long before a crash says nothing: what is sound may become harmful, as
-        with new weights. A key that is refused by itself is only cleared of crashes before the
+        An answer that began long before a crash says nothing: what is harmless may become harmful,
+        as with new weights. A key that is refused by itself is only cleared of crashes before the
         answer began. Return what is new.
         """
-        if key not in self._suspected:
-            return []
-        is_refused = any(culprit.keys == {key} for culprit in self._culprits)
-        before_s = answered.began_s
-        if not is_refused:
-            before_s = min(answered.until_s, answered.began_s + _SOUND_BEFORE_CRASH_S)
-        cleared = [
-            crash for crash in self._crashes if key in crash.blamed and crash.time_s <= before_s
-        ]
-        for crash in cleared:
-            crash.cleared.add(key)
-        if cleared:
+        refused = {key for culprit in self._culprits for key in culprit.keys if culprit.is_one_key}
+        until_s = {
+            key: (
+                answer.began_s
+                if key in refused
+                else min(answer.until_s, answer.began_s + _ANSWERED_BEFORE_CRASH_S)
+            )
+            for key, answer in answered.items()
+        }
+        news = []
+        for crash in self._crashes:
+            cleared = [k for k in crash.blamed if k in until_s and crash.time_s <= until_s[k]]
+            if cleared:
+                crash.cleared.update(cleared)
+                news.append(_report(crash, cleared=cleared))
+        if news:
             self._update()
-        return [_report(crash, cleared=[key]) for crash in cleared]
+        return news
 
     def merge(self, report: CrashReport) -> CrashReport | None:
         """Add a report; return what is new of it, or None."""
@@ -190,10 +194,18 @@
         self._drop_expired()
         return {
             "+".join(sorted(culprit.keys)): round(_remaining_s(culprit), 1)
-            for culprit in self._culprits
-            if not self._is_lifted(culprit)
+            for culprit in self._refused()
         }
 
+    def _refused(self) -> list[Culprit]:
+        """Return the culprits whose requests are refused now."""
+        now = now_s()
+        return [
+            culprit
+            for culprit in self._culprits
+            if culprit.refused_until_s > now and culprit.keys.isdisjoint(self._lifted())
+        ]
+
     def _find(self, server: str, started_ms: int, time_s: float) -> _Crash | None:
         """Return the record of a crash."""
         for crash in self._crashes:
@@ -242,12 +254,9 @@
         while len(self._crashes) > _MAX_CRASHES or excess_keys > 0:
             excess_keys -= self._crashes.pop(0).key_count
 
-    def _is_lifted(self, culprit: Culprit) -> bool:
-        return not culprit.keys.isdisjoint(self._lifted())
-
 
 def _remaining_s(culprit: Culprit) -> float:
-    return culprit.remains_until_s(_CRASH_LIFETIME_S) - now_s()
+    return culprit.refused_until_s - now_s()
 
 
 def _refusal(culprit: Culprit) -> Refusal:
--- a/flamingoshelf/quarantine/_reports.py
+++ b/flamingoshelf/quarantine/_reports.py
@@ -48,6 +48,11 @@
     suspects: tuple[Suspect, ...] = ()
     cleared: tuple[str, ...] = ()
 
+    @property
+    def suspected_keys(self) -> set[str]:
+        """Keys of all suspects."""
+        return {key for suspect in self.suspects for key in suspect.keys}
+
 
 @message
 @attrs.frozen(kw_only=True)
--- a/flamingoshelf/quarantine/_service.py
+++ b/flamingoshelf/quarantine/_service.py
@@ -9,13 +9,13 @@
 from flamingoshelf.base import NodeLink
 from flamingoshelf.exceptions import FlamingoshelfError
 from flamingoshelf.quarantine._quarantine import Quarantine
+from flamingoshelf.quarantine._recent_answers import RecentAnswers
 from flamingoshelf.quarantine._reports import (
     CrashReport,
     CrashReports,
     CrashReportsRequest,
     Suspect,
 )
-from flamingoshelf.quarantine._sound_runs import SoundRuns
 from flamingoshelf.refusals import Refusal
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import TaskGroup
@@ -64,9 +64,10 @@
         self._metrics = metrics
         self._random = random_source
         self._link: NodeLink | None = None
-        self._sound = SoundRuns()
+        self._answers = RecentAnswers()
         self._digests: dict[str, int] = {}  # last one that each node told
         self._asked: set[str] = set()
+        self._compared: dict[str, tuple[int, int]] = {}  # digests for which a node was asked last
         self._tasks = TaskGroup(owner="quarantine")
 
     @property
@@ -112,13 +113,12 @@
 
     def record_begin(self, keys: Collection[str]) -> None:
         """Record that a server goes on after it has begun to answer a request."""
-        self._sound.record_begin(keys)
-        for key in keys:
-            self._clear(key)
+        self._answers.record_begin(keys)
+        self._clear(keys)
 
     def record_end(self, keys: Collection[str]) -> None:
         """Record the end of an answer whose begin was recorded."""
-        self._sound.record_end(keys)
+        self._answers.record_end(keys)
 
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call `listener` after each change of what is known."""
@@ -140,21 +140,23 @@
             if news is not None:
                 is_new = True
                 self._log_news(news, source)
-                self._clear_suspects(news)
+                self._clear(news.suspected_keys)
         return is_new
 
     def record_digest(self, peer: str, digest: int) -> None:
         """Record the digest of another node; ask that node for what is missing here."""
         self._digests[peer] = digest
-        if digest not in (0, self.digest) and peer not in self._asked and self._link is not None:
+        is_asked = peer in self._asked or self._compared.get(peer) == (digest, self.digest)
+        if digest not in (0, self.digest) and not is_asked and self._link is not None:
             self._asked.add(peer)
             self._tasks.start(self._ask_if_different(self._link, peer), name="ask")
 
     async def _ask_if_different(self, link: NodeLink, peer: str) -> None:
         try:
             await asyncio.sleep(self._random.uniform(_MIN_DELAY_S, _MAX_DELAY_S))
-            if self._digests[peer] not in (0, self.digest):
-                await self._ask(link, peer)
+            digest = self._digests[peer]
+            if digest not in (0, self.digest) and await self._ask(link, peer):
+                self._compared[peer] = (digest, self.digest)
         finally:
             self._asked.discard(peer)
 
@@ -193,22 +195,19 @@
         return CrashReports(reports=tuple(self.reports()))
 
     def _spread(self, news: CrashReport) -> None:
-        """Send news to a few random nodes, and clear what this node has seen running well."""
+        """Send news to a few random nodes, and clear what this node receives answers to."""
         self._forward(news)
-        self._clear_suspects(news)
-
-    def _clear_suspects(self, news: CrashReport) -> None:
-        for key in {key for suspect in news.suspects for key in suspect.keys}:
-            self._clear(key)
-
-    def _clear(self, key: str) -> None:
-        """Clear a suspected key if this node received an answer to a request with it since."""
-        if not self._quarantine.is_suspected(key):
-            return
-        answered = self._sound.last_answer(key)
-        if answered is None:
-            return
-        for news in self._quarantine.clear(key, answered):
+        self._clear(news.suspected_keys)
+
+    def _clear(self, keys: Iterable[str]) -> None:
+        """Clear suspected keys of which this node received an answer since."""
+        answered = {
+            key: answer
+            for key in keys
+            if self._quarantine.is_suspected(key)
+            and (answer := self._answers.last(key)) is not None
+        }
+        for news in self._quarantine.clear(answered):
             self._metrics.count_event("content_cleared")
             self._forward(news)
 
