--- a/flamingoshelf/gateway/_stream_attempt.py
+++ b/flamingoshelf/gateway/_stream_attempt.py
@@ -132,7 +132,7 @@
         return result
 
     async def _process_and_run(self) -> RelayResult:
-        if not self._state.may_run:  # refused since the turn was granted
+        if self._state.refusal is not None:  # since the turn was granted
             return RelayResult.NOT_RUN
         if self._turn.prefill_id is not None:
             self._handle = await self._prefill(self._turn.prefill_id)
