Quarantine: forget crashes that nothing adds up with

Found by measuring: a report took 51 ms of processor time at a node that knew 512 crashes, 0.35 ms at one that knew 10 (two suspects of four keys each), and crashes stay known for an hour. A large fleet whose engines come and go would have paid that for every report. A crash that nothing is refused for can't add up with one more than 120 s later, so it is dropped then; the evidence for what is refused stays. Evidence older than that, read from the store or another node, is kept for 5 s, so that all of it can come: test_old_evidence_adds_up_again fails without this.

One of the tests for streams that end inside an event is gone again, as it repeated test_stream_that_ends_within_an_event_does_not_look_complete.

--- a/flamingoshelf/gateway/tests/test_stream_forwarder.py
+++ b/flamingoshelf/gateway/tests/test_stream_forwarder.py
@@ -367,10 +367,3 @@
     assert refusal is None and output.is_complete
     assert output.body == b"".join(events(1, 4))
     assert crash_detector.lost == ["d1"]
-
-
-async def test_stream_that_ends_inside_an_event_does_not_look_complete(forward, client):
-    client.queue_answers("d1", Answer(body=[*events(1, 2), b"id: 3\nda"]))
-    refusal, output = await forward()
-    assert refusal is None and output.is_aborted and not output.is_complete
-    assert output.body == b"".join(events(1, 2))
--- a/flamingoshelf/quarantine/_attribution.py
+++ b/flamingoshelf/quarantine/_attribution.py
@@ -6,14 +6,14 @@
 
 import attrs
 
-__all__ = ["Culprit", "attribute_crashes"]
+__all__ = ["SUSPICION_LIFETIME_S", "Culprit", "attribute_crashes"]
 
 CrashT = TypeVar("CrashT")
 
 _CRASHES_TO_BLAME = 2
 _MIN_REFUSAL_S = 120.0
 _MAX_REFUSAL_S = 600.0
-_SUSPICION_LIFETIME_S = 120.0  # a crash later than this, or than this after a refusal, starts anew
+SUSPICION_LIFETIME_S = 120.0  # a crash later than this, or than this after a refusal, starts anew
 
 
 @attrs.frozen(kw_only=True)
@@ -119,7 +119,7 @@
     for crashed_s, sent_s in sorted(crashes):
         if sent_s < previous_s:
             continue
-        is_in_series = crashed_s - previous_s <= _refusal_s(series) + _SUSPICION_LIFETIME_S
+        is_in_series = crashed_s - previous_s <= _refusal_s(series) + SUSPICION_LIFETIME_S
         series = series + 1 if is_in_series else 1
         longest = max(longest, series)
         previous_s = crashed_s
--- a/flamingoshelf/quarantine/_quarantine.py
+++ b/flamingoshelf/quarantine/_quarantine.py
@@ -6,7 +6,11 @@
 import attrs
 from loguru import logger
 
-from flamingoshelf.quarantine._attribution import Culprit, attribute_crashes
+from flamingoshelf.quarantine._attribution import (
+    SUSPICION_LIFETIME_S,
+    Culprit,
+    attribute_crashes,
+)
 from flamingoshelf.quarantine._recent_answers import AnswerTime
 from flamingoshelf.quarantine._reports import CrashReport, Suspect
 from flamingoshelf.refusals import Refusal, RefusalReason
@@ -14,11 +18,13 @@
 
 __all__ = ["Quarantine"]
 
-_CRASH_LIFETIME_S = 3600.0  # several of the longest refusals
+_EVIDENCE_LIFETIME_S = 3600.0  # of what is refused; several of the longest refusals
 # Reports without the start of the run are of the same crash if they are closer than this.
 _SAME_CRASH_WINDOW_S = 2.0
 # An answer that began this long before a crash still shows that its keys didn't cause it.
 _ANSWERED_BEFORE_CRASH_S = 1.0
+# Old evidence from the store or from another node comes one crash after the other.
+_MERGE_TIME_S = 5.0
 _MAX_CRASHES = 512
 _MAX_TABLE_KEYS = 16_384  # about 0.5 MB, so that a message holds the whole table
 _MAX_SUSPECTS = 64  # of one crash
@@ -33,6 +39,8 @@
     time_s: float
     suspects: set[Suspect] = attrs.field(factory=set)
     cleared: set[str] = attrs.field(factory=set)
+    learned_s: float = attrs.field(factory=now_s)
+    expires_s: float = float("inf")
 
     @property
     def key_count(self) -> int:
@@ -157,7 +165,7 @@
 
     def merge(self, report: CrashReport) -> CrashReport | None:
         """Add a report; return what is new of it, or None."""
-        if report.age_s >= _CRASH_LIFETIME_S:
+        if report.age_s >= _EVIDENCE_LIFETIME_S:
             return None
         self._drop_expired()
         time_s = now_s() - report.age_s
@@ -216,10 +224,12 @@
         return None
 
     def _drop_expired(self) -> None:
-        oldest_s = now_s() - _CRASH_LIFETIME_S
-        if any(crash.time_s <= oldest_s for crash in self._crashes):
-            self._crashes = [crash for crash in self._crashes if crash.time_s > oldest_s]
-            self._update()
+        """Drop crashes that can't add up with new ones any more."""
+        now = now_s()
+        if all(crash.expires_s > now for crash in self._crashes):
+            return
+        self._crashes = [crash for crash in self._crashes if crash.expires_s > now]
+        self._update()
 
     def _update(self) -> None:
         """Attribute the crashes again after a change, and tell the listeners."""
@@ -228,6 +238,10 @@
         blamed = {crash: crash.blamed for crash in self._crashes}
         self._suspected = set().union(*blamed.values())
         self._culprits = attribute_crashes(blamed, {crash: crash.time_s for crash in blamed})
+        for crash, suspected in blamed.items():
+            is_evidence = any(culprit.keys <= suspected.keys() for culprit in self._culprits)
+            lifetime_s = _EVIDENCE_LIFETIME_S if is_evidence else SUSPICION_LIFETIME_S
+            crash.expires_s = max(crash.time_s + lifetime_s, crash.learned_s + _MERGE_TIME_S)
         self._digest = _digest(self._crashes)
         for culprit in self._culprits:
             if culprit.keys not in before:
--- a/flamingoshelf/quarantine/tests/test_archive.py
+++ b/flamingoshelf/quarantine/tests/test_archive.py
@@ -62,6 +62,19 @@
     assert not network.refusing("r9", "bad")
 
 
+async def test_old_evidence_adds_up_again(new_archive, network):
+    service = await new_archive("n0")
+    await crash_twice(service)
+    for number in range(2):
+        lost = Suspect(keys=(f"q{number}", "bad"), waited_s=0.1)
+        service.report_crash(f"f{number}", [lost], started_ms=7)
+        await asyncio.sleep(1.0)
+    await asyncio.sleep(400.0)
+    del network.services["n0"]
+    await new_archive("n1")
+    assert network.refusing("r9", "bad") == ["n1"]
+
+
 async def test_only_one_node_writes_and_the_next_one_takes_over(new_archive, store):
     await crash_twice(await new_archive("n0", may_write=False))
     assert KEY not in store.objects
