Check for a crash each time a server loses runs, not once in six seconds

A run that broke off before it had begun started the looks for a crash of its server, and runs that the server lost within the next 6 s joined them. If the first was ended by a reset, a crash 2 s later was looked for only when another server had taken its place, at 3 s or 6 s: its evidence came seconds late, and more engines could crash meanwhile. Runs now belong together only if their connections end together (within the first look, 0.02 s); others start looks of their own, and one whose server is known to have crashed is reported at once. The new test fails on the code before: neither of two such crashes is known 0.3 s later.

--- a/flamingoshelf/gateway/_crash_detector.py
+++ b/flamingoshelf/gateway/_crash_detector.py
@@ -38,7 +38,7 @@
 
 @attrs.define(kw_only=True)
 class _LostRuns:
-    """Requests that one run of a server had not begun to answer when their connections ended."""
+    """Requests that a server had not begun to answer when their connections ended together."""
 
     instance: BackendInstance
     requests: list[_LostRequest] = attrs.field(factory=list)
@@ -75,7 +75,7 @@
     ) -> None:
         self._guard = guard
         self._is_succeeded = is_succeeded
-        self._lost: dict[tuple[str, int], _LostRuns] = {}
+        self._lost: list[_LostRuns] = []
         self._watches: dict[object, tuple[AdmittedRequest, Callable[[Refusal], None]]] = {}
         self._tasks = TaskGroup(owner="crash_watch")
         guard.subscribe(self._on_news)
@@ -116,10 +116,10 @@
         """
         if events >= BEGUN_EVENTS:
             return
-        run = instance.key, instance.started_ms
-        lost = self._lost.get(run)
+        lost = self._find_lost(instance)
         if lost is None:
-            lost = self._lost[run] = _LostRuns(instance=instance)
+            lost = _LostRuns(instance=instance)
+            self._lost.append(lost)
             self._tasks.start(self._check_server(lost), name="look")
         lost.requests.append(
             _LostRequest(
@@ -129,7 +129,7 @@
                 sent_s=sent_s,
             )
         )
-        if lost.reported:
+        if lost.reported or self._guard.has_crash(*lost.run):
             self._report(lost)
 
     def record_begin(self, request: AdmittedRequest) -> None:
@@ -145,9 +145,20 @@
         self.record_begin(request)
         self.record_end(request)
 
+    def _find_lost(self, instance: BackendInstance) -> _LostRuns | None:
+        """Return the runs that a server has just lost, or None if their connections ended before.
+
+        Those that end later have another cause, which may be a crash though the first was none.
+        """
+        for lost in reversed(self._lost):
+            is_recent = now_s() - lost.lost_s < _CONNECT_AFTER_S[0]
+            if lost.run == (instance.key, instance.started_ms) and is_recent:
+                return lost
+        return None
+
     def _on_news(self) -> None:
         """Add this node's lost runs to a crash that became known, and tell requests of refusals."""
-        for lost in list(self._lost.values()):
+        for lost in list(self._lost):
             if lost.reported < len(lost.requests) and self._guard.has_crash(*lost.run):
                 self._report(lost)
         for watch, (request, on_refusal) in list(self._watches.items()):
@@ -169,7 +180,7 @@
                 ):
                     self._report(lost, reason="it refuses connections")
         finally:
-            del self._lost[lost.run]
+            self._lost.remove(lost)
 
     def _report(self, lost: _LostRuns, *, reason: str = "the crash is known") -> None:
         requests = lost.requests[lost.reported :]
--- a/flamingoshelf/gateway/tests/test_crash_detector.py
+++ b/flamingoshelf/gateway/tests/test_crash_detector.py
@@ -116,6 +116,28 @@
     assert detector.check(new_request()) is None
 
 
+# A run that a reset ended hid a crash of the same server some seconds later.
+@pytest.mark.looptime
+async def test_crash_soon_after_a_lost_run_without_a_crash_is_noticed_at_once(
+    detector, new_parts_request, monkeypatch
+):
+    down = set()
+
+    async def refuses_connections(address):
+        return address in down
+
+    monkeypatch.setattr(
+        "flamingoshelf.gateway._crash_detector._refuses_connections", refuses_connections
+    )
+    for name in ("s1", "s2"):
+        detector.record_lost_run(new_parts_request("a"), server(name), sent_s=now_s())
+        await asyncio.sleep(2.0)
+        down.add(server(name).address)
+        detector.record_lost_run(new_parts_request("bad"), server(name), sent_s=now_s())
+        await asyncio.sleep(0.3)
+    assert detector.check(new_parts_request("bad")) is not None
+
+
 # A crash counted only at nodes that saw a connection refused within 0.22 s.
 @pytest.mark.looptime
 async def test_crash_that_another_node_reports_counts_for_lost_runs_of_this_one(
