Routing: one type for a run of a server

LeavingServer, a run of a server that leaves, and the pair of identity and start time that pauses are kept by were the same thing. Both are ServerRun now, which a BackendInstance gives as its `run`. Nothing else changes; the messages between nodes keep their own class.

--- a/flamingoshelf/gateway/_backend_client.py
+++ b/flamingoshelf/gateway/_backend_client.py
@@ -12,7 +12,7 @@
 from flamingoshelf.gateway._admission import AdmittedRequest
 from flamingoshelf.gateway._wire import BackendCall, BackendResponseHead, KvHandle, WireFormat
 from flamingoshelf.http1 import BackendConnection, ConnectionPool, RequestHead, ResponseHead
-from flamingoshelf.routing import BackendInstance, LeavingServer, ServerNotices
+from flamingoshelf.routing import BackendInstance, ServerNotices
 from flamingoshelf.utils import TaskGroup
 
 __all__ = [
@@ -242,8 +242,7 @@
         if answer.is_wrong_instance:
             return
         if answer.is_leaving:
-            server = LeavingServer(instance_id=instance.instance_id, started_ms=instance.started_ms)
-            self._notices.record_leaving(server, source="server")
+            self._notices.record_leaving(instance.run, source="server")
         if answer.pause_s is not None:
             self._notices.record_pause(instance, answer.pause_s)
 
--- a/flamingoshelf/gateway/_peer_news.py
+++ b/flamingoshelf/gateway/_peer_news.py
@@ -4,7 +4,7 @@
 from flamingoshelf.gateway._active_configuration import ActiveConfiguration
 from flamingoshelf.gateway._configuration_exchange import ConfigurationExchange
 from flamingoshelf.quarantine import QuarantineService
-from flamingoshelf.routing import InstanceDirectory, LeavingServer, ServerNotices
+from flamingoshelf.routing import InstanceDirectory, ServerNotices, ServerRun
 
 __all__ = ["PeerNews"]
 
@@ -60,5 +60,5 @@
         self._exchange.record_version(peer, news.configuration_version)
         self._quarantine.record_digest(peer, news.crashes)
         for run in news.leaving:
-            server = LeavingServer(instance_id=run.server, started_ms=run.started_ms)
+            server = ServerRun(instance_id=run.server, started_ms=run.started_ms)
             self._notices.record_leaving(server, source=peer)
--- a/flamingoshelf/gateway/tests/test_stream_forwarder.py
+++ b/flamingoshelf/gateway/tests/test_stream_forwarder.py
@@ -19,7 +19,7 @@
 )
 from flamingoshelf.placement import FailureKind, RunOutcome
 from flamingoshelf.refusals import Refusal, RefusalReason
-from flamingoshelf.routing import LeavingServer
+from flamingoshelf.routing import ServerRun
 from flamingoshelf.utils import now_s
 
 pytestmark = pytest.mark.looptime
@@ -353,7 +353,7 @@
 ):
     """This node knows that the engine leaves; the coordinator has not heard of it yet."""
     list_engines(["p1", "p2"], ["d1", "d2", "d3"])
-    notices.record_leaving(LeavingServer(instance_id="d1", started_ms=0), source="server")
+    notices.record_leaving(ServerRun(instance_id="d1", started_ms=0), source="server")
     client.queue_answers("d2", Answer(body=events(1, 3)))
     _, output = await forward()
     assert output.is_complete and "d1" not in client.called_servers()
--- a/flamingoshelf/routing/__init__.py
+++ b/flamingoshelf/routing/__init__.py
@@ -10,8 +10,13 @@
     Workspace,
 )
 from flamingoshelf.routing._directory import InstanceDirectory
-from flamingoshelf.routing._instances import BackendInstance, EngineRole, InstanceState
-from flamingoshelf.routing._notices import LeavingServer, ServerNotices
+from flamingoshelf.routing._instances import (
+    BackendInstance,
+    EngineRole,
+    InstanceState,
+    ServerRun,
+)
+from flamingoshelf.routing._notices import ServerNotices
 from flamingoshelf.routing._route_table import RouteTable
 from flamingoshelf.routing._server_selector import EjectionRule, ServerSelector
 
@@ -24,11 +29,11 @@
     "GatewayConfiguration",
     "InstanceDirectory",
     "InstanceState",
-    "LeavingServer",
     "Route",
     "RouteTable",
     "RouteTarget",
     "ServerNotices",
+    "ServerRun",
     "ServerSelector",
     "ServiceProfile",
     "Workspace",
--- a/flamingoshelf/routing/_directory.py
+++ b/flamingoshelf/routing/_directory.py
@@ -6,8 +6,8 @@
 import attrs
 from loguru import logger
 
-from flamingoshelf.routing._instances import BackendInstance, EngineRole
-from flamingoshelf.routing._notices import LeavingServer, ServerNotices
+from flamingoshelf.routing._instances import BackendInstance, EngineRole, ServerRun
+from flamingoshelf.routing._notices import ServerNotices
 from flamingoshelf.store import era_of
 from flamingoshelf.utils import now_s
 
@@ -94,7 +94,7 @@
             if instance.role not in staying_roles and self._notices.is_last_resort(instance)
         ]
 
-    def unreported_leaving(self) -> list[LeavingServer]:
+    def unreported_leaving(self) -> list[ServerRun]:
         """Return the servers that state that they leave while they are listed as ready."""
         return [
             server
--- a/flamingoshelf/routing/_instances.py
+++ b/flamingoshelf/routing/_instances.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-__all__ = ["BackendInstance", "EngineRole", "InstanceState"]
+__all__ = ["BackendInstance", "EngineRole", "InstanceState", "ServerRun"]
 
 
 class InstanceState(StrEnum):
@@ -21,6 +21,14 @@
     DECODE = "decode"
 
 
+@attrs.frozen(kw_only=True)
+class ServerRun:
+    """One run of a backend server; what the server states holds until it starts again."""
+
+    instance_id: str
+    started_ms: int
+
+
 @attrs.frozen(kw_only=True)
 class BackendInstance:
     """One run of a backend server, as the server describes itself.
@@ -60,6 +68,11 @@
         """Identity of the server."""
         return self.instance_id
 
+    @property
+    def run(self) -> ServerRun:
+        """This run of the server."""
+        return ServerRun(instance_id=self.instance_id, started_ms=self.started_ms)
+
     @property
     def accepts_new_work(self) -> bool:
         """Whether the server may be chosen for new work."""
--- a/flamingoshelf/routing/_notices.py
+++ b/flamingoshelf/routing/_notices.py
@@ -10,10 +10,10 @@
 import attrs
 from loguru import logger
 
-from flamingoshelf.routing._instances import BackendInstance
+from flamingoshelf.routing._instances import BackendInstance, ServerRun
 from flamingoshelf.utils import now_s
 
-__all__ = ["LeavingServer", "ServerNotices"]
+__all__ = ["ServerNotices"]
 
 _MAX_PAUSE_S = 3600.0  # a longer pause is taken for a fault
 _MAX_RECORDS = 4096  # servers with a notice; those of the oldest notices have left long ago
@@ -22,17 +22,9 @@
 _LAST_RESORT_SHARE = 0.5
 
 
-@attrs.frozen(kw_only=True)
-class LeavingServer:
-    """A run of a server that has stated that it leaves."""
-
-    instance_id: str
-    started_ms: int
-
-
 @attrs.define(kw_only=True)
 class _Leaving:
-    server: LeavingServer
+    server: ServerRun
     since_s: float
 
 
@@ -48,9 +40,9 @@
     def __init__(self, *, drain_s: Callable[[], float] = lambda: 0.0) -> None:
         self._drain_s = drain_s
         self._leaving: OrderedDict[str, _Leaving] = OrderedDict()
-        self._pauses: OrderedDict[tuple[str, int], float] = OrderedDict()
+        self._pauses: OrderedDict[ServerRun, float] = OrderedDict()
 
-    def record_leaving(self, server: LeavingServer, *, source: str) -> None:
+    def record_leaving(self, server: ServerRun, *, source: str) -> None:
         """Record that a server leaves, as itself or another node states."""
         known = self._leaving.get(server.instance_id)
         if known is not None and known.server.started_ms >= server.started_ms:
@@ -72,7 +64,7 @@
         known = self._leaving.get(instance.instance_id)
         return known is not None and now_s() < known.since_s + _LAST_RESORT_SHARE * self._drain_s()
 
-    def leaving(self) -> list[LeavingServer]:
+    def leaving(self) -> list[ServerRun]:
         """Return the servers that leave."""
         return [entry.server for entry in self._leaving.values()]
 
@@ -87,12 +79,11 @@
         else:
             log.info("backend server asks for a pause")
         until_s = now_s() + min(seconds, _MAX_PAUSE_S)
-        key = (instance.instance_id, instance.started_ms)
-        self._pauses[key] = max(until_s, self._pauses.pop(key, 0.0))
+        self._pauses[instance.run] = max(until_s, self._pauses.pop(instance.run, 0.0))
         if len(self._pauses) > _MAX_RECORDS:
             self._pauses.popitem(last=False)
 
     def pause_s(self, instance: BackendInstance) -> float:
         """Return the seconds for which a server wants nothing from this node, 0 if none."""
-        until_s = self._pauses.get((instance.instance_id, instance.started_ms), 0.0)
+        until_s = self._pauses.get(instance.run, 0.0)
         return max(0.0, until_s - now_s())
--- a/flamingoshelf/routing/tests/test_notices.py
+++ b/flamingoshelf/routing/tests/test_notices.py
@@ -9,8 +9,8 @@
     BackendInstance,
     EngineRole,
     InstanceDirectory,
-    LeavingServer,
     ServerNotices,
+    ServerRun,
 )
 from flamingoshelf.store import join_revision
 
@@ -31,7 +31,7 @@
 
 
 def leaving(name, *, started_ms=100):
-    return LeavingServer(instance_id=name, started_ms=started_ms)
+    return ServerRun(instance_id=name, started_ms=started_ms)
 
 
 @pytest.fixture
