Log the limits that backend servers state, and what they got meanwhile

No log line told what a server had stated of its limit, when, or how many requests a node sent it since, so an unread limit could not be told from one that each node keeps by itself. The header is decoded, and each node logs when a limit begins, changes and ends, with the requests that it sent meanwhile. Nothing is decided by it yet.

A statement holds for one run of a server. It ends with the answer to a request that was sent after the stating answer had arrived; of answers that overlap the stricter holds. A negative, infinite or unreadable value is logged and ignored, late responses to other requests are no statements, and reports and orders may state a limit but end none.

--- a/flamingoshelf/gateway/_backend_client.py
+++ b/flamingoshelf/gateway/_backend_client.py
@@ -13,7 +13,8 @@
 from flamingoshelf.gateway._wire import BackendCall, BackendResponseHead, KvHandle, WireFormat
 from flamingoshelf.http1 import BackendConnection, ConnectionPool, RequestHead, ResponseHead
 from flamingoshelf.routing import BackendInstance, ServerNotices
-from flamingoshelf.utils import TaskGroup
+from flamingoshelf.server_limits import StatedLimits
+from flamingoshelf.utils import TaskGroup, now_s
 
 __all__ = [
     "BackendClient",
@@ -104,10 +105,20 @@
         Encodes and decodes heads.
     notices : ServerNotices
         Servers that leave, and pauses that they ask for; nothing is sent to a server in its pause.
+    limits : StatedLimits
+        Learns of the limits that servers state.
     """
 
-    def __init__(self, *, pool: ConnectionPool, wire: WireFormat, notices: ServerNotices) -> None:
+    def __init__(
+        self,
+        *,
+        pool: ConnectionPool,
+        wire: WireFormat,
+        notices: ServerNotices,
+        limits: StatedLimits,
+    ) -> None:
         self._notices = notices
+        self._limits = limits
         self._pool = pool
         self._wire = wire
         self._tasks = TaskGroup(owner="backend_client")
@@ -136,10 +147,12 @@
         instance = call.instance
         self._check_pause(instance)
         head = self._wire.encode_request(request.head, call, body_bytes=len(request.body))
+        sent_s = now_s()
+        self._limits.count_request(instance.run)
         async with await self._pool.call(
             instance.key, instance.address, head, request.body, fresh=fresh
         ) as pooled:
-            yield await self._read_response(request, instance, pooled.connection)
+            yield await self._read_response(request, instance, pooled.connection, sent_s=sent_s)
 
     async def prefill(self, request: AdmittedRequest, call: BackendCall) -> KvHandle:
         """Run a prefill and return its KV cache handle; errors as in `send`."""
@@ -175,13 +188,17 @@
             The call may have taken effect, but no complete answer arrived in time.
         """
         self._check_pause(instance)
+        sent_s = now_s()
         try:
             async with asyncio.timeout(timeout_s):
                 async with await self._pool.call(
                     instance.key, instance.address, head, body
                 ) as pooled:
                     answer = await pooled.connection.read_head()
-                    self._record_notices(instance, self._wire.decode_response_head(answer))
+                    notices = self._wire.decode_response_head(answer)
+                    self._record_notices(instance, notices)
+                    if notices.limit_per_s is not None:  # a report need not repeat the limit
+                        self._record_limit(instance, notices, sent_s=sent_s)
                     content = await _read_all(pooled.connection, limit=_MAX_CALL_BYTES)
                     if content is None:
                         reason = f"its answer has more than {_MAX_CALL_BYTES} bytes"
@@ -207,7 +224,12 @@
             )
 
     async def _read_response(
-        self, request: AdmittedRequest, instance: BackendInstance, connection: BackendConnection
+        self,
+        request: AdmittedRequest,
+        instance: BackendInstance,
+        connection: BackendConnection,
+        *,
+        sent_s: float,
     ) -> BackendResponse:
         """Return the response to `request`; skip late responses to other requests."""
         for _ in range(_MAX_STALE_ANSWERS + 1):
@@ -215,6 +237,7 @@
             answer = self._wire.decode_response_head(head)
             self._record_notices(instance, answer)
             if answer.request_id in (None, request.request_id):
+                self._record_limit(instance, answer, sent_s=sent_s)
                 if answer.has_not_run:
                     await _discard_body(connection)
                 self._check_answer(answer, head, instance)
@@ -246,6 +269,13 @@
         if answer.pause_s is not None:
             self._notices.record_pause(instance, answer.pause_s)
 
+    def _record_limit(
+        self, instance: BackendInstance, answer: BackendResponseHead, *, sent_s: float
+    ) -> None:
+        """Record the limit that the answer to a request sent at `sent_s` states, or its end."""
+        if not answer.is_wrong_instance:
+            self._limits.record_answer(instance.run, answer.limit_per_s, sent_s=sent_s)
+
     def _check_answer(
         self, answer: BackendResponseHead, head: ResponseHead, instance: BackendInstance
     ) -> None:
--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -41,6 +41,7 @@
 )
 from flamingoshelf.retries import RetryBudgets
 from flamingoshelf.routing import InstanceDirectory, ServerNotices
+from flamingoshelf.server_limits import StatedLimits
 from flamingoshelf.store import KindStore, StoreEras
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import TaskGroup, boot_time_s, new_incarnation
@@ -109,7 +110,10 @@
         self._pool = ConnectionPool(
             max_connections=lambda key: self._node_limits.connections(self._directory.get(key))
         )
-        self._client = BackendClient(pool=self._pool, wire=wire, notices=self._notices)
+        self._limits = StatedLimits()
+        self._client = BackendClient(
+            pool=self._pool, wire=wire, notices=self._notices, limits=self._limits
+        )
         self._budgets = RetryBudgets(
             node_count=self._node_count, bounds=self._node_limits.retries()
         )
--- a/flamingoshelf/gateway/_wire.py
+++ b/flamingoshelf/gateway/_wire.py
@@ -125,6 +125,9 @@
     pause_s : float or None
         Seconds for which the server wants no request from this node; not a number if they are not
         readable.
+    limit_per_s : float or None
+        Requests per second that the server accepts from all nodes together, None if it states no
+        limit; not a number if it isn't readable.
     """
 
     request_id: str | None
@@ -134,6 +137,7 @@
     is_encoded: bool
     is_leaving: bool = False
     pause_s: float | None = None
+    limit_per_s: float | None = None
 
 
 class WireFormat(Protocol):
--- a/flamingoshelf/gateway/tests/conftest.py
+++ b/flamingoshelf/gateway/tests/conftest.py
@@ -32,6 +32,7 @@
     ServiceProfile,
     Workspace,
 )
+from flamingoshelf.server_limits import StatedLimits
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import now_s
 
@@ -271,6 +272,11 @@
     return ServerNotices(drain_s=lambda: 2.0)
 
 
+@pytest.fixture
+def limits():
+    return StatedLimits()
+
+
 @pytest.fixture
 def directory(notices):
     return InstanceDirectory(notices=notices)
--- a/flamingoshelf/gateway/tests/test_backend_client.py
+++ b/flamingoshelf/gateway/tests/test_backend_client.py
@@ -42,6 +42,7 @@
             is_encoded=head.headers.get("Content-Encoding") is not None,
             is_leaving=head.headers.get("Leaves") is not None,
             pause_s=None if (pause := head.headers.get("Pause")) is None else float(pause),
+            limit_per_s=None if (limit := head.headers.get("Limit")) is None else float(limit),
         )
 
 
@@ -51,13 +52,13 @@
 
 
 @pytest.fixture
-async def ask(new_request, notices):
+async def ask(new_request, notices, limits):
     """Return a function that sends requests to a server that answers each with the given bytes.
 
     With `endless`, the server goes on sending these bytes until the connection is closed.
     """
     pool = ConnectionPool(max_connections=lambda key: 4)
-    client = BackendClient(pool=pool, wire=Wire(), notices=notices)
+    client = BackendClient(pool=pool, wire=Wire(), notices=notices, limits=limits)
     connections = []
 
     @asynccontextmanager
@@ -192,11 +193,38 @@
         await ask(head, endless=b"x" * 65_536, call=True)
 
 
-async def test_limit_of_connections_is_told_apart_from_an_unreachable_server(notices, new_request):
+async def test_limit_of_connections_is_told_apart_from_an_unreachable_server(
+    notices, limits, new_request
+):
     """Guards against a server that is ejected because this node may open no connection to it."""
     pool = ConnectionPool(max_connections=lambda key: 0)
-    client = BackendClient(pool=pool, wire=Wire(), notices=notices)
+    client = BackendClient(pool=pool, wire=Wire(), notices=notices, limits=limits)
     call = BackendCall(instance=server("x"), workspace=None, remaining_s=1.0)
     with pytest.raises(NoFreeConnectionError):
         async with client.send(new_request(), call):
             pass
+
+
+# Only the answer to a caller's request ends a limit: late ones are older, and reports may lack it.
+async def test_limit_that_answers_state_is_recorded(ask, limits):
+    states, plain = response("Answers: q1", "Seal: s", "Limit: 2.5"), response("Answers: q1")
+    late = response("Answers: q0", "Limit: 1.0") + response("Answers: q1", "Seal: s")
+    run = server("x").run
+    await ask(response("Limit: 2.5"), call=True)
+    assert limits.limit(run) == 2.5
+    await ask(response(), call=True)
+    assert limits.limit(run) == 2.5
+    await ask(response("Answers: q1", "Seal: s"))
+    assert limits.limit(run) is None
+    await ask(states)
+    assert limits.limit(run) == 2.5
+    with pytest.raises(NotRunError):
+        await ask(response("Answers: q1", "Refused: 1", "Limit: 2.0", status=503))
+    assert limits.limit(run) == 2.0
+    with pytest.raises(WrongInstanceError):
+        await ask(response("Answers: q1", "Other: 1", "Refused: 1", status=421))
+    assert limits.limit(run) == 2.0
+    await ask(late)
+    assert limits.limit(run) is None
+    await ask(plain, call=True)
+    assert limits.limit(run) is None
--- a/flamingoshelf/platform/_wire.py
+++ b/flamingoshelf/platform/_wire.py
@@ -90,6 +90,7 @@
             is_encoded=head.headers.get("Content-Encoding") is not None,
             is_leaving=(head.headers.get("Server-Leaving") or "").strip() == "1",
             pause_s=_pause_s(head),
+            limit_per_s=_decimal(head.headers.get("Server-Limit")),
         )
 
     def decode_handle(self, body: bytes, instance: BackendInstance) -> KvHandle:
@@ -117,8 +118,14 @@
 
 def _pause_s(head: ResponseHead) -> float | None:
     """Return the pause that a refusal asks for, not a number if it can't be read."""
-    value = head.headers.get("Retry-After")
-    if head.status != _UNAVAILABLE_STATUS or value is None:
+    if head.status != _UNAVAILABLE_STATUS:
+        return None
+    return _decimal(head.headers.get("Retry-After"))
+
+
+def _decimal(value: str | None) -> float | None:
+    """Return a header's value, not a number if it can't be read, or None if there is none."""
+    if value is None:
         return None
     try:
         return float(value)
--- a/flamingoshelf/platform/tests/test_wire.py
+++ b/flamingoshelf/platform/tests/test_wire.py
@@ -180,3 +180,18 @@
     headers = [] if value is None else [("Server-Leaving", value)]
     head = ResponseHead(status=200, headers=Headers(headers))
     assert PlatformWire().decode_response_head(head).is_leaving is is_leaving
+
+
+@pytest.mark.parametrize(
+    ("value", "limit_per_s"), [("2.7", 2.7), ("0", 0.0), ("12", 12.0), ("-1", -1.0), (None, None)]
+)
+def test_limit_that_an_answer_states_is_decoded(value, limit_per_s):
+    headers = [] if value is None else [("Server-Limit", value)]
+    head = ResponseHead(status=200, headers=Headers(headers))
+    assert PlatformWire().decode_response_head(head).limit_per_s == limit_per_s
+
+
+@pytest.mark.parametrize("value", ["", "few", "2,7"])
+def test_limit_that_is_not_readable_is_not_a_number(value):
+    head = ResponseHead(status=200, headers=Headers([("Server-Limit", value)]))
+    assert math.isnan(PlatformWire().decode_response_head(head).limit_per_s or 0.0)
