Tests of whole nodes, failing: servers get several times the requests that they state as their limit

Stand-ins state a limit in all their answers; 14 requests/s are offered through 1, 3 and 6 nodes. On the logic of: two plain servers that state 2.0/s get 27 to 39 requests in 4 s (17 allowed) with any number of nodes, a decode engine that states 1.0/s gets 56 (11 allowed), a prefill engine that states 2.0/s gets 54 (17 allowed). The tests also ask that nine tenths of a limit are used, that the excess is refused at once as not run, that a server without a limit takes the rest, and that all is served again 1 s after the end.

The base of the stand-ins moved to a module of its own.

--- a/lab/gateway/_caller.py
+++ b/lab/gateway/_caller.py
@@ -35,6 +35,8 @@
         Error because of which the response is incomplete, or an empty string.
     sent_s : float
         Event loop time at which the request was wholly sent, or 0.
+    head_s : float
+        Event loop time at which the head of the answer arrived, or 0.
     """
 
     request_id: str
@@ -44,6 +46,7 @@
     is_complete: bool = False
     failure: str = ""
     sent_s: float = 0.0
+    head_s: float = 0.0
 
     @property
     def events(self) -> list[int]:
@@ -100,6 +103,7 @@
                 connection.send(head, body)
                 answer.sent_s = now_s()
                 response = await connection.read_head()
+                answer.head_s = now_s()
                 answer.status, answer.headers = response.status, response.headers
                 while part := await connection.read():
                     answer.body += part
--- a/lab/gateway/_servers.py
+++ b/lab/gateway/_servers.py
@@ -1,142 +1,22 @@
 """Stand-ins for backend servers: plain services and model engines."""
 
 import asyncio
-import itertools
 import json
 import random
 from collections.abc import Callable, Sequence
 from typing import Any, cast
 
-from flamingoshelf.http1 import Exchange, Headers, HttpServer, ResponseHead
-from flamingoshelf.utils import TaskGroup, now_s
-from lab.gateway._records import Run, RunLog, ServerFaults, Silence
+from flamingoshelf.http1 import Exchange, Headers, ResponseHead
+from flamingoshelf.utils import now_s
+from lab.gateway._records import Run, RunLog
+from lab.gateway._server_base import ServerStandIn, id_numbers
 
 __all__ = ["EngineStandIn", "PlainStandIn", "prompt_parts"]
 
-_MAX_BODY_BYTES = 8 * 1024 * 1024
 _TOKENS_PER_EVENT = 8
-_id_numbers = itertools.count(1)
 
 
-class _ServerStandIn:
-    """Base of the servers: identity, check of ``Expect-Instance`` and faults."""
-
-    def __init__(
-        self, *, address: str, service: str, zone: str, log: RunLog, random_source: random.Random
-    ) -> None:
-        self.instance_id = f"i-{next(_id_numbers):04d}"
-        self.address = address
-        self.service = service
-        self.zone = zone
-        self.log = log
-        self.random = random_source
-        self.faults = ServerFaults()
-        self.silence = Silence()
-        self.state = "ready"
-        self.is_leaving = False  # stated in all answers
-        self.started_ms = 1_700_000_000_000
-        self.tasks = TaskGroup(owner="server")
-        self._server = HttpServer(address=address, handle=self._handle)
-
-    async def start(self) -> None:
-        """Start listening."""
-        await self._server.start()
-
-    async def stop(self) -> None:
-        """Stop immediately, as in a crash."""
-        await self._server.stop()
-        self.silence.end()
-        await self.tasks.stop()
-
-    def renew(self) -> None:
-        """Become a new server at the same address."""
-        self.instance_id = f"i-{next(_id_numbers):04d}"
-        self.started_ms += 1
-
-    async def freeze(self, seconds: float) -> None:
-        """Fall silent for a time with all connections open; then go on where it was.
-
-        Running streams, calls and prefills stand still, and new connections are accepted but not
-        answered. Nothing is lost.
-        """
-        await self.silence.last(seconds)
-
-    def entry(self) -> dict[str, object]:
-        """Return the server's registration, as it is written to the store."""
-        return {
-            "service": self.service,
-            "address": self.address,
-            "zone": self.zone,
-            "version": "v1",
-            "slots": 8,
-            "state": self.state,
-            "coldLeftMs": 0,
-            "sequence": 1,
-            "born": self.started_ms,
-        }
-
-    async def _handle(self, exchange: Exchange) -> None:
-        body = await exchange.read_body(limit=_MAX_BODY_BYTES)
-        if self.faults.silent:
-            await asyncio.sleep(3600)
-        try:
-            await self.silence.wait()
-        except asyncio.CancelledError:
-            # The request was received, and a silent server doesn't notice that its caller left: it
-            # begins afterwards, and ends when it first waits.
-            await self.silence.wait()
-            cast(asyncio.Task[None], asyncio.current_task()).cancel()
-        expected = exchange.head.headers.get("Expect-Instance")
-        if expected is not None and expected != self.instance_id:
-            self._respond(exchange, 421, b"", ("Instance-Id", self.instance_id))
-            return
-        await self._serve(exchange, body)
-
-    async def _serve(self, exchange: Exchange, body: bytes) -> None:
-        raise NotImplementedError
-
-    def _start_run(self, exchange: Exchange, body: bytes) -> Run | None:
-        """Return the run of a new request, or None if a fault prevents it from running."""
-        if self._draw_fault(self.faults.reset_before):
-            exchange.abort()
-            return None
-        request_id = exchange.head.headers.get("Request-Id") or ""
-        run = Run(
-            server=self.instance_id,
-            request_id=request_id,
-            service=self.service,
-            headers=exchange.head.headers,
-            method=exchange.head.method,
-            target=exchange.head.target,
-            body=body,
-            at_s=now_s(),
-        )
-        self.log.arrivals.append(run)
-        if self.faults.full:
-            headers = [("Not-Run", "1"), ("Request-Id", request_id)]
-            if self.faults.pause_s:
-                headers.append(("Retry-After", str(self.faults.pause_s)))
-            self._respond(exchange, 503, b"", *headers)
-            return None
-        return run
-
-    def _respond(
-        self, exchange: Exchange, status: int, body: bytes, *items: tuple[str, str]
-    ) -> None:
-        """Write a complete response."""
-        head = ResponseHead(status=status, headers=Headers([*items, *self._notices()]))
-        exchange.respond(head, body)
-
-    def _notices(self) -> list[tuple[str, str]]:
-        """Return the headers that state something about the server in all its answers."""
-        return [("Server-Leaving", "1")] if self.is_leaving else []
-
-    def _draw_fault(self, share: float) -> bool:
-        """Return True with probability `share`."""
-        return share > 0 and self.random.random() < share
-
-
-class PlainStandIn(_ServerStandIn):
+class PlainStandIn(ServerStandIn):
     """Server of a plain service that echoes the request body.
 
     Attributes
@@ -191,7 +71,7 @@
         output._transport.write("\r\n".join([*lines, "", ""]).encode() + content)
 
 
-class EngineStandIn(_ServerStandIn):
+class EngineStandIn(ServerStandIn):
     """Model engine: runs prefills, keeps handles, streams answers and accepts role orders.
 
     Parameters
@@ -334,7 +214,7 @@
         if self._draw_fault(self.faults.reset_after):
             exchange.abort()
             return
-        handle = f"h{next(_id_numbers)}"
+        handle = f"h{next(id_numbers)}"
         self._handles[handle] = now_s() + self.handle_lifetime_s
         document = {"handle": handle, "tokens": _token_counts(run.headers)[0], "version": 1}
         self._respond(exchange, 200, json.dumps(document).encode(), ("Request-Id", run.request_id))
