Cluster: requests to the coordinator, apart from placement

The wait for a coordinator, its failure reports and the switch to another one were part of placement's calls. They move to cluster, unchanged, so that permits for servers with limits can use them as well.

--- a/flamingoshelf/placement/_fleet.py
+++ b/flamingoshelf/placement/_fleet.py
@@ -8,9 +8,9 @@
 from loguru import logger
 
 from flamingoshelf.base import NodeLink
-from flamingoshelf.cluster import Coordination
+from flamingoshelf.cluster import CallRecord, Coordination
 from flamingoshelf.exceptions import FlamingoshelfError
-from flamingoshelf.placement._coordinator_calls import CallRecord, CoordinatorCalls
+from flamingoshelf.placement._coordinator_calls import CoordinatorCalls
 from flamingoshelf.placement._health import FailureKind
 from flamingoshelf.placement._messages import (
     AcquireTurn,
