--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -14,6 +14,7 @@
 from flamingoshelf.gateway._crash_protection import CrashProtection
 from flamingoshelf.gateway._engine_control import EngineControl, EngineWire
 from flamingoshelf.gateway._engine_prober import EngineProber
+from flamingoshelf.gateway._fleet_view import FleetView
 from flamingoshelf.gateway._load_poller import LoadPoller
 from flamingoshelf.gateway._lost_nodes import remove_lost_nodes
 from flamingoshelf.gateway._node_limits import NodeLimits
@@ -102,10 +103,11 @@
         self._is_leaving = False
         self._answer_by_s = float("inf")
         self._members = MemberList()
+        self._fleet = FleetView(members=self._members)
         self._node_limits = NodeLimits(
             settings=lambda: self._settings,
             configuration=self._configuration,
-            node_count=self._node_count,
+            node_count=self._fleet.node_count,
         )
         self._pool = ConnectionPool(
             max_connections=lambda key: self._node_limits.connections(self._directory.get(key))
@@ -115,11 +117,11 @@
             pool=self._pool, wire=wire, notices=self._notices, limits=self._limits
         )
         self._budgets = RetryBudgets(
-            node_count=self._node_count, bounds=self._node_limits.retries()
+            node_count=self._fleet.node_count, bounds=self._node_limits.retries()
         )
         # Starts empty: a previous dispatcher may have spent a whole reserve in the same window.
         self._placement_budgets = RetryBudgets(
-            node_count=self._placing_node_count,
+            node_count=self._fleet.placing_node_count,
             bounds=self._node_limits.retries(),
             starts_empty=True,
         )
@@ -144,7 +146,7 @@
             new_dispatcher=self._new_dispatcher,
             limits=WorkspaceLimits(limit=self._node_limits.workspace_limit),
             budget=self._placement_budgets.budget,
-            other_nodes=self._responsive_nodes,
+            other_nodes=self._fleet.responsive_nodes,
         )
         self._plain_calls = PlainCallMeter()
         self._crash_protection = CrashProtection(
@@ -155,7 +157,7 @@
             metrics=self._metrics,
             random_source=self._random,
             may_write=lambda: self._coordination is None or self._coordination.is_coordinator,
-            is_cut_off=self._may_others_place,
+            is_cut_off=self._fleet.may_others_place,
         )
         self._placer = FleetPlacer(
             node_name=settings.node_name,
@@ -168,7 +170,7 @@
         self._load_poller = LoadPoller(
             dispatchers=self._dispatchers.dispatchers,
             control=control,
-            is_needed=self._may_others_place,
+            is_needed=self._fleet.may_others_place,
         )
         self._role_controller = RoleController(
             dispatchers=self._dispatchers.dispatchers,
@@ -337,6 +339,7 @@
         await link.start()
         await coordination.start()
         self._link, self._coordination = link, coordination
+        self._fleet.connect(coordination)
         self._placer.connect(link, coordination)
 
     def _render_metrics(self) -> bytes:
@@ -355,16 +358,6 @@
                 self._dispatchers.runner(service)
         return True
 
-    def _may_others_place(self) -> bool:
-        """Return whether this node places requests while nodes it cannot reach may do so too."""
-        coordination = self._coordination
-        if coordination is None:
-            return True
-        return coordination.is_coordinator and coordination.reachable_count < len(self._members)
-
-    def _responsive_nodes(self) -> set[str]:
-        return set() if self._coordination is None else self._coordination.responsive_members()
-
     def _engine_services(self) -> list[str]:
         if not self._configuration.is_known:
             return []
@@ -376,15 +369,6 @@
         await asyncio.sleep(_METRICS_BUILD_DELAY_S)
         self._metrics.build()
 
-    def _node_count(self) -> int:
-        return max(1, len(self._members))
-
-    def _placing_node_count(self) -> int:
-        """Return how many nodes may be placing requests: 1 while all members are reachable."""
-        # Otherwise an upper bound, assuming each part of a split fleet is as large as this one.
-        reachable = 1 if self._coordination is None else self._coordination.reachable_count
-        return max(1, -(-len(self._members) // reachable))
-
     def _new_dispatcher(self, service: str) -> Dispatcher:
         return Dispatcher(
             service=service,
