--- a/flamingoshelf/cluster/_messages.py
+++ b/flamingoshelf/cluster/_messages.py
@@ -28,11 +28,15 @@
         Backend servers that leave and are listed as ready.
     crashes : int
         Digest of the crashes that the node knows, 0 if it knows none.
+    limits : int or None
+        Digest of the limits of backend servers that the node knows, 0 if it knows none; None if it
+        is of a version that doesn't share them.
     """
 
     configuration_version: int = 0
     leaving: tuple[LeavingRun, ...] = ()
     crashes: int = 0
+    limits: int | None = None
 
 
 @message
--- a/flamingoshelf/diagnosis/_cause.py
+++ b/flamingoshelf/diagnosis/_cause.py
@@ -10,7 +10,15 @@
 
 __all__ = ["Explanation", "explain"]
 
-_FORECAST_FIELDS = ("waiting", "turns", "memory_wait_s", "first_event_s", "run_s", "leaves_in_s")
+_FORECAST_FIELDS = (
+    "waiting",
+    "turns",
+    "memory_wait_s",
+    "permit_wait_s",
+    "first_event_s",
+    "run_s",
+    "leaves_in_s",
+)
 _FIRST_SERVER_ERROR_STATUS = 500
 
 
--- a/flamingoshelf/gateway/_backend_client.py
+++ b/flamingoshelf/gateway/_backend_client.py
@@ -209,7 +209,15 @@
             raise OutcomeUnknownError(reason, step=step, peer=instance.key) from error
 
     def release_handle(self, handle: KvHandle, instance: BackendInstance) -> None:
-        """Release a KV cache handle in the background."""
+        """Release a KV cache handle in the background.
+
+        That of an engine at its limit expires by itself soon.
+        """
+        if self._limits.limit(instance.run) is not None:
+            logger.bind(step="free_handle", peer=instance.key).debug(
+                "handle not released; the engine limits its requests"
+            )
+            return
         self._tasks.start(self._send_handle_release(handle, instance), name="free_handle")
 
     async def _send_handle_release(self, handle: KvHandle, instance: BackendInstance) -> None:
--- a/flamingoshelf/gateway/_engine_prober.py
+++ b/flamingoshelf/gateway/_engine_prober.py
@@ -55,6 +55,10 @@
         if engine is None:
             dispatcher.engines.health.remove(key)
             return
+        if not dispatcher.engines.has_permit(key):
+            logger.bind(step="probe", peer=key).debug("probe held back by the engine's limit")
+            return
+        dispatcher.engines.spend_permit(key)
         is_answered = True
         began_s = now_s()
         try:
--- a/flamingoshelf/gateway/_load_poller.py
+++ b/flamingoshelf/gateway/_load_poller.py
@@ -19,7 +19,8 @@
 class LoadPoller:
     """Polls decode engines that other nodes may use without this node's knowledge.
 
-    A few reports are read in any case, until the tokens in an event are known.
+    A few reports are read in any case, until the tokens in an event are known. Engines that state
+    limits are not polled.
 
     Parameters
     ----------
@@ -58,7 +59,11 @@
             for dispatcher in self._dispatchers():
                 if not dispatcher.queue_length and not dispatcher.active_turn_count:
                     continue
-                engines = dispatcher.engines.usable_decodes()
+                engines = [
+                    engine
+                    for engine in dispatcher.engines.usable_decodes()
+                    if not dispatcher.engines.is_limited(engine.key)
+                ]
                 if is_needed:
                     await asyncio.gather(*(self._read_report(dispatcher, e) for e in engines))
                 elif dispatcher.model.needs_counted_runs and engines:
--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -42,7 +42,7 @@
 )
 from flamingoshelf.retries import RetryBudgets
 from flamingoshelf.routing import InstanceDirectory, ServerNotices
-from flamingoshelf.server_limits import StatedLimits
+from flamingoshelf.server_limits import LimitService
 from flamingoshelf.store import KindStore, StoreEras
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import TaskGroup, boot_time_s, new_incarnation
@@ -112,9 +112,12 @@
         self._pool = ConnectionPool(
             max_connections=lambda key: self._node_limits.connections(self._directory.get(key))
         )
-        self._limits = StatedLimits()
+        self._incarnation = new_incarnation()
+        self._limits = LimitService(
+            node_name=settings.node_name, incarnation=self._incarnation, members=self._members
+        )
         self._client = BackendClient(
-            pool=self._pool, wire=wire, notices=self._notices, limits=self._limits
+            pool=self._pool, wire=wire, notices=self._notices, limits=self._limits.stated
         )
         self._budgets = RetryBudgets(
             node_count=self._fleet.node_count, bounds=self._node_limits.retries()
@@ -126,7 +129,6 @@
             starts_empty=True,
         )
         self._tasks = TaskGroup(owner="node")
-        self._incarnation = new_incarnation()
         self._link: WebsocketNodeLink | None = None
         self._coordination: Coordination | None = None
         self._registration = Registration(
@@ -218,6 +220,7 @@
             directory=self._directory,
             notices=self._notices,
             quarantine=self._crash_protection.quarantine,
+            limits=self._limits,
         )
         self._caller_server = HttpServer(
             address=settings.caller_address,
@@ -226,6 +229,7 @@
                 client=self._client,
                 directory=self._directory,
                 notices=self._notices,
+                limits=self._limits,
                 placer=self._placer,
                 plain_calls=self._plain_calls,
                 crash_detector=self._crash_protection.detector,
@@ -307,6 +311,7 @@
             await self._coordination.stop()
         if self._link is not None:
             await self._link.stop()
+        await self._limits.stop()
         await self._crash_protection.stop()
         await self._client.stop()
         await self._pool.stop()
@@ -336,6 +341,7 @@
         self._dispatchers.register(link)
         self._store_follower.set_link(link)
         self._crash_protection.connect(link)
+        self._limits.connect(link, coordination)
         await link.start()
         await coordination.start()
         self._link, self._coordination = link, coordination
@@ -375,6 +381,7 @@
             instances=lambda: self._directory.ready(service),
             profile=lambda: self._node_limits.engine_profile(service),
             random_source=self._random,
+            limits=self._limits.keeper,
         )
 
     def _on_servers_changed(self) -> None:
--- a/flamingoshelf/gateway/_peer_news.py
+++ b/flamingoshelf/gateway/_peer_news.py
@@ -5,6 +5,7 @@
 from flamingoshelf.gateway._configuration_exchange import ConfigurationExchange
 from flamingoshelf.quarantine import QuarantineService
 from flamingoshelf.routing import InstanceDirectory, ServerNotices, ServerRun
+from flamingoshelf.server_limits import LimitService
 
 __all__ = ["PeerNews"]
 
@@ -26,6 +27,8 @@
         Learns of servers that leave.
     quarantine : QuarantineService
         Learns which nodes know of other crashes.
+    limits : LimitService
+        Learns which nodes know other limits of servers.
     """
 
     def __init__(
@@ -36,7 +39,9 @@
         directory: InstanceDirectory,
         notices: ServerNotices,
         quarantine: QuarantineService,
+        limits: LimitService,
     ) -> None:
+        self._limits = limits
         self._quarantine = quarantine
         self._configuration = configuration
         self._exchange = exchange
@@ -53,12 +58,14 @@
                 for server in leaving[:_MAX_TOLD_SERVERS]
             ),
             crashes=self._quarantine.digest,
+            limits=self._limits.digest,
         )
 
     def record(self, peer: str, news: NodeNews) -> None:
         """Take in what another node tells."""
         self._exchange.record_version(peer, news.configuration_version)
         self._quarantine.record_digest(peer, news.crashes)
+        self._limits.record_digest(peer, news.limits)
         for run in news.leaving:
             server = ServerRun(instance_id=run.server, started_ms=run.started_ms)
             self._notices.record_leaving(server, source=peer)
--- a/flamingoshelf/gateway/_plain_forwarder.py
+++ b/flamingoshelf/gateway/_plain_forwarder.py
@@ -16,6 +16,7 @@
 )
 from flamingoshelf.gateway._crash_detector import BEGUN_EVENTS, CrashDetector
 from flamingoshelf.gateway._plain_attempt import PlainAttempt
+from flamingoshelf.gateway._plain_server_chooser import PlainServerChooser
 from flamingoshelf.gateway._plain_state import PlainState, final_refusal
 from flamingoshelf.gateway._target_selector import TargetSelector
 from flamingoshelf.gateway._wire import BackendCall
@@ -23,7 +24,8 @@
 from flamingoshelf.placement import PlainCallMeter
 from flamingoshelf.refusals import Refusal, RetryReason
 from flamingoshelf.retries import RetryBudget
-from flamingoshelf.routing import BackendInstance, ServerSelector
+from flamingoshelf.routing import ServerSelector
+from flamingoshelf.server_limits import LimitService
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import now_s
 
@@ -52,6 +54,8 @@
         Chooses the service of a route and lists its servers.
     selector : ServerSelector
         Chooses a server by load and failures.
+    limits : LimitService
+        Gives permits for servers that state limits.
     budget : callable
         ``budget(service)`` returns the retry budget of a service.
     plain_calls : PlainCallMeter
@@ -68,6 +72,7 @@
         client: BackendClient,
         targets: TargetSelector,
         selector: ServerSelector,
+        limits: LimitService,
         budget: Callable[[str], RetryBudget],
         plain_calls: PlainCallMeter,
         crash_detector: CrashDetector,
@@ -78,6 +83,7 @@
         self._client = client
         self._targets = targets
         self._selector = selector
+        self._servers = PlainServerChooser(targets=targets, selector=selector, limits=limits)
         self._budget = budget
         self._metrics = metrics
 
@@ -106,7 +112,7 @@
 
     async def _answer(self, state: PlainState) -> Refusal | None:
         """Start calls and wait for them until one has a good answer or none is left."""
-        self._start_attempt(state)
+        await self._start_attempt(state)
         while running := state.running:
             until_s = state.request.deadline_s
             pending = [a for a in running if not a.is_overdue and a.overdue_s < until_s]
@@ -124,9 +130,9 @@
                 await self._relay(state, good[0])
                 return None
             if ended:
-                self._retry(state, ended)
+                await self._retry(state, ended)
             elif next_overdue is not None:
-                self._hedge(state, next_overdue)
+                await self._hedge(state, next_overdue)
             else:
                 self._time_out(state)
         if state.failure is not None:
@@ -134,23 +140,28 @@
             return None
         return final_refusal(state)
 
-    def _start_attempt(self, state: PlainState) -> str:
+    async def _start_attempt(self, state: PlainState) -> str:
         """Call another server; return the reason if that is not possible, else an empty string."""
         route = state.request.route
         if state.may_have_run and not route.may_repeat:
             return "it may not be repeated"
         if state.may_have_run and state.may_have_run >= route.max_attempts:
             return "no attempt is left"
-        instance = self._choose_server(state)
-        if instance is None:
-            return "no other server"
         if state.was_sent and self._crash_detector.check(state.request) is not None:
             return "its content is quarantined"
-        if state.remaining_s < _MIN_REMAINING_S:
+        is_repeat = state.was_sent
+        if is_repeat and not self._budget(state.service).try_spend():
+            return "the retry budget is spent"
+        instance = await self._servers.choose(state)
+        if instance is None or state.remaining_s < _MIN_REMAINING_S:
+            if is_repeat:
+                self._budget(state.service).refund(1.0)
+            if instance is None:
+                return "no other server"
             state.is_out_of_time = True
             return "no time is left"
-        if state.was_sent and not self._spend_retry(state):
-            return "the retry budget is spent"
+        if is_repeat:
+            self._metrics.count_retry(RetryReason.SERVICE_FAILED)
         call = BackendCall(
             instance=instance,
             workspace=state.request.workspace_name,
@@ -167,21 +178,6 @@
         self._selector.start_call(attempt.key)
         return ""
 
-    def _choose_server(self, state: PlainState) -> BackendInstance | None:
-        servers = self._targets.instances(state.service)
-        pauses = self._targets.pauses(state.service)
-        if servers and len(pauses) == len(servers):
-            state.pause_s = min(pauses.values())
-        servers = [server for server in servers if server.key not in pauses]
-        key = self._selector.choose(servers, tried=state.tried)
-        return next((server for server in servers if server.key == key), None)
-
-    def _spend_retry(self, state: PlainState) -> bool:
-        if not self._budget(state.service).try_spend():
-            return False
-        self._metrics.count_retry(RetryReason.SERVICE_FAILED)
-        return True
-
     def _has_good_answer(self, state: PlainState, attempt: PlainAttempt) -> bool:
         """Return whether a call has a good answer; record how it ended if not."""
         log = self._log(state, attempt)
@@ -225,18 +221,18 @@
         self._end(attempt, is_failure=is_failure)
         return False
 
-    def _retry(self, state: PlainState, ended: list[PlainAttempt]) -> None:
+    async def _retry(self, state: PlainState, ended: list[PlainAttempt]) -> None:
         """Call another server after calls have ended without a good answer."""
-        self._start_attempt(state)
+        await self._start_attempt(state)
         if state.failure in ended and state.running:
             status = state.failure.task.result().head.status
             self._log(state, state.failure).info("status {}; another server is tried", status)
 
-    def _hedge(self, state: PlainState, attempt: PlainAttempt) -> None:
+    async def _hedge(self, state: PlainState, attempt: PlainAttempt) -> None:
         """Call another server beside an overdue call."""
         attempt.is_overdue = True
         self._selector.record_silence(attempt.key, since_s=attempt.started_s)
-        obstacle = self._start_attempt(state)
+        obstacle = await self._start_attempt(state)
         log = self._log(state, attempt).bind(waited_s=round(now_s() - attempt.started_s, 3))
         if obstacle:
             log.info("call overdue; no other server is called: {}", obstacle)
--- a/flamingoshelf/gateway/_plain_state.py
+++ b/flamingoshelf/gateway/_plain_state.py
@@ -35,6 +35,8 @@
         Last error of an attempt.
     pause_s : float or None
         Seconds until the first server takes requests again, if all have asked for a pause.
+    limit_wait_s : float or None
+        Seconds until a server accepts another request, if all that can be used are at their limits.
     """
 
     exchange: Exchange
@@ -47,6 +49,7 @@
     failure: PlainAttempt | None = None
     last_error: Exception | None = None
     pause_s: float | None = None
+    limit_wait_s: float | None = None
 
     @property
     def running(self) -> list[PlainAttempt]:
@@ -85,6 +88,9 @@
     if state.pause_s is not None:
         detail = "All servers have asked for a pause."
         return _not_run_refusal(RefusalReason.QUEUE_FULL, detail, state.pause_s)
+    if state.limit_wait_s is not None:
+        detail = "All servers are at the limits that they state."
+        return _not_run_refusal(RefusalReason.SERVERS_LIMITED, detail, state.limit_wait_s)
     if state.rejections:
         detail = "The servers are full."
         return _not_run_refusal(RefusalReason.QUEUE_FULL, detail, _REJECTED_RETRY_AFTER_S)
--- a/flamingoshelf/gateway/_request_path.py
+++ b/flamingoshelf/gateway/_request_path.py
@@ -15,6 +15,7 @@
 from flamingoshelf.placement import Placer, PlainCallMeter
 from flamingoshelf.retries import RetryBudget
 from flamingoshelf.routing import EjectionRule, InstanceDirectory, ServerNotices, ServerSelector
+from flamingoshelf.server_limits import LimitService
 from flamingoshelf.telemetry import Metrics
 
 __all__ = ["new_gateway"]
@@ -26,6 +27,7 @@
     client: BackendClient,
     directory: InstanceDirectory,
     notices: ServerNotices,
+    limits: LimitService,
     placer: Placer,
     plain_calls: PlainCallMeter,
     crash_detector: CrashDetector,
@@ -49,6 +51,7 @@
         selector=ServerSelector(
             data_centre=data_centre, rule=EjectionRule(), random_source=random_source
         ),
+        limits=limits,
         budget=budget,
         plain_calls=plain_calls,
         crash_detector=crash_detector,
--- a/flamingoshelf/gateway/_role_controller.py
+++ b/flamingoshelf/gateway/_role_controller.py
@@ -114,6 +114,10 @@
         """Order one role change, unless the engine's report or the token forbids it."""
         engine = change.engine
         log = logger.bind(step="order", peer=engine.key, role=change.role.value, token=token.number)
+        if not dispatcher.engines.has_permit(engine.key):
+            log.info("role change not ordered; the engine is at its limit")
+            return
+        dispatcher.engines.spend_permit(engine.key)
         try:
             report = await self._control.report(engine)
         except FlamingoshelfError as error:
@@ -136,6 +140,7 @@
                 token=token.number,
                 expected_order_count=report.order_count,
             )
+            dispatcher.engines.spend_permit(engine.key)
             outcome = await self._control.order(engine, order)
         except FlamingoshelfError as error:
             # The order may still be carried out; the engine's reports and store entry will show it.
--- a/flamingoshelf/gateway/tests/conftest.py
+++ b/flamingoshelf/gateway/tests/conftest.py
@@ -7,6 +7,7 @@
 import attrs
 import pytest
 
+from flamingoshelf.cluster import MemberList
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
 from flamingoshelf.gateway import (
     ActiveConfiguration,
@@ -32,7 +33,7 @@
     ServiceProfile,
     Workspace,
 )
-from flamingoshelf.server_limits import StatedLimits
+from flamingoshelf.server_limits import LimitService
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import now_s
 
@@ -273,8 +274,13 @@
 
 
 @pytest.fixture
-def limits():
-    return StatedLimits()
+def limit_service():
+    return LimitService(node_name="n", incarnation="1", members=MemberList())
+
+
+@pytest.fixture
+def limits(limit_service):
+    return limit_service.stated
 
 
 @pytest.fixture
--- a/flamingoshelf/gateway/tests/test_changed_configuration.py
+++ b/flamingoshelf/gateway/tests/test_changed_configuration.py
@@ -7,6 +7,7 @@
 import attrs
 import pytest
 
+from flamingoshelf.cluster import MemberList
 from flamingoshelf.gateway import CallerRequest, GatewaySettings
 from flamingoshelf.gateway._node_limits import NodeLimits
 from flamingoshelf.gateway._request_path import new_gateway
@@ -30,6 +31,7 @@
     ServiceProfile,
     Workspace,
 )
+from flamingoshelf.server_limits import LimitService
 from flamingoshelf.utils import now_s
 
 pytestmark = pytest.mark.looptime
@@ -110,6 +112,7 @@
             client=client,
             directory=directory,
             notices=notices,
+            limits=LimitService(node_name="n", incarnation="1", members=MemberList()),
             placer=placer,
             plain_calls=self.plain_calls,
             crash_detector=crash_detector,
--- a/flamingoshelf/gateway/tests/test_competing_attempts.py
+++ b/flamingoshelf/gateway/tests/test_competing_attempts.py
@@ -247,7 +247,15 @@
 
 
 async def test_large_failure_is_dropped_before_a_large_answer_is_streamed(
-    client, targets, budget, crash_detector, metrics, new_request, new_exchange, list_servers
+    client,
+    targets,
+    limit_service,
+    budget,
+    crash_detector,
+    metrics,
+    new_request,
+    new_exchange,
+    list_servers,
 ):
     """Guards against a server that is held up by an answer which nobody will get."""
     forwarder = PlainForwarder(
@@ -256,6 +264,7 @@
         selector=ServerSelector(
             data_centre="a", rule=EjectionRule(), random_source=random.Random(1)
         ),
+        limits=limit_service,
         budget=lambda service: budget,
         plain_calls=PlainCallMeter(),
         crash_detector=crash_detector,
--- a/flamingoshelf/gateway/tests/test_plain_faults.py
+++ b/flamingoshelf/gateway/tests/test_plain_faults.py
@@ -11,6 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from flamingoshelf.cluster import MemberList
 from flamingoshelf.gateway import (
     ActiveConfiguration,
     AdmittedRequest,
@@ -42,6 +43,7 @@
     ServerNotices,
     ServerSelector,
 )
+from flamingoshelf.server_limits import LimitService
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import now_s
 
@@ -92,6 +94,7 @@
         client=client,
         targets=targets,
         selector=selector,
+        limits=LimitService(node_name="n", incarnation="1", members=MemberList()),
         budget=lambda service: budget,
         plain_calls=PlainCallMeter(),
         crash_detector=crash_detector,
--- a/flamingoshelf/gateway/tests/test_plain_forwarder.py
+++ b/flamingoshelf/gateway/tests/test_plain_forwarder.py
@@ -41,11 +41,14 @@
 
 
 @pytest.fixture
-def forwarder(client, targets, selector, budget, plain_calls, crash_detector, metrics):
+def forwarder(
+    client, targets, selector, limit_service, budget, plain_calls, crash_detector, metrics
+):
     return PlainForwarder(
         client=client,
         targets=targets,
         selector=selector,
+        limits=limit_service,
         budget=lambda service: budget,
         plain_calls=plain_calls,
         crash_detector=crash_detector,
--- a/flamingoshelf/placement/_dispatcher.py
+++ b/flamingoshelf/placement/_dispatcher.py
@@ -18,7 +18,6 @@
 from flamingoshelf.placement._forecast import PrefillForecast
 from flamingoshelf.placement._owner_reports import OwnerReports
 from flamingoshelf.placement._queue import QueuedRequest, WaitingQueue, grant_candidates
-from flamingoshelf.placement._refusals import no_engine_refusal, queue_full_refusal
 from flamingoshelf.placement._refused_requests import RefusedRequests
 from flamingoshelf.placement._role_plan import RequestCost
 from flamingoshelf.placement._types import (
@@ -29,13 +28,11 @@
     request_id_of,
 )
 from flamingoshelf.routing import BackendInstance, EngineProfile
+from flamingoshelf.server_limits import LimitKeeper
 from flamingoshelf.utils import now_s
 
 __all__ = ["Dispatcher"]
 
-# Bursts last several seconds; callers that all retry at the same moment would cause another one.
-_MIN_RETRY_AFTER_S = 1.0
-_MAX_RETRY_AFTER_S = 3.0
 # Part of all decode memory that late requests leave free for requests that can be on time.
 _LATE_RESERVE_SHARE = 0.1
 # Part of a handle's lifetime for which a processed prompt waits for room at a decode engine.
@@ -56,6 +53,8 @@
         Returns the capacity of an engine, or None if the service is not configured.
     random_source : random.Random
         Spreads the retry delays of refused callers and breaks ties between equal engines.
+    limits : LimitKeeper or None
+        Permits of the engines that state limits; None if they are not observed.
     clock : callable
         Returns the time in seconds.
     """
@@ -67,6 +66,7 @@
         instances: Callable[[], Sequence[BackendInstance]],
         profile: Callable[[], EngineProfile | None],
         random_source: random.Random,
+        limits: LimitKeeper | None = None,
         clock: Callable[[], float] = now_s,
     ) -> None:
         self._random = random_source
@@ -74,7 +74,9 @@
         self._profile = profile
         self._clock = clock
         self._model = EngineModel(service=service)
-        self._engines = EngineTable(instances=instances, profile=profile, model=self._model)
+        self._engines = EngineTable(
+            instances=instances, profile=profile, model=self._model, limits=limits
+        )
         self._selector = EngineSelector(engines=self._engines, random_source=random_source)
         self._queue = WaitingQueue()
         self._active_turns: dict[str, ActiveTurn] = {}
@@ -291,6 +293,8 @@
             decode_id: str | None = active.decode_id
         else:
             decode_id = self._selector.decode(request, now, near=active.turn.prefill_id)
+            if decode_id not in (None, active.decode_id):
+                self._engines.spend_permit(decode_id)
         if decode_id is not None:
             active.decode_id = decode_id
         self._engines.decode_tracker(active.decode_id).add(
@@ -305,21 +309,19 @@
             return []
         self._feasibility_checked_s = now
         checker = FeasibilityChecker(
+            service=self._service,
             engines=self._engines,
             now_s=now,
+            random_source=self._random,
             waiting=len(self._queue),
             turns=len(self._active_turns),
         )
         refused = []
         for queued, _ in self._rank_queue(PrefillForecast(engines=self._engines, now_s=now), now):
-            request = queued.request
-            if not self._engines.any_can_ever_fit(request.prompt_tokens, request.expected_tokens):
-                refusal = no_engine_refusal(self._service)
-            elif checker.is_infeasible(queued):
-                retry_after_s = self._random.uniform(_MIN_RETRY_AFTER_S, _MAX_RETRY_AFTER_S)
-                refusal = queue_full_refusal(self._service, retry_after_s=retry_after_s)
-            else:
+            refusal = checker.check(queued)
+            if refusal is None:
                 continue
+            request = queued.request
             self._queue.remove(request.turn_id)
             self._refused.record_goal(request.content, queued.first_event_by_s, now)
             refused.append(
@@ -348,7 +350,7 @@
         blocked: set[str] = set()  # engines reserved for earlier requests that don't fit yet
         for queued, is_on_time in grant_candidates(ranked_requests):
             request = queued.request
-            if not is_on_time and not self._has_spare_memory(now):
+            if not is_on_time and self._engines.memory_load(now) >= 1 - _LATE_RESERVE_SHARE:
                 break
             prefill_id = self._selector.prefill(request, now)
             if prefill_id is None and self._engines.has_prefill:
@@ -378,6 +380,8 @@
             tracker = self._engines.prefill_tracker(prefill_id)
             prefill_s = tracker.wait_s(now) + tracker.work_s(request.prompt_tokens)
             tracker.add_prompt(request.turn_id, request.prompt_tokens, now)
+            self._engines.spend_permit(prefill_id)
+        self._engines.spend_permit(decode_id)
         turn = Turn(
             turn_id=request.turn_id,
             service=self._service,
@@ -393,7 +397,3 @@
             turn=turn, request=request, owner=queued.owner, granted_s=now, decode_id=decode_id
         )
         return TurnDecided(turn_id=request.turn_id, owner=queued.owner, outcome=turn)
-
-    def _has_spare_memory(self, now: float) -> bool:
-        """Return whether enough decode memory is free to serve late requests."""
-        return self._engines.memory_load(now) < 1 - _LATE_RESERVE_SHARE
--- a/flamingoshelf/placement/_engine_selector.py
+++ b/flamingoshelf/placement/_engine_selector.py
@@ -38,7 +38,7 @@
         choices = []
         for engine in self._engines.usable_prefills(avoid=request.avoid, exclude=request.exclude):
             tracker = self._engines.prefill_tracker(engine.key)
-            if tracker.accepts_work(now_s, max_wait_s=_MAX_PREFILL_BACKLOG_S):
+            if self._accepts_prefill(engine.key, now_s):
                 done_s = tracker.wait_s(now_s) + tracker.work_s(request.prompt_tokens)
                 tier = self._engines.tier(engine.key)
                 choices.append((tier, done_s, self._random.random(), engine.key))
@@ -47,10 +47,7 @@
     def has_idle_prefill(self, now_s: float) -> bool:
         """Return whether any prefill engine accepts a prompt."""
         return any(
-            self._engines.prefill_tracker(engine.key).accepts_work(
-                now_s, max_wait_s=_MAX_PREFILL_BACKLOG_S
-            )
-            for engine in self._engines.usable_prefills()
+            self._accepts_prefill(engine.key, now_s) for engine in self._engines.usable_prefills()
         )
 
     def decode(
@@ -82,9 +79,17 @@
                 return min(choices)[-1]
         return None
 
+    def _accepts_prefill(self, key: str, now_s: float) -> bool:
+        tracker = self._engines.prefill_tracker(key)
+        return self._engines.has_permit(key) and tracker.accepts_work(
+            now_s, max_wait_s=_MAX_PREFILL_BACKLOG_S
+        )
+
     def _free_share(self, key: str, request: PlacementRequest, now_s: float) -> float | None:
-        """Return the free part of an engine's memory, or None if the request doesn't fit."""
+        """Return the free part of an engine's memory, or None if it doesn't accept the request."""
         tracker = self._engines.decode_tracker(key)
+        if not self._engines.has_permit(key):
+            return None
         if not tracker.fits(request.prompt_tokens, request.expected_tokens, now_s):
             return None
         return tracker.free_share(now_s)
--- a/flamingoshelf/placement/_engines.py
+++ b/flamingoshelf/placement/_engines.py
@@ -9,6 +9,7 @@
 from flamingoshelf.placement._engine_trackers import DecodeEngineTracker, PrefillEngineTracker
 from flamingoshelf.placement._health import FailureKind, HealthTracker
 from flamingoshelf.routing import BackendInstance, EngineProfile, EngineRole
+from flamingoshelf.server_limits import LimitKeeper, PermitForecast
 
 __all__ = ["EngineTable"]
 
@@ -27,6 +28,8 @@
         Returns the capacity of an engine, or None if the service is not configured.
     model : EngineModel
         Measured speeds of the engines.
+    limits : LimitKeeper or None
+        Permits of the engines that state limits.
     """
 
     def __init__(
@@ -35,7 +38,9 @@
         instances: Callable[[], Sequence[BackendInstance]],
         profile: Callable[[], EngineProfile | None],
         model: EngineModel,
+        limits: LimitKeeper | None = None,
     ) -> None:
+        self._limits = limits
         self._model = model
         self._instances = instances
         self._profile = profile
@@ -178,6 +183,28 @@
             and not self._health.is_down(key, self._now_s)
         )
 
+    def is_limited(self, key: str) -> bool:
+        """Return whether a listed engine states a limit."""
+        limits = self._limits_of(key)
+        return limits is not None and limits.is_limited(self._listed[key].run)
+
+    def has_permit(self, key: str) -> bool:
+        """Return whether an engine accepts another request by the limit that it states, if any."""
+        limits = self._limits_of(key)
+        return limits is None or limits.wait_s(self._listed[key].run) <= 0
+
+    def spend_permit(self, key: str) -> None:
+        """Count a request to an engine against the limit that it states."""
+        limits = self._limits_of(key)
+        if limits is not None:
+            limits.spend(self._listed[key].run)
+
+    def permit_forecast(self) -> PermitForecast | None:
+        """Return a forecast of the engines' permits, or None if no server needs permits."""
+        if self._limits is None or self._limits.is_idle:
+            return None
+        return self._limits.forecast()
+
     def data_centre(self, key: str | None) -> str | None:
         """Return the data centre of an engine, or None if it isn't listed."""
         engine = None if key is None else self._listed.get(key)
@@ -198,6 +225,7 @@
         reserved = set(blocked)
         usable = self.usable_decodes(avoid=avoid, exclude=exclude)
         engines = [engine for engine in usable if engine.key not in reserved]
+        engines = [engine for engine in engines if self.has_permit(engine.key)] or engines
         choice = max(
             engines, key=lambda e: self.decode_tracker(e.key).free_tokens(now_s), default=None
         )
@@ -254,6 +282,12 @@
             runs=self.decode_tracker(key).runs,
         ).info("engine refused work for lack of room; backing off")
 
+    def _limits_of(self, key: str) -> LimitKeeper | None:
+        """Return the keeper of the limits, or None if the engine is not listed or none is kept."""
+        if self._limits is None or self._limits.is_idle or key not in self._listed:
+            return None
+        return self._limits
+
     def _usable_engines(
         self, role: EngineRole, avoid: Iterable[str], exclude: Iterable[str]
     ) -> list[BackendInstance]:
--- a/flamingoshelf/placement/_feasibility.py
+++ b/flamingoshelf/placement/_feasibility.py
@@ -1,64 +1,113 @@
 """Detection of queued requests that can't be served in time."""
 
+import random
+
 from loguru import logger
 
 from flamingoshelf.placement._engine_trackers import initial_need_tokens
 from flamingoshelf.placement._engines import EngineTable
-from flamingoshelf.placement._forecast import MemoryForecast, PrefillForecast
+from flamingoshelf.placement._forecast import (
+    MemoryForecast,
+    PrefillForecast,
+    TurnPermitForecast,
+)
 from flamingoshelf.placement._queue import QueuedRequest
+from flamingoshelf.placement._refusals import (
+    limited_refusal,
+    no_engine_refusal,
+    queue_full_refusal,
+)
 from flamingoshelf.placement._types import request_id_of
+from flamingoshelf.refusals import Refusal
+from flamingoshelf.utils import finite_or_none
 
 __all__ = ["FeasibilityChecker"]
 
+# Bursts last several seconds; callers that all retry at the same moment would cause another one.
+_MIN_RETRY_AFTER_S = 1.0
+_MAX_RETRY_AFTER_S = 3.0
+_MAX_PERMIT_RETRY_AFTER_S = 10.0  # limits of engines may end before
+
 
 class FeasibilityChecker:
     """Checks queued requests against a forecast of the engines' free capacity.
 
-    Requests are checked in serving order: each feasible one reserves its memory in the forecast.
-    While the speeds of the engines aren't measured, only requests whose callers have given up are
-    infeasible.
+    Requests are checked in serving order: each feasible one reserves its memory in the forecast,
+    and its permits at engines that state limits. While the speeds of the engines aren't measured,
+    only requests whose callers have given up or that get no permits in time are infeasible.
 
     Parameters
     ----------
+    service : str
+        Service of the engines.
     engines : EngineTable
         Engines and the work that is counted for them.
     now_s : float
         Time of the check.
+    random_source : random.Random
+        Spreads the retry delays of refused callers.
     waiting, turns : int
         Numbers of queued requests and of active turns, for the log.
     """
 
-    def __init__(self, *, engines: EngineTable, now_s: float, waiting: int, turns: int) -> None:
+    def __init__(
+        self,
+        *,
+        service: str,
+        engines: EngineTable,
+        now_s: float,
+        random_source: random.Random,
+        waiting: int,
+        turns: int,
+    ) -> None:
+        self._service = service
+        self._engines = engines
+        self._random = random_source
         self._now_s = now_s
         self._waiting = waiting
         self._turns = turns
         self._memory = MemoryForecast(engines=engines, now_s=now_s)
         self._prefill = PrefillForecast(engines=engines, now_s=now_s)
+        self._permits = TurnPermitForecast(engines=engines)
+
+    def check(self, queued: QueuedRequest) -> Refusal | None:
+        """Return the refusal of a request that can't be served in time, None if it can.
 
-    def is_infeasible(self, queued: QueuedRequest) -> bool:
-        """Return whether a request can't be served in time; if it can, reserve its memory."""
+        Memory and permits are reserved for a feasible request, permits also for the return of one
+        that is refused for lack of them.
+        """
         request = queued.request
+        if not self._engines.any_can_ever_fit(request.prompt_tokens, request.expected_tokens):
+            return no_engine_refusal(self._service)
         needed_tokens = initial_need_tokens(request.prompt_tokens, request.expected_tokens)
-        wait_s = first_event_s = run_s = 0.0
+        permit_wait_s = self._permits.wait_s()
+        memory_wait_s = first_event_s = run_s = 0.0
         if self._prefill.is_measured:
-            wait_s = self._memory.wait_s(needed_tokens)
+            memory_wait_s = self._memory.wait_s(needed_tokens)
             first_event_s = self._prefill.first_event_s(request.prompt_tokens)
             run_s = self._prefill.run_s(request.prompt_tokens, request.expected_tokens)
-        begins_s = self._now_s + wait_s
+        begins_s = self._now_s + max(memory_wait_s, permit_wait_s)
         is_in_time = begins_s + first_event_s <= queued.expires_s
         if is_in_time and begins_s + run_s <= queued.deadline_s:
             self._memory.reserve(needed_tokens, begins_s=begins_s, run_s=run_s)
-            return False
+            self._permits.reserve()
+            return None
         logger.bind(
             request_id=request_id_of(request.turn_id),
             step="place",
             peer=queued.owner,
             waiting=self._waiting,
             turns=self._turns,
-            memory_wait_s=round(wait_s, 3),
+            memory_wait_s=round(memory_wait_s, 3),
+            permit_wait_s=finite_or_none(permit_wait_s),
             first_event_s=round(first_event_s, 3),
             run_s=round(run_s, 3),
             leaves_in_s=round(queued.expires_s - self._now_s, 3),
             deadline_in_s=round(queued.deadline_s - self._now_s, 3),
         ).info("request can't be served in time")
-        return True
+        retry_after_s = self._random.uniform(_MIN_RETRY_AFTER_S, _MAX_RETRY_AFTER_S)
+        if permit_wait_s > memory_wait_s:
+            self._permits.reserve()
+            longer_s = max(retry_after_s, min(permit_wait_s, _MAX_PERMIT_RETRY_AFTER_S))
+            return limited_refusal(self._service, retry_after_s=longer_s)
+        return queue_full_refusal(self._service, retry_after_s=retry_after_s)
--- a/flamingoshelf/placement/_forecast.py
+++ b/flamingoshelf/placement/_forecast.py
@@ -5,7 +5,7 @@
 
 from flamingoshelf.placement._engines import EngineTable
 
-__all__ = ["MemoryForecast", "PrefillForecast"]
+__all__ = ["MemoryForecast", "PrefillForecast", "TurnPermitForecast"]
 
 # Usable part of the free memory of all engines; the rest is spread over engines in pieces that are
 # too small for a prompt.
@@ -107,3 +107,32 @@
         """Return the seconds that a request takes on idle engines."""
         work_s = (self._model.prefill_s(prompt_tokens) or 0.0) * self._least_slowdown
         return work_s + self._first_event_s + answer_tokens * (self._s_per_token or 0.0)
+
+
+class TurnPermitForecast:
+    """Forecast of the permits of engines that state limits, for turns granted in order.
+
+    Parameters
+    ----------
+    engines : EngineTable
+        Engines and the work that is counted for them.
+    """
+
+    def __init__(self, *, engines: EngineTable) -> None:
+        self._permits = engines.permit_forecast()
+        self._pools = (
+            [engine.run for engine in engines.usable_prefills()],
+            [engine.run for engine in engines.expected_decodes()],
+        )
+
+    def wait_s(self) -> float:
+        """Return the seconds until a turn may begin, after those reserved so far."""
+        if self._permits is None:
+            return 0.0
+        return max(self._permits.wait_s(runs) for runs in self._pools)
+
+    def reserve(self) -> None:
+        """Reserve the permits of a turn."""
+        if self._permits is not None:
+            for runs in self._pools:
+                self._permits.reserve(runs)
--- a/flamingoshelf/placement/_refusals.py
+++ b/flamingoshelf/placement/_refusals.py
@@ -3,6 +3,7 @@
 from flamingoshelf.refusals import Refusal, RefusalReason
 
 __all__ = [
+    "limited_refusal",
     "no_decision_refusal",
     "no_engine_refusal",
     "no_retry_budget_refusal",
@@ -48,6 +49,18 @@
     )
 
 
+def limited_refusal(service: str, *, retry_after_s: float) -> Refusal:
+    """Return the refusal of a request for which the engines' own limits leave no room in time."""
+    return Refusal(
+        reason=RefusalReason.SERVERS_LIMITED,
+        status=503,
+        detail=f"The engines of {service} are at the limits that they state.",
+        not_run=True,
+        retry_after_s=retry_after_s,
+        step="place",
+    )
+
+
 def queue_full_refusal(service: str, *, retry_after_s: float) -> Refusal:
     """Return the refusal of a request that can't be served before its caller gives up."""
     return Refusal(
--- a/flamingoshelf/refusals.py
+++ b/flamingoshelf/refusals.py
@@ -26,6 +26,7 @@
     LIMIT_UNAVAILABLE = "limit_unavailable"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     QUEUE_FULL = "queue_full"
+    SERVERS_LIMITED = "servers_limited"
     NO_BACKEND = "no_backend"
     BACKEND_FAILED = "backend_failed"
     RETRIES_EXHAUSTED = "retries_exhausted"
--- a/flamingoshelf/routing/_instances.py
+++ b/flamingoshelf/routing/_instances.py
@@ -1,6 +1,7 @@
 """Instances of backend servers."""
 
 from enum import StrEnum
+from functools import cached_property
 
 import attrs
 
@@ -21,7 +22,7 @@
     DECODE = "decode"
 
 
-@attrs.frozen(kw_only=True)
+@attrs.frozen(kw_only=True, cache_hash=True)
 class ServerRun:
     """One run of a backend server; what the server states holds until it starts again."""
 
@@ -68,7 +69,7 @@
         """Identity of the server."""
         return self.instance_id
 
-    @property
+    @cached_property
     def run(self) -> ServerRun:
         """This run of the server."""
         return ServerRun(instance_id=self.instance_id, started_ms=self.started_ms)
--- a/flamingoshelf/routing/_server_selector.py
+++ b/flamingoshelf/routing/_server_selector.py
@@ -3,7 +3,7 @@
 import math
 import random
 from collections.abc import Sequence
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 import attrs
 from loguru import logger
@@ -39,6 +39,9 @@
         """Whether the server may be chosen for new work."""
 
 
+ServerT = TypeVar("ServerT", bound=Server)
+
+
 @attrs.frozen(kw_only=True)
 class EjectionRule:
     """When a server is ejected, and for how long.
@@ -131,14 +134,20 @@
         Servers that take no new work are never chosen, ejected and silent ones only if there is no
         other.
         """
-        live = [server for server in servers if server.accepts_new_work]
-        untried = [server for server in live if server.key not in tried]
-        avoided = self._avoided_keys(live)
-        usable = [server for server in untried if server.key not in avoided] or untried
+        usable = self.usable(servers, tried=tried)
         if not usable:
             return None
         return self._least_busy(self._prefer_local(usable)).key
 
+    def usable(
+        self, servers: Sequence[ServerT], *, tried: frozenset[str] = frozenset()
+    ) -> list[ServerT]:
+        """Return the untried servers that may be chosen for a new call."""
+        live = [server for server in servers if server.accepts_new_work]
+        untried = [server for server in live if server.key not in tried]
+        avoided = self._avoided_keys(live)
+        return [server for server in untried if server.key not in avoided] or untried
+
     def start_call(self, key: str) -> None:
         """Record the start of a call; at a silent server it is the only one for an interval."""
         record = self._get_or_add_record(key)
--- a/flamingoshelf/server_limits/_stated.py
+++ b/flamingoshelf/server_limits/_stated.py
@@ -79,6 +79,11 @@
         self._records: OrderedDict[ServerRun, _Record] = OrderedDict()
         self._listeners: list[Callable[[ServerRun, LimitStatement], None]] = []
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no server has stated a limit lately."""
+        return not self._records
+
     def subscribe(self, listener: Callable[[ServerRun, LimitStatement], None]) -> None:
         """Call ``listener(run, statement)`` after each change of a server's limit."""
         self._listeners.append(listener)
@@ -131,6 +136,14 @@
         record = self._records.get(run)
         return None if record is None else record.statement.per_s
 
+    def limited(self) -> dict[ServerRun, float]:
+        """Return the servers that state a limit, each with its requests per second."""
+        return {
+            run: record.statement.per_s
+            for run, record in self._records.items()
+            if record.statement.per_s is not None
+        }
+
     def statements(self, *, own_only: bool = False) -> dict[ServerRun, LimitStatement]:
         """Return the statements, those that ended a limit for some time only."""
         oldest_s = now_s() - _ENDED_MEMORY_S
--- a/lab/gateway/_limits.py
+++ b/lab/gateway/_limits.py
@@ -1,74 +1,90 @@
-"""Servers that state limits, and the checks that all nodes together keep and use them."""
+"""Servers that state limits, and the checks that all nodes together keep them."""
 
+import asyncio
+import random
 from collections.abc import Iterator, Sequence
 
-import attrs
-
-from flamingoshelf.utils import now_s
 from lab.faults import FaultKind
-from lab.gateway._lost import NODE_FAULTS, Call, Disruption
-from lab.gateway._records import Run, RunLog
-from lab.gateway._server_base import ServerStandIn
+from lab.gateway._lost import NODE_FAULTS, SERVER_FAULTS, Call, Disruption
+from lab.gateway._records import LimitSpan, RunLog
+from lab.gateway._site import GatewaySite
 
-__all__ = ["LimitSpan", "find_excess", "limit_server"]
+__all__ = ["LimitedServers", "find_excess"]
 
-_CONTACT_S = 3.0  # time after which every node is to know what the others learned
-_WINDOW_S = 4.0
 _TOLD_DELAY_S = 0.5  # after a node passed on an answer with the limit, its requests count
-_EXCESS_FACTOR = 1.5
-_EXCESS_REQUESTS = 5
+_LIMITS_PER_S = (0.0, 0.5, 1.0, 2.0, 5.0, 12.0)
+_MIN_SPAN_S = 5.0
+_MAX_SPAN_S = 14.0
+_MAX_PAUSE_S = 5.0  # between two limits of a server
+_SETTLED_S = 1.0  # after the end of a limit, and after a disruption
+_REFUSED = b"servers_limited"
 _NODE_FAULTS = (*NODE_FAULTS, FaultKind.STOP_NODE)
 
 
-@attrs.define(kw_only=True)
-class LimitSpan:
-    """Time in which a server states a limit in all its answers."""
-
-    server: str
-    per_s: float
-    start_s: float
-    end_s: float = float("inf")
+class LimitedServers:
+    """Lets the servers of a site state limits from time to time.
 
-    @property
-    def allowed(self) -> float:
-        """Most requests in a window."""
-        return _EXCESS_FACTOR * _WINDOW_S * self.per_s + _EXCESS_REQUESTS
-
-    def end(self, server: ServerStandIn) -> None:
-        """Let the server state no limit from now on."""
-        server.limit_per_s = None
-        self.end_s = now_s()
+    Parameters
+    ----------
+    site : GatewaySite
+        The site.
+    random_source : random.Random
+        Draws limits and times.
+    """
 
-    def arrivals(self, log: RunLog, *, after_s: float = 0.0) -> list[Run]:
-        """Return the requests that reached the server from `after_s` seconds of the span on."""
-        return [
-            run
-            for run in log.arrivals
-            if run.server == self.server and self.start_s + after_s <= run.at_s < self.end_s
+    def __init__(self, *, site: GatewaySite, random_source: random.Random) -> None:
+        self._site = site
+        self._random = random_source
+        self.spans: list[LimitSpan] = []
+
+    async def run(self) -> None:
+        """State limits until cancelled; then no server states one."""
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                for number in range(len(self._site.servers)):
+                    tasks.create_task(self._state_limits(number))
+        finally:
+            for server in self._site.servers:
+                server.end_limit()
+
+    async def _state_limits(self, number: int) -> None:
+        while True:
+            await asyncio.sleep(self._random.uniform(0.0, _MAX_PAUSE_S))
+            server = self._site.servers[number]
+            self.spans.append(server.state_limit(self._random.choice(_LIMITS_PER_S)))
+            await asyncio.sleep(self._random.uniform(_MIN_SPAN_S, _MAX_SPAN_S))
+            server.end_limit()
+
+    def find_breaches(self, calls: Sequence[Call], disruptions: Sequence[Disruption]) -> list[str]:
+        """Return a line for each limit that was not kept, and each call refused without need."""
+        excess = find_excess(self.spans, log=self._site.log, calls=calls, disruptions=disruptions)
+        needless = [
+            f"{call.name} at {call.node} refused although a server had no limit"
+            for call in calls
+            if _REFUSED in call.answer.body and self._had_room(call, disruptions)
         ]
-
-    def worst_window(self, arrivals_s: Sequence[float]) -> int:
-        """Return the most of these arrivals in a window that ends after the contact time."""
-        return max(
-            (
-                sum(end_s - _WINDOW_S < at_s <= end_s for at_s in arrivals_s)
-                for end_s in arrivals_s
-                if end_s >= self.start_s + _CONTACT_S
-            ),
-            default=0,
+        return excess + needless
+
+    def _had_room(self, call: Call, disruptions: Sequence[Disruption]) -> bool:
+        """Return whether a sound plain server without a limit could have served a call."""
+        begin_s = call.sent_s - _SETTLED_S
+        if any(
+            d.end_s > begin_s
+            and d.start_s < call.ended_s
+            and (d.kind in (*_NODE_FAULTS, *SERVER_FAULTS, FaultKind.SILENCE_SERVER))
+            for d in disruptions
+        ):
+            return False
+        limited = {
+            span.server
+            for span in self.spans
+            if span.end_s > begin_s and span.start_s < call.ended_s
+        }
+        return any(
+            server.service == call.service and server.instance_id not in limited
+            for server in self._site.plain
         )
 
-    def use(self, log: RunLog) -> float:
-        """Return the used share of what the limit allows after the contact time."""
-        span_s = min(self.end_s, now_s()) - self.start_s - _CONTACT_S
-        return len(self.arrivals(log, after_s=_CONTACT_S)) / (self.per_s * span_s)
-
-
-def limit_server(server: ServerStandIn, per_s: float) -> LimitSpan:
-    """Let a server state a limit from now on."""
-    server.limit_per_s = per_s
-    return LimitSpan(server=server.instance_id, per_s=per_s, start_s=now_s())
-
 
 def find_excess(
     spans: Sequence[LimitSpan],
@@ -99,8 +115,8 @@
         worst = span.worst_window(counted)
         if worst > span.allowed:
             breaches.append(
-                f"LIMIT: {span.server} with {span.per_s}/s got {worst} requests in "
-                f"{_WINDOW_S:.0f} s; allowed {span.allowed:.1f}"
+                f"LIMIT: {span.server} with {span.per_s}/s got {worst} requests in a window; "
+                f"allowed {span.allowed:.1f}"
             )
     return breaches
 
--- a/lab/gateway/_records.py
+++ b/lab/gateway/_records.py
@@ -1,12 +1,20 @@
 """What stand-ins of backend servers record, and the faults that they are given."""
 
 import asyncio
+import math
+from collections.abc import Sequence
 
 import attrs
 
 from flamingoshelf.http1 import Headers
+from flamingoshelf.utils import now_s
 
-__all__ = ["Run", "RunLog", "ServerFaults", "Silence"]
+__all__ = ["LimitSpan", "Run", "RunLog", "ServerFaults", "Silence"]
+
+LIMIT_CONTACT_S = 3.0  # time after which every node is to know what the others learned
+LIMIT_WINDOW_S = 4.0
+_EXCESS_FACTOR = 1.5
+_EXCESS_REQUESTS = 5
 
 
 @attrs.define(kw_only=True)
@@ -102,3 +110,42 @@
         except asyncio.CancelledError:
             await self._over.wait()
             raise
+
+
+@attrs.define(kw_only=True)
+class LimitSpan:
+    """Time in which a server states a limit in all its answers."""
+
+    server: str
+    per_s: float
+    start_s: float
+    end_s: float = math.inf
+
+    @property
+    def allowed(self) -> float:
+        """Most requests in a window."""
+        return _EXCESS_FACTOR * LIMIT_WINDOW_S * self.per_s + _EXCESS_REQUESTS
+
+    def arrivals(self, log: "RunLog", *, after_s: float = 0.0) -> "list[Run]":
+        """Return the requests that reached the server from `after_s` seconds of the span on."""
+        return [
+            run
+            for run in log.arrivals
+            if run.server == self.server and self.start_s + after_s <= run.at_s < self.end_s
+        ]
+
+    def worst_window(self, arrivals_s: Sequence[float]) -> int:
+        """Return the most of these arrivals in a window that ends after the contact time."""
+        return max(
+            (
+                sum(end_s - LIMIT_WINDOW_S < at_s <= end_s for at_s in arrivals_s)
+                for end_s in arrivals_s
+                if end_s >= self.start_s + LIMIT_CONTACT_S
+            ),
+            default=0,
+        )
+
+    def use(self, log: "RunLog") -> float:
+        """Return the used share of what the limit allows after the contact time."""
+        span_s = min(self.end_s, now_s()) - self.start_s - LIMIT_CONTACT_S
+        return len(self.arrivals(log, after_s=LIMIT_CONTACT_S)) / (self.per_s * span_s)
--- a/lab/gateway/_server_base.py
+++ b/lab/gateway/_server_base.py
@@ -7,7 +7,7 @@
 
 from flamingoshelf.http1 import Exchange, Headers, HttpServer, ResponseHead
 from flamingoshelf.utils import TaskGroup, now_s
-from lab.gateway._records import Run, RunLog, ServerFaults, Silence
+from lab.gateway._records import LimitSpan, Run, RunLog, ServerFaults, Silence
 
 __all__ = ["ServerStandIn", "id_numbers"]
 
@@ -31,7 +31,7 @@
         self.silence = Silence()
         self.state = "ready"
         self.is_leaving = False  # stated in all answers
-        self.limit_per_s: float | None = None  # stated in all answers
+        self.limit: LimitSpan | None = None  # stated in all answers
         self.started_ms = 1_700_000_000_000
         self.tasks = TaskGroup(owner="server")
         self._server = HttpServer(address=address, handle=self._handle)
@@ -42,10 +42,23 @@
 
     async def stop(self) -> None:
         """Stop immediately, as in a crash."""
+        self.end_limit()
         await self._server.stop()
         self.silence.end()
         await self.tasks.stop()
 
+    def state_limit(self, per_s: float) -> LimitSpan:
+        """State a limit from now on."""
+        self.end_limit()
+        self.limit = LimitSpan(server=self.instance_id, per_s=per_s, start_s=now_s())
+        return self.limit
+
+    def end_limit(self) -> None:
+        """State no limit from now on."""
+        if self.limit is not None:
+            self.limit.end_s = now_s()
+            self.limit = None
+
     def renew(self) -> None:
         """Become a new server at the same address."""
         self.instance_id = f"i-{next(id_numbers):04d}"
@@ -128,8 +141,8 @@
     def _notices(self) -> list[tuple[str, str]]:
         """Return the headers that state something about the server in all its answers."""
         notices = [("Server-Leaving", "1")] if self.is_leaving else []
-        if self.limit_per_s is not None:
-            notices.append(("Server-Limit", str(self.limit_per_s)))
+        if self.limit is not None:
+            notices.append(("Server-Limit", str(self.limit.per_s)))
         return notices
 
     def _draw_fault(self, share: float) -> bool:
--- a/lab/gateway/_soak.py
+++ b/lab/gateway/_soak.py
@@ -16,6 +16,7 @@
 from lab.gateway._caller import Answer
 from lab.gateway._checks import EVENTS_PER_STREAM, check_call, check_orders, is_served
 from lab.gateway._crashing_part import CrashingCalls
+from lab.gateway._limits import LimitedServers
 from lab.gateway._lost import NODE_FAULTS, SERVER_FAULTS, Call, Disruption, find_lost
 from lab.gateway._records import ServerFaults
 from lab.gateway._servers import EngineStandIn, PlainStandIn
@@ -49,7 +50,9 @@
 
 
 class _GatewayRun:
-    def __init__(self, site: GatewaySite, *, seed: int, has_crashing_parts: bool) -> None:
+    def __init__(
+        self, site: GatewaySite, *, seed: int, has_crashing_parts: bool, has_limits: bool
+    ) -> None:
         self._site = site
         self._random = random.Random(seed)
         self._calls: list[Call] = []
@@ -64,6 +67,8 @@
             site=site, call=self._call, on_crash=self._crash_under_part, random_source=self._random
         )
         self._has_crashing_parts = has_crashing_parts
+        self._has_limits = has_limits
+        self.limited = LimitedServers(site=site, random_source=random.Random(f"limits of {seed}"))
 
     async def run(self, faults: Sequence[Fault], duration_s: float) -> None:
         """Load the site while faults are injected, then check; faults may overlap."""
@@ -77,6 +82,8 @@
         ]
         if self._has_crashing_parts:
             callers.append(self._tasks.start(self.crashing.send(), name="crashing caller"))
+        if self._has_limits:
+            callers.append(self._tasks.start(self.limited.run(), name="limits"))
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         async with asyncio.TaskGroup() as tasks:
@@ -357,6 +364,7 @@
         self.breaches += lost
         streams = [call for call in self._calls if call.path in (NOTES, RESUMABLE)]
         self.breaches += self.crashing.find_breaches(streams, self._disruptions)
+        self.breaches += self.limited.find_breaches(self._calls, self._disruptions)
         self.breaches += check_orders(self._site.log.orders)
 
 
@@ -367,12 +375,13 @@
     faults: Sequence[Fault],
     duration_s: float,
     has_crashing_parts: bool = False,
+    has_limits: bool = False,
 ) -> tuple[list[str], dict[str, float]]:
     """Run a site of gateway nodes under faults; return the breaches and measures."""
     site = GatewaySite(
         folder=folder, node_count=3, prefill_count=2, decode_count=3, plain_count=2, seed=seed
     )
-    run = _GatewayRun(site, seed=seed, has_crashing_parts=has_crashing_parts)
+    run = _GatewayRun(site, seed=seed, has_crashing_parts=has_crashing_parts, has_limits=has_limits)
     try:
         await site.start()
         await run.run(faults, duration_s)
@@ -383,5 +392,6 @@
         "calls": len(run._calls),
         "served": served,
         "judged": run.judged,
+        "limits": len(run.limited.spans),
         "crashes": sum(len(part.crashes_s) for part in run.crashing.parts),
     }
--- a/lab/soak.py
+++ b/lab/soak.py
@@ -58,6 +58,8 @@
         Kinds of the faults of a site of gateway nodes.
     has_crashing_parts : bool
         Whether engines of such a site crash under parts of prompts.
+    has_limits : bool
+        Whether servers of such a site state limits.
     """
 
     seed: int
@@ -66,6 +68,7 @@
     mean_gap_s: float
     gateway_kinds: tuple[FaultKind, ...] = tuple(FaultKind)
     has_crashing_parts: bool = False
+    has_limits: bool = False
 
 
 @attrs.define(kw_only=True)
@@ -114,6 +117,7 @@
         faults=faults,
         duration_s=options.duration_s,
         has_crashing_parts=options.has_crashing_parts,
+        has_limits=options.has_limits,
     )
     injected = [f"{fault.start_s:.1f} s {fault.kind.value}" for fault in faults]
     return SoakReport(breaches=breaches, faults=injected, measures=dict(measures))
--- a/lab/tests/test_server_limits.py
+++ b/lab/tests/test_server_limits.py
@@ -7,9 +7,9 @@
 
 from flamingoshelf.utils import now_s
 from lab.gateway._checks import is_served
-from lab.gateway._limits import limit_server
 from lab.gateway._lost import Call
 from lab.gateway._site import BOOKINGS, NOTES, RESUMABLE, STOCK
+from lab.proxy import ProxyMode
 from lab.tests.test_gateway_site import wait_for_initial_roles
 
 pytestmark = [pytest.mark.processes, pytest.mark.timeout(60)]
@@ -99,10 +99,10 @@
     site = await new_site(node_count=node_count)
     load = Load(site, [BOOKINGS, STOCK])
     await load.run(2.0)
-    spans = [limit_server(server, 2.0) for server in site.plain]
+    spans = [server.state_limit(2.0) for server in site.plain]
     await load.run(LIMITED_S)
-    for span, server in zip(spans, site.plain, strict=True):
-        span.end(server)
+    for server in site.plain:
+        server.end_limit()
     await load.run(BACK_S + 2.0)
     await load.end()
     check_limits(load, spans)
@@ -117,7 +117,7 @@
     site = await new_site(node_count=3, plain_count=3)
     load = Load(site, [BOOKINGS, STOCK])
     await load.run(1.0)
-    spans = [limit_server(site.plain[0], 2.0), limit_server(site.plain[1], 0.0)]
+    spans = [site.plain[0].state_limit(2.0), site.plain[1].state_limit(0.0)]
     await load.run(LIMITED_S)
     await load.end()
     worst = load.worst_windows(spans)
@@ -135,13 +135,45 @@
     load = Load(site, [NOTES, RESUMABLE], tokens=(100, 80), deadline_ms=3000)
     await load.run(3.0)  # after which the speeds of the engines are measured
     engines = [engine for engine in site.engines if engine.role == role]
-    spans = [limit_server(engine, per_s) for engine in engines]
+    spans = [engine.state_limit(per_s) for engine in engines]
     await load.run(LIMITED_S)
-    for span, engine in zip(spans, engines, strict=True):
-        span.end(engine)
+    for engine in engines:
+        engine.end_limit()
     await load.run(BACK_S + 2.0)
     await load.end()
     kept = [s for s, engine in zip(spans, engines, strict=True) if engine.role == role]
     check_limits(load, kept)
     back = load.sent_between(spans[0].end_s + BACK_S, float("inf"))
     assert len(back) > OFFERED_PER_S and all(is_served(call.answer) for call in back)
+
+
+# Each node that took over the permits gave out those of a whole limit again.
+@pytest.mark.parametrize("fault", ["kill", "cut"])
+async def test_limits_hold_while_each_node_fails_in_turn(new_site, fault):
+    site = await new_site(node_count=3)
+    load = Load(site, [BOOKINGS, STOCK])
+    await load.run(1.0)
+    spans = [server.state_limit(2.0) for server in site.plain]
+    running = asyncio.ensure_future(load.run(15.0))
+    for node, proxy in zip(site.nodes, site.peer_proxies, strict=True):
+        await asyncio.sleep(2.5)
+        if fault == "kill":
+            node.kill()
+            await asyncio.sleep(0.5)
+            node.start()
+        else:
+            proxy.mode = ProxyMode.STALL
+            await asyncio.sleep(1.5)
+            proxy.mode = ProxyMode.PASS
+            proxy.reset_connections()
+    await running
+    for server in site.plain:
+        server.end_limit()
+    await load.run(BACK_S + 2.0)
+    await load.end()
+    worst = load.worst_windows(spans)
+    print("most requests in a window:", worst, [span.use(site.log) for span in spans])
+    assert all(count <= span.allowed for count, span in zip(worst, spans, strict=True))
+    assert all(span.use(site.log) > 0.5 for span in spans)
+    back = load.sent_between(spans[0].end_s + BACK_S, float("inf"))
+    assert len(back) > OFFERED_PER_S and all(is_served(call.answer) for call in back)
