--- a/flamingoshelf/server_limits/_service.py
+++ b/flamingoshelf/server_limits/_service.py
@@ -101,13 +101,16 @@
     ) -> Permit | None:
         """Return a permit for one of some servers or a refusal; None if the keeper is lost.
 
-        A permit is waited for at most `wait_s` seconds, and the reply a little longer.
+        A permit is waited for at most `wait_s` seconds, and the reply a little longer. A request
+        that can't wait isn't held until a lost keeper is replaced either.
         """
         unlimited = next((run for run in runs if not self._keeper.is_limited(run)), None)
         if unlimited is not None:
             return Permit(run=unlimited)
         if self._requests is None or self._is_keeper or self._is_coordinator_earlier:
             return await self._queue.acquire(runs, priority=priority, wait_s=wait_s)
+        if self._coordinator is None and not wait_s:
+            return None
         known = self._stated.statements()
         request = AcquirePermit(
             servers=tuple(self._to_messages({run: known[run] for run in runs})),
--- a/flamingoshelf/server_limits/_stated.py
+++ b/flamingoshelf/server_limits/_stated.py
@@ -15,6 +15,7 @@
 _MAX_RECORDS = 4096  # servers with a limit; those of the oldest statements have left long ago
 _MIN_LOG_INTERVAL_S = 1.0  # between two lines of a server whose limit changes with each answer
 _ENDED_MEMORY_S = 30.0  # longer than an older statement takes from any node to this one
+_MEMORY_S = 600.0  # a server in use repeats its limit; this one has left or gets no requests
 
 
 @attrs.frozen(kw_only=True)
@@ -107,7 +108,7 @@
         """Add a statement, unless one that supersedes it is known."""
         record = self._records.get(run)
         if record is None:
-            if statement.per_s is None:
+            if statement.per_s is None or _is_outdated(statement):
                 return
             record = _Record(statement=statement, limited_since_s=now_s())
             self._records[run] = record
@@ -139,16 +140,15 @@
     def limited(self) -> dict[ServerRun, float]:
         """Return the servers that state a limit, each with its requests per second."""
         return {
-            run: record.statement.per_s
-            for run, record in self._records.items()
-            if record.statement.per_s is not None
+            run: statement.per_s
+            for run, statement in self.statements().items()
+            if statement.per_s is not None
         }
 
     def statements(self, *, own_only: bool = False) -> dict[ServerRun, LimitStatement]:
         """Return the statements, those that ended a limit for some time only."""
-        oldest_s = now_s() - _ENDED_MEMORY_S
         for run, record in list(self._records.items()):
-            if record.statement.per_s is None and record.statement.received_s < oldest_s:
+            if _is_outdated(record.statement):
                 del self._records[run]
         return {
             run: record.statement
@@ -177,3 +177,8 @@
             log.info("backend server changed the limit of its requests")
         for listener in self._listeners:
             listener(run, statement)
+
+
+def _is_outdated(statement: LimitStatement) -> bool:
+    memory_s = _ENDED_MEMORY_S if statement.per_s is None else _MEMORY_S
+    return statement.received_s < now_s() - memory_s
--- a/flamingoshelf/server_limits/tests/test_keeper.py
+++ b/flamingoshelf/server_limits/tests/test_keeper.py
@@ -91,6 +91,9 @@
     def limit(self, run):
         return self._per_s
 
+    def limited(self):
+        return {}
+
 
 @given(
     per_s=st.floats(0, 50),
--- a/flamingoshelf/server_limits/tests/test_service.py
+++ b/flamingoshelf/server_limits/tests/test_service.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from flamingoshelf.server_limits._messages import LimitReport
 from flamingoshelf.server_limits.tests.conftest import A, most_in_window
+from flamingoshelf.utils import now_s
 
 pytestmark = pytest.mark.looptime
 
@@ -75,6 +77,19 @@
     assert len(sent) >= 0.6 * 20.0 * PER_S  # nodes that are down count until they are removed
 
 
+async def test_new_keeper_begins_without_permits(fleet):
+    await fleet.add(*names(3))
+    fleet.limits[A] = 20.0
+    await fleet.load(2.0)
+    await asyncio.sleep(5.0)  # permits accrue
+    await fleet.kill("n000")
+    keeper = fleet.nodes["n001"].service.keeper
+    await fleet.nodes["n001"].coordination.wait_for_coordinator_change("n000")
+    while not fleet.nodes["n001"].coordination.is_coordinator:
+        await asyncio.sleep(0.01)
+    assert keeper.permits(A) < 2.0
+
+
 async def test_limit_holds_while_nodes_are_cut_off(fleet):
     await fleet.add(*names(6))
     fleet.limits[A] = PER_S
@@ -147,6 +162,20 @@
         assert await service.acquire([A], priority=0, wait_s=0.1) is None
 
 
+# Each call that another server could have served waited until a lost keeper was replaced.
+async def test_request_that_can_not_wait_is_told_at_once_that_there_is_no_keeper(fleet):
+    await fleet.add(*names(8))
+    fleet.limits[A] = PER_S
+    await fleet.load(2.0)
+    node = fleet.nodes["n007"]
+    fleet.network.silent |= set(names(8))
+    await node.coordination.wait_for_coordinator_change("n000")
+    assert node.coordination.coordinator is None
+    began_s = now_s()
+    assert await node.service.acquire([A], priority=0, wait_s=0.0) is None
+    assert now_s() == began_s
+
+
 async def test_servers_are_counted_apart(fleet):
     await fleet.add(*names(3))
     runs = [A, *(A.__class__(instance_id=f"s{number}", started_ms=1) for number in range(40))]
@@ -158,3 +187,23 @@
     sent = await asyncio.gather(*(fleet.load(10.0, per_s=6.0, run=run) for run in runs))
     assert max(map(most_in_window, sent)) <= 4.0 * PER_S + 2
     assert min(map(len, sent)) >= 0.9 * 10.0 * PER_S
+
+
+async def test_limit_that_changes_with_each_answer_costs_few_messages(fleet):
+    await fleet.add(*names(6))
+    reports = []
+    handler = fleet.network.links["n000"]._handlers[LimitReport]
+
+    async def count(peer, report):
+        reports.append(peer)
+        return await handler(peer, report)
+
+    fleet.network.links["n000"].register(LimitReport, count)
+    load = asyncio.ensure_future(fleet.load(20.0))
+    for number in range(200):
+        fleet.limits[A] = 2.0 + number % 7 / 100
+        await asyncio.sleep(0.1)
+    sent = await load
+    assert most_in_window(sent) <= ALLOWED
+    print(len(reports), len(sent))
+    assert len(reports) <= 6 * len(sent)  # one of each node for each answer
--- a/flamingoshelf/server_limits/tests/test_stated.py
+++ b/flamingoshelf/server_limits/tests/test_stated.py
@@ -91,3 +91,13 @@
     assert A in stated.statements(own_only=True)
     await asyncio.sleep(20)
     assert not stated.statements()
+
+
+# Servers that crashed while they stated a limit were told from node to node for good.
+async def test_limits_of_servers_that_are_gone_are_forgotten(stated):
+    stated.record_answer(A, 2.0, sent_s=now_s())
+    told = attrs.evolve(stated.statements()[A], source="other")
+    await asyncio.sleep(601)
+    assert not stated.statements() and stated.is_empty
+    stated.merge(A, told)
+    assert stated.is_empty
--- a/lab/tests/test_soak.py
+++ b/lab/tests/test_soak.py
@@ -67,3 +67,15 @@
     report = await run_gateway_soak(folder=tmp_path, options=options)
     assert report.breaches == [], report.faults
     assert report.measures["crashes"] >= 2
+
+
+# Each node sent a server as much as it had said that it takes from all of them.
+@pytest.mark.parametrize("seed", [2001])
+async def test_limits_of_servers_are_kept_while_nodes_and_servers_fail(tmp_path, seed):
+    options = attrs.evolve(
+        _options(seed, duration_s=20.0, mean_gap_s=2.0, gateway_kinds=tuple(FaultKind)),
+        has_limits=True,
+    )
+    report = await run_gateway_soak(folder=tmp_path, options=options)
+    assert report.breaches == [], report.faults
+    assert report.measures["limits"] >= 7
