Limits of servers: names and one case found by reading the change

A limit that was dropped as outdated between its look-up and the request for a permit ended in a KeyError; the table is read once now. The node's field for the limits of servers no longer has the name of its other limits.

--- a/flamingoshelf/gateway/_backend_client.py
+++ b/flamingoshelf/gateway/_backend_client.py
@@ -195,10 +195,10 @@
                     instance.key, instance.address, head, body
                 ) as pooled:
                     answer = await pooled.connection.read_head()
-                    notices = self._wire.decode_response_head(answer)
-                    self._record_notices(instance, notices)
-                    if notices.limit_per_s is not None:  # a report need not repeat the limit
-                        self._record_limit(instance, notices, sent_s=sent_s)
+                    decoded = self._wire.decode_response_head(answer)
+                    self._record_notices(instance, decoded)
+                    if decoded.limit_per_s is not None:  # a report need not repeat the limit
+                        self._record_limit(instance, decoded, sent_s=sent_s)
                     content = await _read_all(pooled.connection, limit=_MAX_CALL_BYTES)
                     if content is None:
                         reason = f"its answer has more than {_MAX_CALL_BYTES} bytes"
--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -113,11 +113,11 @@
             max_connections=lambda key: self._node_limits.connections(self._directory.get(key))
         )
         self._incarnation = new_incarnation()
-        self._limits = LimitService(
+        self._server_limits = LimitService(
             node_name=settings.node_name, incarnation=self._incarnation, members=self._members
         )
         self._client = BackendClient(
-            pool=self._pool, wire=wire, notices=self._notices, limits=self._limits.stated
+            pool=self._pool, wire=wire, notices=self._notices, limits=self._server_limits.stated
         )
         self._budgets = RetryBudgets(
             node_count=self._fleet.node_count, bounds=self._node_limits.retries()
@@ -220,7 +220,7 @@
             directory=self._directory,
             notices=self._notices,
             quarantine=self._crash_protection.quarantine,
-            limits=self._limits,
+            limits=self._server_limits,
         )
         self._caller_server = HttpServer(
             address=settings.caller_address,
@@ -229,7 +229,7 @@
                 client=self._client,
                 directory=self._directory,
                 notices=self._notices,
-                limits=self._limits,
+                limits=self._server_limits,
                 placer=self._placer,
                 plain_calls=self._plain_calls,
                 crash_detector=self._crash_protection.detector,
@@ -311,7 +311,7 @@
             await self._coordination.stop()
         if self._link is not None:
             await self._link.stop()
-        await self._limits.stop()
+        await self._server_limits.stop()
         await self._crash_protection.stop()
         await self._client.stop()
         await self._pool.stop()
@@ -341,7 +341,7 @@
         self._dispatchers.register(link)
         self._store_follower.set_link(link)
         self._crash_protection.connect(link)
-        self._limits.connect(link, coordination)
+        self._server_limits.connect(link, coordination)
         await link.start()
         await coordination.start()
         self._link, self._coordination = link, coordination
@@ -381,7 +381,7 @@
             instances=lambda: self._directory.ready(service),
             profile=lambda: self._node_limits.engine_profile(service),
             random_source=self._random,
-            limits=self._limits.keeper,
+            limits=self._server_limits.keeper,
         )
 
     def _on_servers_changed(self) -> None:
--- a/flamingoshelf/server_limits/_service.py
+++ b/flamingoshelf/server_limits/_service.py
@@ -104,19 +104,15 @@
         A permit is waited for at most `wait_s` seconds, and the reply a little longer. A request
         that can't wait isn't held until a lost keeper is replaced either.
         """
-        unlimited = next((run for run in runs if not self._keeper.is_limited(run)), None)
+        known = self._stated.limited()
+        unlimited = next((run for run in runs if run not in known), None)
         if unlimited is not None:
             return Permit(run=unlimited)
         if self._requests is None or self._is_keeper or self._is_coordinator_earlier:
             return await self._queue.acquire(runs, priority=priority, wait_s=wait_s)
         if self._coordinator is None and not wait_s:
             return None
-        known = self._stated.statements()
-        request = AcquirePermit(
-            servers=tuple(self._to_messages({run: known[run] for run in runs})),
-            priority=priority,
-            wait_s=wait_s,
-        )
+        request = AcquirePermit(servers=self._to_messages(runs), priority=priority, wait_s=wait_s)
         reply = await self._requests.request(request, timeout_s=wait_s + _REPLY_SLACK_S)
         if not isinstance(reply, PermitReply):
             return None
@@ -171,10 +167,10 @@
                 coordinator = self._coordinator
                 if coordinator is None or self._is_keeper or self._is_coordinator_earlier:
                     return  # the digests of the next heartbeat tell
-                known = self._stated.statements(own_only=True)
-                if not known and self._digests[coordinator] == self.digest:
+                own = [run for run, known in self._stated.statements().items() if known.is_own]
+                if not own and self._digests[coordinator] == self.digest:
                     return
-                report = LimitReport(limits=tuple(self._to_messages(known)))
+                report = LimitReport(limits=self._to_messages(own))
                 reply = await link.request(coordinator, report, timeout_s=_REPORT_TIMEOUT_S)
                 assert isinstance(reply, LimitReportReply)
                 self._merge(reply.limits)
@@ -187,23 +183,26 @@
 
     async def _on_report(self, peer: str, report: LimitReport) -> LimitReportReply:
         self._merge(report.limits)
-        known = self._stated.statements()
-        return LimitReportReply(limits=tuple(self._to_messages(known)))
+        return LimitReportReply(limits=self._to_messages(self._stated.statements()))
 
     async def _on_acquire(self, peer: str, request: AcquirePermit) -> PermitReply:
         self._merge(request.servers)
         runs = [limit.run for limit in request.servers]
         permit = await self._queue.acquire(runs, priority=request.priority, wait_s=request.wait_s)
-        known = self._stated.statements()
         return PermitReply(
             server="" if permit.run is None else permit.run.instance_id,
             retry_after_s=permit.retry_after_s,
-            limits=tuple(self._to_messages({run: known[run] for run in runs if run in known})),
+            limits=self._to_messages(runs),
         )
 
-    def _to_messages(self, statements: dict[ServerRun, LimitStatement]) -> Iterable[StatedLimit]:
-        for run, statement in statements.items():
-            yield StatedLimit.from_statement(run, statement, node_name=self._source)
+    def _to_messages(self, runs: Iterable[ServerRun]) -> tuple[StatedLimit, ...]:
+        """Return what some servers state, as it is told to another node."""
+        known = self._stated.statements()
+        return tuple(
+            StatedLimit.from_statement(run, known[run], node_name=self._source)
+            for run in runs
+            if run in known
+        )
 
     def _merge(self, limits: Iterable[StatedLimit]) -> None:
         """Add what another node tells, except what this node has told it."""
--- a/flamingoshelf/server_limits/_stated.py
+++ b/flamingoshelf/server_limits/_stated.py
@@ -145,16 +145,12 @@
             if statement.per_s is not None
         }
 
-    def statements(self, *, own_only: bool = False) -> dict[ServerRun, LimitStatement]:
+    def statements(self) -> dict[ServerRun, LimitStatement]:
         """Return the statements, those that ended a limit for some time only."""
         for run, record in list(self._records.items()):
             if _is_outdated(record.statement):
                 del self._records[run]
-        return {
-            run: record.statement
-            for run, record in self._records.items()
-            if record.statement.is_own or not own_only
-        }
+        return {run: record.statement for run, record in self._records.items()}
 
     def _report(self, run: ServerRun, record: _Record, *, before: float | None) -> None:
         """Log a change, and tell it to the listeners."""
