Limits of servers: message names that no other package has

The new messages are AcquireServerPermit, ServerPermitReply, ServerLimitReport and ServerLimitReportReply.

--- a/flamingoshelf/server_limits/_messages.py
+++ b/flamingoshelf/server_limits/_messages.py
@@ -7,7 +7,13 @@
 from flamingoshelf.server_limits._stated import LimitStatement
 from flamingoshelf.utils import now_s
 
-__all__ = ["AcquirePermit", "LimitReport", "LimitReportReply", "PermitReply", "StatedLimit"]
+__all__ = [
+    "AcquireServerPermit",
+    "ServerLimitReport",
+    "ServerLimitReportReply",
+    "ServerPermitReply",
+    "StatedLimit",
+]
 
 
 @attrs.frozen(kw_only=True)
@@ -67,7 +73,7 @@
 
 @message
 @attrs.frozen(kw_only=True)
-class LimitReport:
+class ServerLimitReport:
     """Limits that a node knows, sent to the keeper."""
 
     limits: tuple[StatedLimit, ...] = ()
@@ -75,7 +81,7 @@
 
 @message
 @attrs.frozen(kw_only=True)
-class LimitReportReply:
+class ServerLimitReportReply:
     """Limits that the keeper knows, those that ended lately included."""
 
     limits: tuple[StatedLimit, ...] = ()
@@ -83,7 +89,7 @@
 
 @message
 @attrs.frozen(kw_only=True)
-class AcquirePermit:
+class AcquireServerPermit:
     """Request for a permit for one of some servers.
 
     Parameters
@@ -103,7 +109,7 @@
 
 @message
 @attrs.frozen(kw_only=True)
-class PermitReply:
+class ServerPermitReply:
     """Reply with a permit or a refusal.
 
     Parameters
--- a/flamingoshelf/server_limits/_service.py
+++ b/flamingoshelf/server_limits/_service.py
@@ -10,10 +10,10 @@
 from flamingoshelf.routing import ServerRun
 from flamingoshelf.server_limits._keeper import LimitKeeper
 from flamingoshelf.server_limits._messages import (
-    AcquirePermit,
-    LimitReport,
-    LimitReportReply,
-    PermitReply,
+    AcquireServerPermit,
+    ServerLimitReport,
+    ServerLimitReportReply,
+    ServerPermitReply,
     StatedLimit,
 )
 from flamingoshelf.server_limits._queue import Permit, PermitQueue
@@ -77,8 +77,8 @@
 
     def connect(self, link: NodeLink, coordination: Coordination) -> None:
         """Share limits and permits with the other nodes from now on."""
-        link.register(AcquirePermit, self._on_acquire)
-        link.register(LimitReport, self._on_report)
+        link.register(AcquireServerPermit, self._on_acquire)
+        link.register(ServerLimitReport, self._on_report)
         self._link, self._coordination = link, coordination
         self._requests = CoordinatorRequests(link=link, coordination=coordination, step="limit")
         self._tasks.start(self._follow_coordinator(coordination), name="keeper")
@@ -112,9 +112,11 @@
             return await self._queue.acquire(runs, priority=priority, wait_s=wait_s)
         if self._coordinator is None and not wait_s:
             return None
-        request = AcquirePermit(servers=self._to_messages(runs), priority=priority, wait_s=wait_s)
+        request = AcquireServerPermit(
+            servers=self._to_messages(runs), priority=priority, wait_s=wait_s
+        )
         reply = await self._requests.request(request, timeout_s=wait_s + _REPLY_SLACK_S)
-        if not isinstance(reply, PermitReply):
+        if not isinstance(reply, ServerPermitReply):
             return None
         self._merge(reply.limits)
         granted = next((run for run in runs if run.instance_id == reply.server), None)
@@ -170,9 +172,9 @@
                 own = [run for run, known in self._stated.statements().items() if known.is_own]
                 if not own and self._digests[coordinator] == self.digest:
                     return
-                report = LimitReport(limits=self._to_messages(own))
+                report = ServerLimitReport(limits=self._to_messages(own))
                 reply = await link.request(coordinator, report, timeout_s=_REPORT_TIMEOUT_S)
-                assert isinstance(reply, LimitReportReply)
+                assert isinstance(reply, ServerLimitReportReply)
                 self._merge(reply.limits)
         except FlamingoshelfError as error:
             logger.bind(step="limit", peer=error.peer).info(
@@ -181,15 +183,15 @@
         finally:
             self._is_reporting = False
 
-    async def _on_report(self, peer: str, report: LimitReport) -> LimitReportReply:
+    async def _on_report(self, peer: str, report: ServerLimitReport) -> ServerLimitReportReply:
         self._merge(report.limits)
-        return LimitReportReply(limits=self._to_messages(self._stated.statements()))
+        return ServerLimitReportReply(limits=self._to_messages(self._stated.statements()))
 
-    async def _on_acquire(self, peer: str, request: AcquirePermit) -> PermitReply:
+    async def _on_acquire(self, peer: str, request: AcquireServerPermit) -> ServerPermitReply:
         self._merge(request.servers)
         runs = [limit.run for limit in request.servers]
         permit = await self._queue.acquire(runs, priority=request.priority, wait_s=request.wait_s)
-        return PermitReply(
+        return ServerPermitReply(
             server="" if permit.run is None else permit.run.instance_id,
             retry_after_s=permit.retry_after_s,
             limits=self._to_messages(runs),
