--- a/flamingoshelf/gateway/_plain_server_chooser.py
+++ b/flamingoshelf/gateway/_plain_server_chooser.py
@@ -27,9 +27,9 @@
 class PlainServerChooser:
     """Chooses the server of a plain call.
 
-    A server that states a limit is chosen as the others are, by its running calls. It gets the call
-    if there is a permit, or another server with a limit and a permit does. Else the call goes to a
-    server without a limit, or waits for a permit if there is none.
+    Servers with and without limits are chosen alike, by their running calls. If the chosen one states
+    a limit, a permit is asked for, which may be for another limited server. Without a permit the
+    call goes to a server without a limit, or waits for one if there is none.
 
     Parameters
     ----------
@@ -49,7 +49,7 @@
         self._limits = limits
 
     async def choose(self, state: PlainState) -> BackendInstance | None:
-        """Return a server that was not tried, or None if there is none or another has answered."""
+        """Return a server that was not tried, or None if none can be used or a call has ended."""
         servers = self._targets.instances(state.service)
         pauses = self._targets.pauses(state.service)
         if servers and len(pauses) == len(servers):
--- a/flamingoshelf/server_limits/_keeper.py
+++ b/flamingoshelf/server_limits/_keeper.py
@@ -86,8 +86,8 @@
     """Permits for requests to servers that state limits.
 
     A limit holds for all nodes together, so one node keeps the permits for all that it can reach.
-    Of each limit it gives out the share of these nodes, as nodes that it can't reach may be kept
-    by another one.
+    Nodes that it can't reach may have another keeper, so it gives out only the share of each limit
+    that the reachable nodes are of all.
 
     Parameters
     ----------
