--- a/flamingoshelf/gateway/_plain_server_chooser.py
+++ b/flamingoshelf/gateway/_plain_server_chooser.py
@@ -27,7 +27,7 @@
 class PlainServerChooser:
     """Chooses the server of a plain call.
 
-    Servers with and without limits are chosen alike, by their running calls. If the chosen one states
+    Servers with and without limits are chosen alike, by running calls. If the chosen one states
     a limit, a permit is asked for, which may be for another limited server. Without a permit the
     call goes to a server without a limit, or waits for one if there is none.
 
