Log the software version of engines and of each run; read what a take-up names

The version of a registration is decoded and logged when a server registers and with the first event of each run, so that a joined stream shows in the logs; entries without one are invalid like others without a required field. The attempt that a take-up names (`Resumes`) is decoded. Nothing decides by either yet. Stand-ins have a version, state the start of their run in reports, and write the version into each event.

--- a/flamingoshelf/gateway/_stream_attempt.py
+++ b/flamingoshelf/gateway/_stream_attempt.py
@@ -242,6 +242,7 @@
         self._run = RunRelay(
             relay=state.relay,
             request=state.request,
+            engine=engine,
             on_first_event=lambda: placer.record_start(self._turn),
             on_begin=lambda: self._tools.crash_detector.record_begin(state.request),
             on_suspicion=lambda: placer.record_failure(
--- a/flamingoshelf/gateway/_stream_relay.py
+++ b/flamingoshelf/gateway/_stream_relay.py
@@ -12,6 +12,7 @@
 from flamingoshelf.gateway._events import EventSplitter, StreamEvent
 from flamingoshelf.gateway._silence_watch import SilenceWatch
 from flamingoshelf.http1 import Exchange
+from flamingoshelf.routing import BackendInstance
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import now_s
 
@@ -147,6 +148,8 @@
         Called when the first event of the run arrives.
     on_begin : callable
         Called when the run has gone on after its first event.
+    engine : BackendInstance
+        Engine of the run.
     on_suspicion : callable
         Called each time the engine has sent nothing for longer than the route's goal for pauses.
     watch : SilenceWatch
@@ -158,6 +161,7 @@
         *,
         relay: StreamRelay,
         request: AdmittedRequest,
+        engine: BackendInstance,
         on_first_event: Callable[[], None],
         on_begin: Callable[[], None],
         on_suspicion: Callable[[], None],
@@ -165,6 +169,7 @@
     ) -> None:
         self._relay = relay
         self._request = request
+        self._engine = engine
         self._on_first_event = on_first_event
         self._on_begin = on_begin
         self._event_count = 0
@@ -280,7 +285,8 @@
         logger.bind(
             request_id=self._request.request_id,
             step="decode",
-            peer=self._relay.backend_server,
+            peer=self._engine.key,
+            version=self._engine.software_version,
             after_s=round(self._first_event_s - self._request.arrived_s, 4),
             goal_s=self._request.route.latency_goal_s,
             resumed_after=self._relay.last_event_id,
--- a/flamingoshelf/gateway/_wire.py
+++ b/flamingoshelf/gateway/_wire.py
@@ -34,6 +34,8 @@
         Size of the answer in tokens as the caller estimates it.
     last_event_id : int or None
         Last event that the caller received of a broken stream.
+    resumes : str or None
+        Identifier of the attempt that brought the first event of that stream.
     prompt : str
         Header value that lists the parts of the prompt.
     prompt_parts : tuple of str
@@ -49,6 +51,7 @@
     max_output_tokens: int | None = None
     expected_output_tokens: int | None = None
     last_event_id: int | None = None
+    resumes: str | None = None
     prompt: str = ""
     prompt_parts: tuple[str, ...] = ()
     model: str = ""
--- a/flamingoshelf/platform/_instances.py
+++ b/flamingoshelf/platform/_instances.py
@@ -32,6 +32,7 @@
             slots=int(document["slots"]),
             role=None if stage is None else _ROLE_BY_STAGE[stage],
             started_ms=int(document.get("born") or 0),  # "born" is the start as Unix time in ms
+            software_version=_text(document["version"]),  # of the software, not of the weights
         )
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise ConfigurationError(repr(error), step="decode server", peer=name) from error
--- a/flamingoshelf/platform/_wire.py
+++ b/flamingoshelf/platform/_wire.py
@@ -51,6 +51,7 @@
             max_output_tokens=output,
             expected_output_tokens=_number(head.headers.get("Length-Hint")),
             last_event_id=_number(head.headers.get("Last-Event-Id")),
+            resumes=(head.headers.get("Resumes") or "").strip() or None,
             prompt=prompt_parts,
             prompt_parts=_part_ids(prompt_parts),
             model=head.headers.get("Model") or "",
--- a/flamingoshelf/routing/_directory.py
+++ b/flamingoshelf/routing/_directory.py
@@ -199,6 +199,7 @@
                 state=instance.state.value,
                 role=instance.role.value if instance.role else None,
                 address=instance.address,
+                version=instance.software_version,
             ).info("backend server registered")
         is_same = current is not None and current.instance == instance
         if is_same and current is not None and current.usable_until_s is None:
--- a/flamingoshelf/routing/_instances.py
+++ b/flamingoshelf/routing/_instances.py
@@ -53,6 +53,8 @@
     started_ms : int
         Unix time of the server's start in milliseconds, 0 if unknown. Distinguishes runs with the
         same identity.
+    software_version : str
+        Version of the server's software, not of its model weights.
     """
 
     instance_id: str
@@ -63,6 +65,7 @@
     slots: int = 1
     role: EngineRole | None = None
     started_ms: int = 0
+    software_version: str = ""
 
     @property
     def key(self) -> str:
--- a/lab/gateway/_caller.py
+++ b/lab/gateway/_caller.py
@@ -54,6 +54,13 @@
         lines = self.body.decode(errors="replace").split("\n")
         return [int(line[4:]) for line in lines if line.startswith("id: ")]
 
+    @property
+    def versions(self) -> list[str]:
+        """Software versions of the engines that made the received events."""
+        lines = self.body.decode(errors="replace").split("\n")
+        texts = [line.split() for line in lines if line.startswith("data: ")]
+        return [text[3] for text in texts if len(text) == 4]
+
 
 class Caller:
     """Client of the gateway; each request uses a new connection unless one is passed in.
--- a/lab/gateway/_server_base.py
+++ b/lab/gateway/_server_base.py
@@ -33,6 +33,7 @@
         self.is_leaving = False  # stated in all answers
         self.limit: LimitSpan | None = None  # stated in all answers
         self.started_ms = 1_700_000_000_000
+        self.version = "v1"  # of its software
         self.tasks = TaskGroup(owner="server")
         self._server = HttpServer(address=address, handle=self._handle)
 
@@ -78,7 +79,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": self.state,
             "coldLeftMs": 0,
--- a/lab/gateway/_servers.py
+++ b/lab/gateway/_servers.py
@@ -166,6 +166,7 @@
     def _report(self) -> dict[str, object]:
         return {
             "stage": self.role,
+            "born": self.started_ms,
             "models": [],
             "busy": self.is_changing,
             "sequence": self.orders,
@@ -275,7 +276,7 @@
         )
         for number in range(first_event, events + 1):
             await self.silence.sleep(self.s_per_event)
-            event = f"id: {number}\ndata: {run.request_id} {number}\n\n".encode()
+            event = f"id: {number}\ndata: {run.request_id} {number} {self.version}\n\n".encode()
             if number == cut_at_event:
                 run.ended = "cut"
                 await exchange.write(event[: len(event) // 2])
