--- /dev/null
+++ b/lab/tests/test_software_versions.py
@@ -0,0 +1,188 @@
+"""Whole nodes, and engines of several software versions whose streams don't fit together."""
+
+import asyncio
+import itertools
+
+import attrs
+import pytest
+
+from lab.gateway._caller import Answer
+from lab.gateway._records import ServerFaults
+from lab.gateway._site import RESUMABLE
+from lab.tests.test_gateway_site import wait_for_initial_roles
+
+pytestmark = [pytest.mark.processes, pytest.mark.timeout(60)]
+
+EVENTS = 60
+S_PER_EVENT = 0.03
+AT_ONCE_S = 0.6  # a refusal of what can't be served
+MIN_SHARE = 0.5  # of the share of new streams that begin
+LEAST_JUDGED = 12
+STORE_LAG_S = 0.5  # streams that begin as late before all nodes are lost may be forgotten
+
+
+@attrs.define(kw_only=True)
+class Stream:
+    """A stream, with all attempts of its caller."""
+
+    number: int
+    answers: list[Answer] = attrs.field(factory=list)
+
+    @property
+    def events(self):
+        return [event for answer in self.answers for event in answer.events]
+
+    @property
+    def versions(self):
+        return {version for answer in self.answers for version in answer.versions}
+
+    @property
+    def is_broken(self):
+        return bool(self.events) and not self.answers[-1].is_complete
+
+    @property
+    def first_id(self):
+        return next(answer.request_id for answer in self.answers if answer.events)
+
+
+class Streams:
+    """Sends streams to all nodes in turn, and takes them up again."""
+
+    def __init__(self, site):
+        self.site = site
+        self.streams = []
+        self._numbers = itertools.count()
+        self._nodes = itertools.cycle(site.node_addresses)
+        for engine in site.engines:
+            engine.s_per_event = S_PER_EVENT
+
+    async def send(self):
+        """Send a new stream."""
+        stream = Stream(number=next(self._numbers))
+        self.streams.append(stream)
+        await self._try(stream)
+        return stream
+
+    async def take_up(self, stream, **call):
+        """Take a broken stream up again at some node."""
+        headers = [("Last-Event-Id", str(stream.events[-1])), ("Resumes", stream.first_id)]
+        await self._try(stream, headers=headers, **call)
+
+    async def _try(self, stream, **call):
+        answer = await self.site.caller.call(
+            next(self._nodes), f"{RESUMABLE}{stream.number}", tokens=(500, 8 * EVENTS), **call
+        )
+        stream.answers.append(answer)
+
+    def joined(self):
+        """Return the streams that hold events of several versions, or not each event once."""
+        return [
+            stream
+            for stream in self.streams
+            if len(stream.versions) > 1
+            or stream.events != list(range(1, len(stream.events) + 1))
+            or (stream.answers[-1].is_complete and stream.events and stream.events[-1] != EVENTS)
+        ]
+
+
+async def start_site(new_site, *, node_count, decode_count=6, versions=("v1", "v2")):
+    """Start a site whose engines are of the versions in turn."""
+    site = await new_site(node_count=node_count, prefill_count=2, decode_count=decode_count)
+    for engine, version in zip(site.engines, itertools.cycle(versions)):
+        engine.version = version
+        site.register(engine)
+    await wait_for_initial_roles(site)
+    return site
+
+
+async def restart_nodes(site, nodes):
+    for node in nodes:
+        node.kill()
+    await asyncio.sleep(0.1)
+    for node in nodes:
+        node.start()
+    for address in site.ready_addresses:
+        await site.wait_until_ready(address)
+
+
+async def remove_engines(site, version):
+    for engine in site.engines:
+        if engine.version == version:
+            await engine.stop()
+            site.store.remove("servers", engine.instance_id)
+
+
+def share_that_goes_on(streams):
+    return sum(stream.answers[-1].is_complete for stream in streams) / len(streams)
+
+
+async def break_and_take_up(streams, *, killed, count=40):
+    """Send streams, kill nodes in the middle, and take up what broke, beside new streams."""
+    sending = [asyncio.ensure_future(streams.send()) for _ in range(count)]
+    await asyncio.sleep(EVENTS * S_PER_EVENT / 2 + STORE_LAG_S)
+    await killed()
+    await asyncio.gather(*sending)
+    broken = [stream for stream in streams.streams if stream.is_broken]
+    new = [asyncio.ensure_future(streams.send()) for _ in range(LEAST_JUDGED)]
+    await asyncio.gather(*(streams.take_up(stream) for stream in broken))
+    return broken, await asyncio.gather(*new)
+
+
+# Streams that an engine cut went on in the same answer at an engine of another version.
+@pytest.mark.parametrize("node_count", [1, 3])
+async def test_stream_goes_on_at_the_version_that_began_it(new_site, node_count):
+    site = await start_site(new_site, node_count=node_count)
+    for engine in site.engines:
+        engine.faults = ServerFaults(cut=0.4)
+    streams = Streams(site)
+    for _ in range(3):
+        await asyncio.gather(*(streams.send() for _ in range(20)))
+    assert streams.joined() == []
+    continued = [s for s in streams.streams if len(site.log.runs_of(s.answers[0].request_id)) > 1]
+    assert len(continued) >= LEAST_JUDGED and share_that_goes_on(continued) > MIN_SHARE
+
+
+# Once all nodes had been killed, callers got streams joined from two versions, answered 200.
+@pytest.mark.parametrize("node_count", [1, 3, 6])
+async def test_take_ups_after_the_loss_of_all_nodes_keep_the_version(new_site, node_count):
+    site = await start_site(new_site, node_count=node_count)
+    streams = Streams(site)
+    broken, new = await break_and_take_up(
+        streams, killed=lambda: restart_nodes(site, site.nodes), count=40 if node_count > 1 else 24
+    )
+    assert streams.joined() == []
+    assert len(broken) >= LEAST_JUDGED
+    assert share_that_goes_on(broken) >= MIN_SHARE * share_that_goes_on(new)
+    assert share_that_goes_on(new) > MIN_SHARE
+
+
+# Take-ups of streams whose version had left were answered 200, with the text of another one.
+@pytest.mark.parametrize("node_count", [1, 3])
+async def test_take_up_is_refused_at_once_if_its_version_has_left(new_site, node_count):
+    site = await start_site(new_site, node_count=node_count)
+    streams = Streams(site)
+
+    async def lose_nodes_and_old_version():
+        await remove_engines(site, "v1")
+        await restart_nodes(site, site.nodes)
+
+    broken, new = await break_and_take_up(streams, killed=lose_nodes_and_old_version, count=24)
+    assert streams.joined() == []
+    old = [stream for stream in broken if "v1" in stream.versions]
+    assert {stream.answers[-1].status for stream in old} == {503}
+    assert all(float(s.answers[-1].headers.get("Retry-After")) > 0 for s in old)
+    assert max(s.answers[-1].head_s - s.answers[-1].sent_s for s in old) < AT_ONCE_S
+    current = [stream for stream in broken if "v1" not in stream.versions]
+    assert share_that_goes_on(current) >= MIN_SHARE * share_that_goes_on(new)
+
+
+# A take-up at a node that hadn't relayed the stream went on at any version.
+async def test_take_ups_after_the_loss_of_one_node_keep_the_version(new_site):
+    site = await start_site(new_site, node_count=3)
+    streams = Streams(site)
+    broken, new = await break_and_take_up(
+        streams, killed=lambda: restart_nodes(site, site.nodes[:1])
+    )
+    assert streams.joined() == []
+    assert len(broken) >= LEAST_JUDGED
+    assert share_that_goes_on(broken) >= MIN_SHARE * share_that_goes_on(new)
