Tests: run finalizers between tests, not within ast.parse

CPython 3.11.6 keeps the depth of ast.parse in one place: a garbage collection within it that runs a finalizer whose error is reported (which parses again) trips the check. That a finalizer did so is inferred from the two traces; no run shows which one it was. A collection after each test runs them outside.

--- a/conftest.py
+++ b/conftest.py
@@ -1,5 +1,6 @@
 """Shared fixtures, and the handling of tests that are known to fail."""
 
+import gc
 from pathlib import Path
 
 import pytest
@@ -30,6 +31,11 @@
             terminalreporter.write_line(f"{title}\n{text}")
 
 
+def pytest_runtest_teardown() -> None:
+    """Run finalizers here: within `ast.parse`, they make CPython 3.11 raise `SystemError`."""
+    gc.collect()
+
+
 @pytest.fixture
 async def site(tmp_path: Path):
     """Start a small site of real processes: three nodes, two prefill and two decode engines."""
