Roles: each software version keeps a decode engine

What callers would see: after the last decode engine of a version became a prefill engine, broken streams of that version could not go on anywhere for the 6 s of a change back. The planner took engines by data centre alone. It now passes over an engine that is the only decode engine of its version.

--- a/flamingoshelf/placement/_role_plan.py
+++ b/flamingoshelf/placement/_role_plan.py
@@ -1,5 +1,6 @@
 """Planning of the split of engines into prefill and decode pools."""
 
+from collections import Counter
 from collections.abc import Sequence
 
 import attrs
@@ -162,15 +163,26 @@
     role: EngineRole,
     count: int,
 ) -> list[RoleChange]:
-    """Return role changes of `count` donors, from the data centres that have most of them."""
-    changes = []
+    """Return role changes of `count` donors, from the data centres that have most of them.
+
+    Each software version keeps a decode engine: no other one can continue its streams.
+    """
+    changes: list[RoleChange] = []
     left = list(donors)
     for _ in range(min(count, len(left) - 1)):
+        versions = Counter(engine.software_version for engine in left)
+        spare = [
+            engine
+            for engine in left
+            if role is EngineRole.DECODE or versions[engine.software_version] > 1
+        ]
+        if not spare:
+            return changes
         same_centre_counts = {
             engine.key: sum(other.data_centre == engine.data_centre for other in left)
-            for engine in left
+            for engine in spare
         }
-        engine = max(left, key=lambda item: (same_centre_counts[item.key], item.key))
+        engine = max(spare, key=lambda item: (same_centre_counts[item.key], item.key))
         left.remove(engine)
         changes.append(RoleChange(engine=engine, role=role))
     return changes
--- a/flamingoshelf/placement/tests/test_role_plan.py
+++ b/flamingoshelf/placement/tests/test_role_plan.py
@@ -1,5 +1,6 @@
 """Planning of the split of engines into prefill and decode pools."""
 
+import attrs
 import pytest
 
 from flamingoshelf.placement import RolePlanner
@@ -116,3 +117,12 @@
 def test_engines_come_from_the_data_centre_with_most_of_them(planner):
     found = planner.plan(engines(4, 5), cost=TYPICAL, load=0.0, now_s=0.0)
     assert found[0].engine.data_centre == "a"
+
+
+# The last decode engine of a version became a prefill engine, and no stream of it could go on.
+def test_each_version_keeps_a_decode_engine(planner):
+    pool = engines(1, 8)
+    pool = [attrs.evolve(e, software_version="v1" if n == 8 else "v2") for n, e in enumerate(pool)]
+    changes = planner.plan(pool, cost=LONG_PROMPTS, load=0.0, now_s=100.0)
+    assert len(changes) >= 2
+    assert "e8" not in {change.engine.key for change in changes}
