Continue streams only at the software version that began them

Cause: nothing read the version of an engine or what a take-up names. The class of fault: what a stream needs to go on lives in no place that outlasts the node that began it.

The first event binds a stream to the service and version of its engine. Engines of other versions are excluded from its placement, by the field that coordinators of the earlier version know; a turn at another version is given back before its prompt is processed. If no engine of the version is left, or none has room in time, it is refused at once (version_gone, queue_full).

A write for each stream doesn't scale; a history of versions needs a barrier before the first use of a new version and holds no stream of two that overlap; placing by a hash of the id binds placement and changes its mind with each release.

--- a/flamingoshelf/gateway/_admission.py
+++ b/flamingoshelf/gateway/_admission.py
@@ -79,6 +79,21 @@
             else min(self.deadline_s, self.arrived_s + abandon_after_s)
         )
 
+    @property
+    def is_take_up(self) -> bool:
+        """Whether the caller takes a broken stream up again."""
+        return self.caller.resumes is not None or self.caller.last_event_id is not None
+
+    @property
+    def events_before(self) -> int:
+        """Number of events that the caller has received of the stream that it takes up."""
+        return self.caller.last_event_id or 0
+
+    @property
+    def patience_s(self) -> float:
+        """Seconds from its arrival for which the caller may take its stream up again."""
+        return self.route.timeout_s if self.caller.wait_s is None else self.caller.wait_s
+
     @cached_property
     def content(self) -> str:
         """Digest of the request's content; a repeated request has the same one."""
--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -44,6 +44,7 @@
 from flamingoshelf.routing import InstanceDirectory, ServerNotices
 from flamingoshelf.server_limits import LimitService
 from flamingoshelf.store import KindStore, StoreEras
+from flamingoshelf.stream_origins import OriginService
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import TaskGroup, boot_time_s, new_incarnation
 
@@ -116,6 +117,13 @@
         self._server_limits = LimitService(
             node_name=settings.node_name, incarnation=self._incarnation, members=self._members
         )
+        self._origins = OriginService(
+            node_name=settings.node_name,
+            incarnation=self._incarnation,
+            store=store,
+            eras=eras,
+            node_count=self._fleet.node_count,
+        )
         self._client = BackendClient(
             pool=self._pool, wire=wire, notices=self._notices, limits=self._server_limits.stated
         )
@@ -231,6 +239,7 @@
                 notices=self._notices,
                 limits=self._server_limits,
                 placer=self._placer,
+                origins=self._origins,
                 plain_calls=self._plain_calls,
                 crash_detector=self._crash_protection.detector,
                 budget=self._budgets.budget,
@@ -267,6 +276,7 @@
         await self._placer.start()
         await self._store_follower.start()
         await self._crash_protection.start()
+        await self._origins.start()
         await self._registration.start()
         await self._role_controller.start()
         await self._prober.start()
@@ -307,6 +317,7 @@
         await self._configuration_exchange.stop()
         await self._placer.stop()
         await self._dispatchers.stop()
+        await self._origins.stop()
         if self._coordination is not None:
             await self._coordination.stop()
         if self._link is not None:
@@ -342,6 +353,7 @@
         self._store_follower.set_link(link)
         self._crash_protection.connect(link)
         self._server_limits.connect(link, coordination)
+        self._origins.connect(link, coordination)
         await link.start()
         await coordination.start()
         self._link, self._coordination = link, coordination
--- a/flamingoshelf/gateway/_request_path.py
+++ b/flamingoshelf/gateway/_request_path.py
@@ -16,6 +16,7 @@
 from flamingoshelf.retries import RetryBudget
 from flamingoshelf.routing import EjectionRule, InstanceDirectory, ServerNotices, ServerSelector
 from flamingoshelf.server_limits import LimitService
+from flamingoshelf.stream_origins import StreamOrigins
 from flamingoshelf.telemetry import Metrics
 
 __all__ = ["new_gateway"]
@@ -29,6 +30,7 @@
     notices: ServerNotices,
     limits: LimitService,
     placer: Placer,
+    origins: StreamOrigins,
     plain_calls: PlainCallMeter,
     crash_detector: CrashDetector,
     budget: Callable[[str], RetryBudget],
@@ -62,6 +64,7 @@
         targets=targets,
         directory=directory,
         placer=placer,
+        origins=origins,
         crash_detector=crash_detector,
         metrics=metrics,
     )
--- a/flamingoshelf/gateway/_stream_attempt.py
+++ b/flamingoshelf/gateway/_stream_attempt.py
@@ -17,11 +17,12 @@
 from flamingoshelf.gateway._prefill_timeout import prefill_timeout_s
 from flamingoshelf.gateway._silence_watch import SilenceWatch
 from flamingoshelf.gateway._stream_relay import RelayResult, RunRelay
-from flamingoshelf.gateway._stream_state import AttemptTools, StreamState
+from flamingoshelf.gateway._stream_state import AttemptTools, StreamState, origin_of
 from flamingoshelf.gateway._wire import BackendCall, KvHandle
 from flamingoshelf.http1 import NoFreeConnectionError
 from flamingoshelf.placement import FailureKind, RunOutcome, Turn
 from flamingoshelf.routing import BackendInstance
+from flamingoshelf.stream_origins import stream_key
 from flamingoshelf.utils import now_s
 
 if TYPE_CHECKING:
@@ -35,6 +36,7 @@
 _MAX_OVERLAP_S = 0.25
 # A sound engine may be silent for about a second; a prefill that takes longer is given up.
 _MAX_PREFILL_SILENCE_S = 1.5
+_ORIGIN_SLACK_S = 2.0  # for a caller whose clock or connection is slower than stated
 
 
 class StreamAttempt:
@@ -229,6 +231,13 @@
             self._state.avoid.add(decode_id)
             self._count_wasted_prefill()
             log.warning("decode engine not listed at this node")
+        elif not self._state.may_run_at(engine):
+            self._state.unlisted.add(decode_id)
+            self._count_wasted_prefill()
+            log.bind(version=engine.software_version).warning(
+                "decode engine runs another software version than the one that began the stream"
+            )
+            return None
         return engine
 
     async def _decode(self, engine: BackendInstance) -> RelayResult:
@@ -243,7 +252,7 @@
             relay=state.relay,
             request=state.request,
             engine=engine,
-            on_first_event=lambda: placer.record_start(self._turn),
+            on_first_event=lambda: self._record_first_event(engine),
             on_begin=lambda: self._tools.crash_detector.record_begin(state.request),
             on_suspicion=lambda: placer.record_failure(
                 state.service, engine.key, FailureKind.SILENT, detail="no event for a time"
@@ -280,12 +289,25 @@
         self._set_has_run(False)
         return RelayResult.NOT_RUN
 
+    def _record_first_event(self, engine: BackendInstance) -> None:
+        """Report the first event of a run; the first one of all binds the stream to its version."""
+        state, tools = self._state, self._tools
+        tools.placer.record_start(self._turn)
+        if state.origin is None:
+            state.origin = origin_of(engine)
+        if state.relay.event_count == 0 and state.request.route.may_resume:
+            key = stream_key(state.request.workspace_name or "", state.request.request_id)
+            keep_s = state.request.patience_s + _ORIGIN_SLACK_S
+            tools.origins.record(key, state.origin, keep_s=keep_s)
+
     async def _relay(
         self, run: RunRelay, engine: BackendInstance, response: BackendResponse, call: BackendCall
     ) -> RelayResult:
         """Relay an accepted run, unless the silent run that it was to replace goes on."""
         if call.resume_after != self._state.relay.last_event_id:
             return RelayResult.BROKEN
+        if not self._state.may_run_at(engine):  # another run has begun the stream meanwhile
+            return RelayResult.BROKEN
         if not self._take_over(self._silent):
             return RelayResult.BROKEN
         self._state.relay.backend_server = engine.key
--- a/flamingoshelf/gateway/_stream_forwarder.py
+++ b/flamingoshelf/gateway/_stream_forwarder.py
@@ -16,6 +16,8 @@
     StreamState,
     final_refusal,
     pause_refusal,
+    unknown_origin_refusal,
+    version_gone_refusal,
 )
 from flamingoshelf.gateway._target_selector import TargetSelector
 from flamingoshelf.http1 import Exchange
@@ -27,7 +29,8 @@
     new_turn_id,
 )
 from flamingoshelf.refusals import Refusal, RetryReason
-from flamingoshelf.routing import InstanceDirectory
+from flamingoshelf.routing import BackendInstance, EngineRole, InstanceDirectory
+from flamingoshelf.stream_origins import StreamOrigin, StreamOrigins, stream_key
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import now_s
 
@@ -56,6 +59,8 @@
         Registered engines by key.
     placer : Placer
         Grants turns.
+    origins : StreamOrigins
+        Knows which software version began a stream.
     crash_detector : CrashDetector
         Detects and refuses requests that crash engines.
     metrics : Metrics
@@ -69,18 +74,21 @@
         targets: TargetSelector,
         directory: InstanceDirectory,
         placer: Placer,
+        origins: StreamOrigins,
         crash_detector: CrashDetector,
         metrics: Metrics,
     ) -> None:
         self._targets = targets
         self._directory = directory
         self._placer = placer
+        self._origins = origins
         self._crash_detector = crash_detector
         self._metrics = metrics
         self._tools = AttemptTools(
             client=client,
             directory=directory,
             placer=placer,
+            origins=origins,
             crash_detector=crash_detector,
             metrics=metrics,
         )
@@ -90,9 +98,20 @@
         refusal = self._crash_detector.check(request)
         if refusal is not None:
             return refusal
-        service = self._targets.choose_service(request.route)
+        origin: StreamOrigin | None = None
+        if request.is_take_up:
+            origin = await self._find_origin(request)
+            if origin is None:
+                return unknown_origin_refusal(request)
+            if origin.service not in {target.service for target in request.route.targets}:
+                return version_gone_refusal(origin)
         relay = StreamRelay(exchange=exchange, request=request, metrics=self._metrics)
-        state = StreamState(request=request, service=service, relay=relay)
+        state = StreamState(
+            request=request,
+            service=origin.service if origin else self._targets.choose_service(request.route),
+            relay=relay,
+            origin=origin,
+        )
         try:
             with self._crash_detector.watch(request, state.refuse):
                 refusal = await self._serve(state)
@@ -101,6 +120,22 @@
                 await attempt.stop()
         return None if refusal is None else self._refuse_or_abort(state, refusal)
 
+    async def _find_origin(self, request: AdmittedRequest) -> StreamOrigin | None:
+        """Return what began the stream that a caller takes up, or None if it isn't known."""
+        began_s = now_s()
+        resumes = request.caller.resumes
+        key = stream_key(request.workspace_name or "", resumes or "")
+        origin = None if resumes is None else await self._origins.find(key)
+        logger.bind(
+            request_id=request.request_id,
+            step="origin",
+            resumes=resumes,
+            after_event=request.caller.last_event_id,
+            version=None if origin is None else origin.version,
+            waited_s=round(now_s() - began_s, 4),
+        ).info("stream taken up" if origin else "stream of unknown origin not taken up")
+        return origin
+
     async def _serve(self, state: StreamState) -> Refusal | None:
         """Use turns until the caller is answered; return a refusal if no further one is tried."""
         beginning: asyncio.Task[Refusal | None] | None = None
@@ -161,6 +196,8 @@
             pause_s = self._pause_s(state)
             if pause_s is not None:
                 return pause_refusal(state.service, pause_s)
+            if state.origin is not None and not self._has_decode_engine(state):
+                return version_gone_refusal(state.origin)
             turn = await self._placer.acquire(self._placement_request(state, silent))
             if isinstance(turn, Refusal):
                 return turn
@@ -173,6 +210,13 @@
             return None
         return final_refusal(state, remaining_s=self._remaining_s(state))
 
+    def _has_decode_engine(self, state: StreamState) -> bool:
+        """Return whether a listed decode engine could continue the stream."""
+        return any(state.may_run_at(engine) for engine in self._decode_engines(state))
+
+    def _decode_engines(self, state: StreamState) -> list[BackendInstance]:
+        return self._targets.instances(state.service, role=EngineRole.DECODE)
+
     def _pause_s(self, state: StreamState) -> float | None:
         """Avoid engines that want nothing from this node.
 
@@ -194,8 +238,9 @@
         """Release a turn if this node can't use its engines; return whether it was released.
 
         While the store does not answer all nodes, the dispatcher may know other engines than this
-        node. An engine may also have asked this node for a pause, or state that it leaves. The
-        check precedes the prefill, so that no prompt is processed in vain.
+        node, or another software version of an engine. An engine may also have asked this node for
+        a pause, or state that it leaves. The check precedes the prefill, so that no prompt is
+        processed in vain.
         """
         engines = {turn.prefill_id, turn.decode_id} - {None}
         pauses = self._targets.pauses(state.service)
@@ -204,6 +249,9 @@
             for name in engines
             if name and (name in pauses or self._directory.get(name) is None)
         }
+        decode = self._directory.get(turn.decode_id)
+        if decode is not None and not state.may_run_at(decode):
+            unlisted.add(turn.decode_id)
         if not unlisted:
             return False
         state.unlisted |= unlisted
@@ -217,6 +265,7 @@
         self, state: StreamState, silent: Sequence[StreamAttempt]
     ) -> PlacementRequest:
         exclude = state.paused | state.unlisted | {attempt.engine_id for attempt in silent}
+        exclude |= {e.key for e in self._decode_engines(state) if not state.may_run_at(e)}
         state.placements += 1
         request, caller = state.request, state.request.caller
         now = now_s()
@@ -230,7 +279,7 @@
             priority=request.priority,
             prompt_tokens=prompt,
             expected_tokens=max(1, expected_output),
-            resumed_events=state.relay.event_count,
+            resumed_events=state.relay.event_count + min(expected_output, request.events_before),
             charge_tokens=0.0 if state.is_charged else self._charged_tokens(request),
             goal_left_s=request.goal_s - now,
             wait_left_s=(request.deadline_s if state.relay.is_started else request.abandoned_s)
@@ -239,7 +288,7 @@
             avoid=tuple(state.avoid | exclude),
             exclude=tuple(exclude),
             repeat_cost=state.repeat_cost,
-            is_resumed=state.relay.is_started,
+            is_resumed=state.relay.is_started or request.is_take_up,
             content=request.content,
         )
 
--- a/flamingoshelf/gateway/_stream_state.py
+++ b/flamingoshelf/gateway/_stream_state.py
@@ -11,14 +11,25 @@
 from flamingoshelf.gateway._stream_relay import StreamRelay
 from flamingoshelf.placement import Placer
 from flamingoshelf.refusals import Refusal, RefusalReason
-from flamingoshelf.routing import InstanceDirectory
+from flamingoshelf.routing import BackendInstance, InstanceDirectory
+from flamingoshelf.stream_origins import StreamOrigin, StreamOrigins
 from flamingoshelf.telemetry import Metrics
 
 if TYPE_CHECKING:
     from flamingoshelf.gateway._stream_attempt import StreamAttempt
 
-__all__ = ["AttemptTools", "StreamState", "final_refusal", "pause_refusal"]
-
+__all__ = [
+    "AttemptTools",
+    "StreamState",
+    "final_refusal",
+    "origin_of",
+    "pause_refusal",
+    "unknown_origin_refusal",
+    "version_gone_refusal",
+]
+
+_UNKNOWN_ORIGIN_RETRY_S = 1.0  # the store or the coordinator may answer again
+_VERSION_GONE_RETRY_S = 2.0  # a crashed engine starts again within seconds
 _FULL_RETRY_AFTER_S = 0.4  # about the interval at which a decode engine finishes a run
 
 
@@ -29,6 +40,7 @@
     client: BackendClient
     directory: InstanceDirectory
     placer: Placer
+    origins: StreamOrigins
     crash_detector: CrashDetector
     metrics: Metrics
 
@@ -55,6 +67,9 @@
         All attempts so far.
     changed : asyncio.Event
         Set when an attempt falls silent, goes on or ends, or when the request is refused.
+    origin : StreamOrigin or None
+        What began the stream, None before its first event; only engines of the same service and
+        software version can continue it.
     refusal : Refusal or None
         Set if the content was quarantined before an answer had begun.
     """
@@ -70,6 +85,7 @@
     unlisted: set[str] = attrs.field(factory=set)
     attempts: "list[StreamAttempt]" = attrs.field(factory=list)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    origin: StreamOrigin | None = None
     refusal: Refusal | None = None
     is_charged: bool = False
     has_called_prefill: bool = False
@@ -89,6 +105,10 @@
             return False
         return self.sent < self.request.route.max_attempts
 
+    def may_run_at(self, engine: BackendInstance) -> bool:
+        """Return whether an engine can begin this stream, or continue what another one began."""
+        return self.origin is None or self.origin == origin_of(engine)
+
     def refuse(self, refusal: Refusal) -> None:
         """Refuse the request, and end its attempts, unless an engine has begun to answer it."""
         if self.relay.event_count >= BEGUN_EVENTS:
@@ -104,6 +124,11 @@
         return int(self.has_called_prefill) + int(self.has_called_decode)
 
 
+def origin_of(engine: BackendInstance) -> StreamOrigin:
+    """Return the origin of streams that an engine begins."""
+    return StreamOrigin(service=engine.service, version=engine.software_version)
+
+
 def final_refusal(state: StreamState, *, remaining_s: float) -> Refusal:
     """Return the refusal of a request for which no further turn is tried."""
     if remaining_s <= 0:
@@ -133,3 +158,33 @@
         retry_after_s=pause_s,
         step="place",
     )
+
+
+def unknown_origin_refusal(request: AdmittedRequest) -> Refusal:
+    """Return the refusal of a request to resume a stream of unknown software version."""
+    resumes = request.caller.resumes
+    detail = (
+        "The request doesn't name the attempt that began the stream."
+        if resumes is None
+        else f"What began the stream of attempt {resumes} isn't known."
+    )
+    return Refusal(
+        reason=RefusalReason.ORIGIN_UNKNOWN,
+        status=503,
+        detail=detail,
+        not_run=True,
+        retry_after_s=_UNKNOWN_ORIGIN_RETRY_S,
+        step="origin",
+    )
+
+
+def version_gone_refusal(origin: StreamOrigin) -> Refusal:
+    """Return the refusal of a stream that no engine in use can continue."""
+    return Refusal(
+        reason=RefusalReason.VERSION_GONE,
+        status=503,
+        detail=f"No engine of {origin.service} runs version {origin.version}, which began it.",
+        not_run=True,
+        retry_after_s=_VERSION_GONE_RETRY_S,
+        step="origin",
+    )
--- a/flamingoshelf/gateway/tests/test_competing_attempts.py
+++ b/flamingoshelf/gateway/tests/test_competing_attempts.py
@@ -17,6 +17,7 @@
     events,
     server,
 )
+from flamingoshelf.gateway.tests.fake_origins import FakeOrigins
 from flamingoshelf.gateway.tests.fake_placer import NO_ENGINE, FakePlacer
 from flamingoshelf.http1 import Exchange, NoFreeConnectionError
 from flamingoshelf.placement import (
@@ -102,6 +103,7 @@
             targets=targets,
             directory=directory,
             placer=placer,
+            origins=FakeOrigins(),
             crash_detector=crash_detector,
             metrics=metrics,
         )
--- a/flamingoshelf/gateway/tests/test_random_silences.py
+++ b/flamingoshelf/gateway/tests/test_random_silences.py
@@ -25,6 +25,7 @@
     route,
     server,
 )
+from flamingoshelf.gateway.tests.fake_origins import FakeOrigins
 from flamingoshelf.gateway.tests.fake_placer import NO_ENGINE, FakePlacer
 from flamingoshelf.http1 import Exchange, Headers, RequestHead
 from flamingoshelf.routing import (
@@ -97,6 +98,7 @@
         targets=targets,
         directory=directory,
         placer=placer,
+        origins=FakeOrigins(),
         crash_detector=crash_detector,
         metrics=Metrics(node_name="n"),
     )
--- a/flamingoshelf/placement/_engines.py
+++ b/flamingoshelf/placement/_engines.py
@@ -1,6 +1,6 @@
 """The engines of one service, with the load and the health of each."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 
 import attrs
 from loguru import logger
@@ -162,12 +162,13 @@
         """
         return self._usable_engines(EngineRole.DECODE, avoid, exclude)
 
-    def expected_decodes(self) -> list[BackendInstance]:
+    def expected_decodes(self, *, exclude: Collection[str] = ()) -> list[BackendInstance]:
         """Return the decode engines in use and those that are down for a moment only."""
         return [
             engine
             for engine in self._listed.values()
             if engine.role is EngineRole.DECODE
+            and engine.key not in exclude
             and not self._is_changing_role(engine.key)
             and (
                 not self._health.is_down(engine.key, self._now_s)
@@ -231,12 +232,14 @@
         )
         return None if choice is None else choice.key
 
-    def any_can_ever_fit(self, prompt_tokens: int, expected_tokens: int) -> bool:
+    def any_can_ever_fit(
+        self, prompt_tokens: int, expected_tokens: int, *, exclude: Collection[str] = ()
+    ) -> bool:
         """Return whether any decode engine could run a request if it were empty."""
         return any(
             self.decode_tracker(engine.key).can_ever_fit(prompt_tokens, expected_tokens)
             for engine in self._listed.values()
-            if engine.role is EngineRole.DECODE
+            if engine.role is EngineRole.DECODE and engine.key not in exclude
         )
 
     @property
--- a/flamingoshelf/placement/_feasibility.py
+++ b/flamingoshelf/placement/_feasibility.py
@@ -67,6 +67,7 @@
         self._waiting = waiting
         self._turns = turns
         self._memory = MemoryForecast(engines=engines, now_s=now_s)
+        self._partial_memory: dict[frozenset[str], MemoryForecast] = {}  # by excluded engines
         self._prefill = PrefillForecast(engines=engines, now_s=now_s)
         self._permits = TurnPermitForecast(engines=engines)
 
@@ -77,19 +78,23 @@
         that is refused for lack of them.
         """
         request = queued.request
-        if not self._engines.any_can_ever_fit(request.prompt_tokens, request.expected_tokens):
+        if not self._engines.any_can_ever_fit(
+            request.prompt_tokens, request.expected_tokens, exclude=request.exclude
+        ):
             return no_engine_refusal(self._service)
+        memory = self._memory_without(frozenset(request.exclude))
         needed_tokens = initial_need_tokens(request.prompt_tokens, request.expected_tokens)
         permit_wait_s = self._permits.wait_s()
         memory_wait_s = first_event_s = run_s = 0.0
         if self._prefill.is_measured:
-            memory_wait_s = self._memory.wait_s(needed_tokens)
+            memory_wait_s = memory.wait_s(needed_tokens)
             first_event_s = self._prefill.first_event_s(request.prompt_tokens)
             run_s = self._prefill.run_s(request.prompt_tokens, request.expected_tokens)
         begins_s = self._now_s + max(memory_wait_s, permit_wait_s)
         is_in_time = begins_s + first_event_s <= queued.expires_s
         if is_in_time and begins_s + run_s <= queued.deadline_s:
-            self._memory.reserve(needed_tokens, begins_s=begins_s, run_s=run_s)
+            for forecast in {memory, self._memory}:
+                forecast.reserve(needed_tokens, begins_s=begins_s, run_s=run_s)
             self._permits.reserve()
             return None
         logger.bind(
@@ -111,3 +116,14 @@
             longer_s = max(retry_after_s, min(permit_wait_s, _MAX_PERMIT_RETRY_AFTER_S))
             return limited_refusal(self._service, retry_after_s=longer_s)
         return queue_full_refusal(self._service, retry_after_s=retry_after_s)
+
+    def _memory_without(self, excluded: frozenset[str]) -> MemoryForecast:
+        """Return the forecast for requests that can't use some engines."""
+        if not excluded:
+            return self._memory
+        forecast = self._partial_memory.get(excluded)
+        if forecast is None:
+            forecast = self._partial_memory[excluded] = MemoryForecast(
+                engines=self._engines, now_s=self._now_s, exclude=excluded
+            )
+        return forecast
--- a/flamingoshelf/placement/_forecast.py
+++ b/flamingoshelf/placement/_forecast.py
@@ -1,6 +1,7 @@
 """Forecasts of free decode memory and of prefill completion times."""
 
 from bisect import insort
+from collections.abc import Collection
 from functools import cached_property
 
 from flamingoshelf.placement._engines import EngineTable
@@ -23,11 +24,16 @@
         Engines and the runs that are counted for them.
     now_s : float
         Time of the forecast.
+    exclude : collection of str
+        Engines to leave out.
     """
 
-    def __init__(self, *, engines: EngineTable, now_s: float) -> None:
+    def __init__(
+        self, *, engines: EngineTable, now_s: float, exclude: Collection[str] = ()
+    ) -> None:
         self._now_s = now_s
-        trackers = [engines.decode_tracker(engine.key) for engine in engines.expected_decodes()]
+        expected = engines.expected_decodes(exclude=exclude)
+        trackers = [engines.decode_tracker(engine.key) for engine in expected]
         self._free = _USABLE_MEMORY_SHARE * sum(
             max(0.0, tracker.free_tokens(now_s)) for tracker in trackers
         )
--- a/flamingoshelf/refusals.py
+++ b/flamingoshelf/refusals.py
@@ -28,6 +28,8 @@
     QUEUE_FULL = "queue_full"
     SERVERS_LIMITED = "servers_limited"
     NO_BACKEND = "no_backend"
+    ORIGIN_UNKNOWN = "origin_unknown"
+    VERSION_GONE = "version_gone"
     BACKEND_FAILED = "backend_failed"
     RETRIES_EXHAUSTED = "retries_exhausted"
     CLAIM_UNAVAILABLE = "claim_unavailable"
