A refusal that names no request is no answer on a used connection

What callers saw: bookings ran at two servers, or were answered 503 while they ran. A faulty server writes an earlier refusal once more on a kept connection; without an id it was taken for the answer to the request that waited. Cause: BackendClient accepted any answer without an id. On a connection that carried another request before, such an answer is now skipped like one with another id, and the answer that follows counts; on a new connection nothing earlier exists. With the id of the earlier request it was skipped before, too.

Stand-ins echo the id in all answers, as the platform's servers do.

--- a/flamingoshelf/gateway/_backend_client.py
+++ b/flamingoshelf/gateway/_backend_client.py
@@ -239,19 +239,24 @@
         *,
         sent_s: float,
     ) -> BackendResponse:
-        """Return the response to `request`; skip late responses to other requests."""
+        """Return the response to `request`; skip late responses to other requests.
+
+        A response that names no request is late as well if the connection carried another one
+        before.
+        """
         for _ in range(_MAX_STALE_ANSWERS + 1):
             head = await connection.read_head()
             answer = self._wire.decode_response_head(head)
             self._record_notices(instance, answer)
-            if answer.request_id in (None, request.request_id):
+            names_none = answer.request_id is None
+            if answer.request_id == request.request_id or (names_none and connection.calls == 1):
                 self._record_limit(instance, answer, sent_s=sent_s)
                 if answer.has_not_run:
                     await _discard_body(connection)
                 self._check_answer(answer, head, instance)
                 return BackendResponse(head=head, is_signed=answer.is_signed, connection=connection)
             logger.bind(request_id=request.request_id, step="answer", peer=instance.key).warning(
-                "skipped a late response to request {}", answer.request_id
+                "skipped a late response to request {}", answer.request_id or "(no id)"
             )
             await connection.skip_response()
         raise OutcomeUnknownError(ResponseFault.OTHER_REQUEST, step="answer", peer=instance.key)
--- a/flamingoshelf/gateway/tests/test_backend_client.py
+++ b/flamingoshelf/gateway/tests/test_backend_client.py
@@ -51,6 +51,36 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
+@pytest.fixture
+async def ask_in_turn(new_request, notices, limits):
+    """Return a function that sends requests on one connection, each answered with other bytes."""
+    pool = ConnectionPool(max_connections=lambda key: 4)
+    client = BackendClient(pool=pool, wire=Wire(), notices=notices, limits=limits)
+
+    async def run(*answers):
+        async def serve(reader, writer):
+            for answer in answers:
+                await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(len(b"body"))
+                writer.write(answer)
+
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        instance = attrs.evolve(
+            server("x"), address="{}:{}".format(*listener.sockets[0].getsockname())
+        )
+        call = BackendCall(instance=instance, workspace="w", remaining_s=1.0)
+        bodies = []
+        for _ in answers:
+            async with client.send(new_request(), call) as answer:
+                bodies.append(await answer.read_all(limit=100))
+        listener.close()
+        return bodies
+
+    yield run
+    await client.stop()
+    await pool.stop()
+
+
 @pytest.fixture
 async def ask(new_request, notices, limits):
     """Return a function that sends requests to a server that answers each with the given bytes.
@@ -103,6 +133,18 @@
     assert (bodies, connections) == ([b"ok", b"ok"], 1)
 
 
+# An earlier refusal, written once more, was taken for the answer to a request that ran.
+@pytest.mark.parametrize("stray", ["Refused: 1", "Other: 1", "Seal: s"])
+async def test_answer_without_an_id_proves_nothing_on_a_used_connection(ask_in_turn, stray):
+    first, second = response("Answers: q1", "Seal: s"), response("Answers: q1", "Seal: s")
+    assert await ask_in_turn(first, response(stray, status=503) + second) == [b"ok", b"ok"]
+
+
+async def test_refusal_without_an_id_counts_on_a_new_connection(ask):
+    with pytest.raises(NotRunError):
+        await ask(response("Refused: 1", status=503))
+
+
 async def test_late_answer_to_another_request_is_skipped(ask):
     sent = response("Answers: q0", "Seal: s", body=b"other") + response("Answers: q1", "Seal: s")
     bodies, _ = await ask(sent)
--- a/lab/gateway/_records.py
+++ b/lab/gateway/_records.py
@@ -64,6 +64,9 @@
         No request that arrives is answered, also later. See `Silence` for one that passes.
     errors : float
         Fraction of requests that are answered with status 500.
+    stray_refusals : float
+        Fraction of requests on used connections that are preceded by an earlier refusal, written
+        once more without the id of its request.
     pause_s : float
         Seconds for which a server that is full wants no more requests, 0 if it doesn't say.
     """
@@ -75,6 +78,7 @@
     cut: float = 0.0
     silent: bool = False
     errors: float = 0.0
+    stray_refusals: float = 0.0
     pause_s: float = 0.0
 
 
--- a/lab/gateway/_server_base.py
+++ b/lab/gateway/_server_base.py
@@ -135,7 +135,10 @@
     def _respond(
         self, exchange: Exchange, status: int, body: bytes, *items: tuple[str, str]
     ) -> None:
-        """Write a complete response."""
+        """Write a complete response, with the id of the request if it has one."""
+        request_id = exchange.head.headers.get("Request-Id")
+        if request_id and "Request-Id" not in dict(items):
+            items = (*items, ("Request-Id", request_id))
         head = ResponseHead(status=status, headers=Headers([*items, *self._notices()]))
         exchange.respond(head, body)
 
--- a/lab/gateway/_servers.py
+++ b/lab/gateway/_servers.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import weakref
 from collections.abc import Callable, Sequence
 from typing import Any, cast
 
@@ -27,11 +28,20 @@
 
     work_s = 0.005
 
+    def __init__(
+        self, *, address: str, service: str, zone: str, log: RunLog, random_source: random.Random
+    ) -> None:
+        super().__init__(
+            address=address, service=service, zone=zone, log=log, random_source=random_source
+        )
+        self._used_transports: weakref.WeakSet[Any] = weakref.WeakSet()
+
     async def _serve(self, exchange: Exchange, body: bytes) -> None:
         run = self._start_run(exchange, body)
         if run is None:
             return
         self.log.runs.append(run)
+        self._write_stray_refusal(exchange)
         try:
             await self.silence.sleep(self.work_s)
         except asyncio.CancelledError:
@@ -57,6 +67,17 @@
         if self._draw_fault(self.faults.extra):
             self.tasks.start(self._repeat_answer(exchange, content, headers), name="repeat")
 
+    def _write_stray_refusal(self, exchange: Exchange) -> None:
+        """Write an earlier refusal once more, if the connection carried a request before."""
+        transport = cast(Any, exchange)._output._transport
+        is_used = transport in self._used_transports
+        self._used_transports.add(transport)
+        if is_used and self._draw_fault(self.faults.stray_refusals):
+            status = self.random.choice((503, 421))
+            transport.write(
+                f"HTTP/1.1 {status} X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n".encode()
+            )
+
     async def _repeat_answer(
         self, exchange: Exchange, content: bytes, headers: Sequence[tuple[str, str]]
     ) -> None:
