Only the next events of the stream follow a run that broke off

What callers saw: after a stream had begun and broken off, the next engine's error, or the head of its answer, in the middle of their stream, or a stream that ended as if it were complete. Errors with an error status were kept out before; a success that is no event stream, events without an id (they have no place in the order), and a complete answer without any event stream at all were not. A run that follows another one now has to be an event stream whose events all have ids; events that came without ids can't be continued, as no id tells where to begin.

--- a/flamingoshelf/gateway/_stream_relay.py
+++ b/flamingoshelf/gateway/_stream_relay.py
@@ -11,7 +11,7 @@
 from flamingoshelf.gateway._crash_detector import BEGUN_EVENTS
 from flamingoshelf.gateway._events import EventSplitter, StreamEvent
 from flamingoshelf.gateway._silence_watch import SilenceWatch
-from flamingoshelf.http1 import Exchange
+from flamingoshelf.http1 import Exchange, ResponseHead
 from flamingoshelf.routing import BackendInstance
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import now_s
@@ -86,6 +86,11 @@
         """Number of events sent to the caller."""
         return self._event_count
 
+    @property
+    def may_be_continued(self) -> bool:
+        """Whether another run can follow the events so far: only ids tell where it is to begin."""
+        return not self._event_count or self._last_event_id is not None
+
     @property
     def last_event_s(self) -> float:
         """Time of the last event that was received."""
@@ -172,6 +177,7 @@
         self._engine = engine
         self._on_first_event = on_first_event
         self._on_begin = on_begin
+        self._continues = False  # whether it follows another run
         self._event_count = 0
         self._first_event_s: float | None = None
         self._last_event_s = 0.0
@@ -217,6 +223,9 @@
             return await self._relay_failure(response)
         if not response.is_signed:
             raise OutcomeUnknownError("no signature", step="decode")
+        self._continues = self._relay.last_event_id is not None
+        if self._continues and not _is_event_stream(response.head):
+            raise OutcomeUnknownError("not an event stream", step="decode")
         splitter = EventSplitter()
         while part := await response.read():
             for event in self._split_events(splitter, part):
@@ -243,6 +252,8 @@
             raise OutcomeUnknownError(str(error), step="decode") from error
 
     async def _send_event(self, response: BackendResponse, event: StreamEvent) -> None:
+        if self._continues and event.event_id is None:
+            raise OutcomeUnknownError("an event has no id", step="decode")
         self._relay.check_order(event)
         now = now_s()
         if self._first_event_s is None:
@@ -291,3 +302,8 @@
             goal_s=self._request.route.latency_goal_s,
             resumed_after=self._relay.last_event_id,
         ).info("first event")
+
+
+def _is_event_stream(head: ResponseHead) -> bool:
+    media_type, _, _ = (head.headers.get("Content-Type") or "").partition(";")
+    return media_type.strip().lower() == "text/event-stream"
--- a/flamingoshelf/gateway/_stream_state.py
+++ b/flamingoshelf/gateway/_stream_state.py
@@ -99,7 +99,7 @@
     @property
     def may_run(self) -> bool:
         """Whether another decode engine may run the request."""
-        if self.refusal is not None:
+        if self.refusal is not None or not self.relay.may_be_continued:
             return False
         if self.sent and not self.request.route.may_repeat:
             return False
--- a/flamingoshelf/gateway/tests/conftest.py
+++ b/flamingoshelf/gateway/tests/conftest.py
@@ -89,6 +89,7 @@
     status: int = 200
     body: bytes | list[bytes] = b"ok"
     signed: bool = True
+    content_type: str = "text/event-stream"
     after_s: float = 0.0
     error: Exception | None = None
     breaks_after: int | None = None
@@ -130,7 +131,8 @@
 
 class FakeResponse:
     def __init__(self, answer, parts):
-        self.head = ResponseHead(status=answer.status, headers=Headers([("Seal", "s")]))
+        headers = Headers([("Seal", "s"), ("Content-Type", answer.content_type)])
+        self.head = ResponseHead(status=answer.status, headers=headers)
         self.is_signed = answer.signed
         self._answer = answer
         self._parts = parts
