Leaving engines continue the streams that no other engine can

What callers saw: while all engines of a version left, broken streams of that version were not continued, though these engines serve until the drain time ends. The directory gave leaving engines no work at all. They now continue streams, and only those, for half of the drain time after they are known to leave, if all other decode engines are of another version; new streams never go there.

--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -394,6 +394,7 @@
             profile=lambda: self._node_limits.engine_profile(service),
             random_source=self._random,
             limits=self._server_limits.keeper,
+            leaving=lambda: self._directory.leaving(service),
         )
 
     def _on_servers_changed(self) -> None:
--- a/flamingoshelf/gateway/_stream_attempt.py
+++ b/flamingoshelf/gateway/_stream_attempt.py
@@ -226,7 +226,8 @@
             self._count_wasted_prefill()
             log.warning("no decode engine has room for the processed prompt")
             return None
-        engine = self._tools.directory.get(decode_id)
+        continues = self._state.origin is not None
+        engine = self._tools.directory.get(decode_id, continues=continues)
         if engine is None:
             self._state.avoid.add(decode_id)
             self._count_wasted_prefill()
--- a/flamingoshelf/gateway/_stream_forwarder.py
+++ b/flamingoshelf/gateway/_stream_forwarder.py
@@ -215,7 +215,9 @@
         return any(state.may_run_at(engine) for engine in self._decode_engines(state))
 
     def _decode_engines(self, state: StreamState) -> list[BackendInstance]:
-        return self._targets.instances(state.service, role=EngineRole.DECODE)
+        """Return the decode engines in use, and leaving ones that may continue streams."""
+        listed = self._targets.instances(state.service, role=EngineRole.DECODE)
+        return [*listed, *self._directory.leaving(state.service)]
 
     def _pause_s(self, state: StreamState) -> float | None:
         """Avoid engines that want nothing from this node.
@@ -243,13 +245,14 @@
         processed in vain.
         """
         engines = {turn.prefill_id, turn.decode_id} - {None}
+        continues = state.origin is not None
         pauses = self._targets.pauses(state.service)
         unlisted = {
             name
             for name in engines
-            if name and (name in pauses or self._directory.get(name) is None)
+            if name and (name in pauses or self._directory.get(name, continues=continues) is None)
         }
-        decode = self._directory.get(turn.decode_id)
+        decode = self._directory.get(turn.decode_id, continues=continues)
         if decode is not None and not state.may_run_at(decode):
             unlisted.add(turn.decode_id)
         if not unlisted:
--- a/flamingoshelf/placement/_dispatcher.py
+++ b/flamingoshelf/placement/_dispatcher.py
@@ -55,6 +55,8 @@
         Spreads the retry delays of refused callers and breaks ties between equal engines.
     limits : LimitKeeper or None
         Permits of the engines that state limits; None if they are not observed.
+    leaving : callable
+        Returns decode engines that leave; they continue streams that no other engine can.
     clock : callable
         Returns the time in seconds.
     """
@@ -67,6 +69,7 @@
         profile: Callable[[], EngineProfile | None],
         random_source: random.Random,
         limits: LimitKeeper | None = None,
+        leaving: Callable[[], Sequence[BackendInstance]] = tuple,
         clock: Callable[[], float] = now_s,
     ) -> None:
         self._random = random_source
@@ -75,7 +78,11 @@
         self._clock = clock
         self._model = EngineModel(service=service)
         self._engines = EngineTable(
-            instances=instances, profile=profile, model=self._model, limits=limits
+            instances=instances,
+            profile=profile,
+            model=self._model,
+            limits=limits,
+            leaving=leaving,
         )
         self._selector = EngineSelector(engines=self._engines, random_source=random_source)
         self._queue = WaitingQueue()
--- a/flamingoshelf/placement/_engines.py
+++ b/flamingoshelf/placement/_engines.py
@@ -30,6 +30,8 @@
         Measured speeds of the engines.
     limits : LimitKeeper or None
         Permits of the engines that state limits.
+    leaving : callable
+        Returns decode engines that leave; they continue streams that no other engine can.
     """
 
     def __init__(
@@ -39,7 +41,10 @@
         profile: Callable[[], EngineProfile | None],
         model: EngineModel,
         limits: LimitKeeper | None = None,
+        leaving: Callable[[], Sequence[BackendInstance]] = tuple,
     ) -> None:
+        self._leaving_engines = leaving
+        self._leaving: dict[str, BackendInstance] = {}
         self._limits = limits
         self._model = model
         self._instances = instances
@@ -78,6 +83,7 @@
             if until_s <= now_s:
                 self._end_role_change(key)
         self._listed = listed
+        self._leaving = {e.key: e for e in self._leaving_engines() if e.key not in listed}
         self._usable.clear()
         if self._profile() != self._applied_profile:
             self._applied_profile = self._profile()
@@ -166,10 +172,8 @@
         """Return the decode engines in use and those that are down for a moment only."""
         return [
             engine
-            for engine in self._listed.values()
-            if engine.role is EngineRole.DECODE
-            and engine.key not in exclude
-            and not self._is_changing_role(engine.key)
+            for engine in self._decodes(exclude)
+            if not self._is_changing_role(engine.key)
             and (
                 not self._health.is_down(engine.key, self._now_s)
                 or self._health.is_expected_back(engine.key, self._now_s)
@@ -179,7 +183,7 @@
     def is_usable(self, key: str) -> bool:
         """Return whether an engine is listed, isn't changing its role and isn't down."""
         return (
-            key in self._listed
+            (key in self._listed or key in self._leaving)
             and not self._is_changing_role(key)
             and not self._health.is_down(key, self._now_s)
         )
@@ -238,8 +242,7 @@
         """Return whether any decode engine could run a request if it were empty."""
         return any(
             self.decode_tracker(engine.key).can_ever_fit(prompt_tokens, expected_tokens)
-            for engine in self._listed.values()
-            if engine.role is EngineRole.DECODE and engine.key not in exclude
+            for engine in self._decodes(exclude)
         )
 
     @property
@@ -303,6 +306,8 @@
         avoided = excluded.union(avoid)
         if not avoided:
             return usable
+        if role is EngineRole.DECODE and all(engine.key in excluded for engine in usable):
+            return [e for e in self._leaving.values() if e.key not in avoided]
         others = [engine for engine in usable if engine.key not in avoided]
         if others:
             return others
@@ -313,6 +318,14 @@
             if engine.key not in excluded and not self._health.is_suspected(engine.key)
         ]
 
+    def _decodes(self, exclude: Collection[str]) -> list[BackendInstance]:
+        """Return the listed decode engines, or leaving ones if all listed ones are excluded."""
+        listed = [engine for engine in self._listed.values() if engine.role is EngineRole.DECODE]
+        if not exclude:
+            return listed
+        others = [engine for engine in listed if engine.key not in exclude]
+        return others or [e for e in self._leaving.values() if e.key not in exclude]
+
     def _resize(self, tracker: DecodeEngineTracker) -> None:
         if self._applied_profile is not None:
             tracker.resize(
--- a/flamingoshelf/placement/tests/test_avoided_engines.py
+++ b/flamingoshelf/placement/tests/test_avoided_engines.py
@@ -25,9 +25,11 @@
             )
             for name in names
         ]
+        self.leaving: list[BackendInstance] = []
         self.dispatcher = Dispatcher(
             service="s",
             instances=lambda: self.engines,
+            leaving=lambda: self.leaving,
             profile=lambda: PROFILE,
             random_source=random.Random(1),
             clock=lambda: self.now,
@@ -178,3 +180,15 @@
         bench.ask(f"new{number}", prompt_tokens=3000)
     bench.ask("resumed", exclude=("d1",), prompt_tokens=3000, is_resumed=True)
     assert bench.granted()["resumed"][1] == "d0"
+
+
+# While all engines of a version left, its streams could not go on, though these still served.
+def test_leaving_engine_continues_a_stream_that_no_other_one_can():
+    bench = Bench(prefills=3, decodes=2)
+    bench.leaving = [bench.engines.pop()]
+    bench.ask("new")
+    assert bench.granted()["new"][1] == "d0"
+    bench.ask("resumed", exclude=("d0",), is_resumed=True)
+    assert bench.granted()["resumed"][1] == "d1"
+    bench.ask("other", exclude=("d0", "d1"), is_resumed=True)
+    assert "other" not in bench.granted()
--- a/flamingoshelf/routing/_directory.py
+++ b/flamingoshelf/routing/_directory.py
@@ -62,12 +62,19 @@
         """Revision of the object service at which the entries were read."""
         return self._revision
 
-    def get(self, instance_id: str) -> BackendInstance | None:
-        """Return the instance if it is known and takes new work, otherwise None."""
+    def get(self, instance_id: str, *, continues: bool = False) -> BackendInstance | None:
+        """Return the instance if it is known and takes new work, otherwise None.
+
+        With `continues`, also one that leaves and may still continue streams.
+        """
         entry = self._entries.get(instance_id)
-        if entry is None or not self._is_usable(entry):
+        if entry is None:
             return None
         instance = entry.instance
+        if continues and self._may_continue_streams(entry):
+            return instance
+        if not self._is_usable(entry):
+            return None
         if self._notices.is_leaving(instance) and instance not in self.ready(
             instance.service, role=instance.role
         ):
@@ -94,6 +101,14 @@
             if instance.role not in staying_roles and self._notices.is_last_resort(instance)
         ]
 
+    def leaving(self, service: str) -> list[BackendInstance]:
+        """Return the leaving decode engines of a service that may still continue streams."""
+        return [
+            entry.instance
+            for entry in self._entries.values()
+            if entry.instance.service == service and self._may_continue_streams(entry)
+        ]
+
     def unreported_leaving(self) -> list[ServerRun]:
         """Return the servers that state that they leave while they are listed as ready."""
         return [
@@ -206,6 +221,7 @@
             return
         if not instance.accepts_new_work:
             self._record_departure(instance)
+            self._notices.record_leaving(instance.run, source="store")
         self._entries[instance.instance_id] = _Entry(
             instance=instance, is_replaced=is_same and current is not None and current.is_replaced
         )
@@ -245,6 +261,15 @@
         """Return whether an outage of the object service ended less than a grace period ago."""
         return self._outage_ended_s is not None and now_s() < self._outage_ended_s + _EXPIRY_GRACE_S
 
+    def _may_continue_streams(self, entry: _Entry) -> bool:
+        return (
+            entry.instance.role is EngineRole.DECODE
+            and not entry.is_replaced
+            and entry.usable_until_s is None
+            and now_s() >= entry.usable_from_s
+            and self._notices.is_last_resort(entry.instance)
+        )
+
     def _is_usable(self, entry: _Entry) -> bool:
         if entry.usable_until_s is not None and now_s() >= entry.usable_until_s:
             return False
--- a/flamingoshelf/routing/tests/test_notices.py
+++ b/flamingoshelf/routing/tests/test_notices.py
@@ -9,6 +9,7 @@
     BackendInstance,
     EngineRole,
     InstanceDirectory,
+    InstanceState,
     ServerNotices,
     ServerRun,
 )
@@ -122,3 +123,19 @@
 async def test_new_run_of_a_server_has_no_pause(notices):
     notices.record_pause(instance("i"), 10.0)
     assert notices.pause_s(instance("i", started_ms=200)) == 0
+
+
+# Streams of a version whose engines all leave could not go on while these still served.
+@pytest.mark.parametrize("state", [InstanceState.DRAINING, InstanceState.READY])
+async def test_leaving_decode_engine_continues_streams_for_a_part_of_the_drain_time(
+    directory, notices, state
+):
+    engines = {name: instance(name, role=EngineRole.DECODE) for name in "ij"}
+    directory.replace(engines, 6)
+    directory.apply([attrs.evolve(engines["i"], state=state)], [], 7)
+    notices.record_leaving(leaving("i"), source="server")
+    assert [engine.key for engine in directory.leaving("notes")] == ["i"]
+    assert directory.get("i") is None and directory.get("i", continues=True) is not None
+    assert ready(directory) == ["j"]
+    await asyncio.sleep(0.6 * DRAIN_S)
+    assert directory.leaving("notes") == [] and directory.get("i", continues=True) is None
--- a/lab/tests/test_software_versions.py
+++ b/lab/tests/test_software_versions.py
@@ -191,3 +191,22 @@
     assert streams.joined() == []
     assert len(broken) >= LEAST_JUDGED
     assert share_that_goes_on(broken) >= MIN_SHARE * share_that_goes_on(new)
+
+
+# While all engines of a version left, its streams could not go on, though these still served.
+async def test_leaving_engines_continue_the_streams_of_their_version(new_site):
+    site = await start_site(new_site, node_count=3)
+    streams = Streams(site)
+    sending = [asyncio.ensure_future(streams.send()) for _ in range(24)]
+    await asyncio.sleep(0.8)
+    old = [engine for engine in site.engines if engine.role == "decode" and engine.version == "v1"]
+    for engine in old:
+        engine.state = "draining"
+        site.register(engine)
+    await asyncio.sleep(0.2)
+    await old[0].stop()
+    began = {run.request_id for run in site.log.runs if run.server == old[0].instance_id}
+    await asyncio.gather(*sending)
+    assert streams.joined() == []
+    broken = [stream for stream in streams.streams if stream.answers[0].request_id in began]
+    assert len(broken) >= 3 and share_that_goes_on(broken) >= MIN_SHARE
