Confirm the run of an engine before its streams are bound or continued

What callers saw: an engine that had started again under its identity at another version continued streams of the version before, while the node's list was late (the store was away, or the node cut off from it). Cause: the version was taken from the list by the engine's id, but it belongs to one start of it, and Expect-Instance doesn't tell these apart. A connection outlives no run of its engine, so each new connection to an engine is checked once: a report that is asked for while the first request is under way states the start of the run (born). A stream isn't continued over a connection that isn't confirmed, and what began a stream is recorded only once it is. The check adds nothing to the path of a new stream; kept connections are checked once. An engine that states a limit isn't asked.

--- a/flamingoshelf/gateway/_backend_client.py
+++ b/flamingoshelf/gateway/_backend_client.py
@@ -1,7 +1,7 @@
 """Sends requests to backend servers and validates the heads of their responses."""
 
 import asyncio
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from contextlib import asynccontextmanager
 from enum import StrEnum
 
@@ -129,11 +129,17 @@
 
     @asynccontextmanager
     async def send(
-        self, request: AdmittedRequest, call: BackendCall, *, fresh: bool = False
+        self,
+        request: AdmittedRequest,
+        call: BackendCall,
+        *,
+        fresh: bool = False,
+        on_sent: Callable[[BackendConnection], None] = lambda connection: None,
     ) -> AsyncGenerator[BackendResponse, None]:
         """Send a request; leaving the context before the end of the body cancels it at the server.
 
-        With `fresh`, a new connection is opened even if there are idle ones.
+        With `fresh`, a new connection is opened even if there are idle ones. `on_sent` is called
+        with the connection that the request was written to.
 
         Raises
         ------
@@ -152,6 +158,7 @@
         async with await self._pool.call(
             instance.key, instance.address, head, request.body, fresh=fresh
         ) as pooled:
+            on_sent(pooled.connection)
             yield await self._read_response(request, instance, pooled.connection, sent_s=sent_s)
 
     async def prefill(self, request: AdmittedRequest, call: BackendCall) -> KvHandle:
--- a/flamingoshelf/gateway/_engine_control.py
+++ b/flamingoshelf/gateway/_engine_control.py
@@ -60,6 +60,8 @@
         Tokens of KV cache in use that can't be evicted, and total capacity in tokens.
     runs : tuple of ReportedRun
         Runs of the engine, if it lists them.
+    started_ms : int
+        Unix time of the engine's start in milliseconds, 0 if it isn't stated.
     """
 
     role: EngineRole
@@ -70,6 +72,7 @@
     held_tokens: int
     capacity_tokens: int
     runs: tuple[ReportedRun, ...] = ()
+    started_ms: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/flamingoshelf/gateway/_engine_runs.py
@@ -0,0 +1,102 @@
+"""Confirms which run of an engine a connection leads to.
+
+An engine may start again under its identity with another software version, and a node may learn of
+that late. A connection outlives no run of its engine, so a report that arrives while it is open
+tells which run is at its other end.
+"""
+
+import asyncio
+import weakref
+from collections.abc import Awaitable, Callable
+
+from loguru import logger
+
+from flamingoshelf.exceptions import FlamingoshelfError
+from flamingoshelf.gateway._engine_control import EngineReport
+from flamingoshelf.http1 import BackendConnection
+from flamingoshelf.routing import BackendInstance, ServerRun
+from flamingoshelf.utils import TaskGroup
+
+__all__ = ["EngineRuns", "RunCheck"]
+
+_ATTEMPTS = 3
+_RETRY_DELAY_S = 0.1
+
+
+class RunCheck:
+    """Whether a connection leads to the listed run of an engine, as far as it is known."""
+
+    def __init__(self, task: asyncio.Task[bool] | None = None) -> None:
+        self._task = task
+
+    async def is_confirmed(self) -> bool:
+        """Wait for the engine's report; return whether it confirms the listed run."""
+        return True if self._task is None else await asyncio.shield(self._task)
+
+    def subscribe(self, on_result: Callable[[bool], None]) -> None:
+        """Call ``on_result(is_confirmed)`` when it is known, perhaps at once."""
+        if self._task is None:
+            on_result(True)
+        else:
+            self._task.add_done_callback(
+                lambda task: on_result(not task.cancelled() and task.result())
+            )
+
+
+class EngineRuns:
+    """Checks each new connection to an engine once, while its first request is under way.
+
+    Parameters
+    ----------
+    report : callable
+        ``await report(engine)`` returns a report of an engine.
+    may_ask : callable
+        ``may_ask(engine)`` returns whether an engine accepts a report beside its requests; one that
+        does not is taken for the listed run.
+    """
+
+    def __init__(
+        self,
+        *,
+        report: Callable[[BackendInstance], Awaitable[EngineReport]],
+        may_ask: Callable[[BackendInstance], bool],
+    ) -> None:
+        self._report = report
+        self._may_ask = may_ask
+        self._confirmed: weakref.WeakKeyDictionary[BackendConnection, ServerRun] = (
+            weakref.WeakKeyDictionary()
+        )
+        self._tasks = TaskGroup(owner="engine_runs")
+
+    async def stop(self) -> None:
+        """Cancel all checks."""
+        await self._tasks.stop()
+
+    def check(self, engine: BackendInstance, connection: BackendConnection) -> RunCheck:
+        """Begin to check the run at the other end of an open connection."""
+        is_known = self._confirmed.get(connection) == engine.run
+        if not engine.started_ms or is_known or not self._may_ask(engine):
+            return RunCheck()
+        return RunCheck(self._tasks.start(self._confirm(engine, connection), name="check"))
+
+    async def _confirm(self, engine: BackendInstance, connection: BackendConnection) -> bool:
+        log = logger.bind(step="engine_run", peer=engine.key, started_ms=engine.started_ms)
+        for attempt in range(_ATTEMPTS):
+            await asyncio.sleep(attempt * _RETRY_DELAY_S)
+            if connection.is_closed:
+                log.info("run of the engine not confirmed; its connection has ended")
+                return False
+            try:
+                report = await self._report(engine)
+            except FlamingoshelfError as error:
+                log.info("run of the engine not confirmed yet: {}", error.message)
+                continue
+            if report.started_ms != engine.started_ms:
+                log.bind(reported_ms=report.started_ms).warning(
+                    "engine has started again since it was listed"
+                )
+                return False
+            if not connection.is_closed:
+                self._confirmed[connection] = engine.run
+            return True
+        return False
--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -14,6 +14,7 @@
 from flamingoshelf.gateway._crash_protection import CrashProtection
 from flamingoshelf.gateway._engine_control import EngineControl, EngineWire
 from flamingoshelf.gateway._engine_prober import EngineProber
+from flamingoshelf.gateway._engine_runs import EngineRuns
 from flamingoshelf.gateway._fleet_view import FleetView
 from flamingoshelf.gateway._load_poller import LoadPoller
 from flamingoshelf.gateway._lost_nodes import remove_lost_nodes
@@ -176,6 +177,10 @@
             placed_services=self._engine_services,
         )
         control = EngineControl(client=self._client, wire=engine_wire)
+        self._engine_runs = EngineRuns(
+            report=control.report,
+            may_ask=lambda engine: self._server_limits.stated.limit(engine.run) is None,
+        )
         self._prober = EngineProber(dispatchers=self._dispatchers.dispatchers, control=control)
         self._load_poller = LoadPoller(
             dispatchers=self._dispatchers.dispatchers,
@@ -240,6 +245,7 @@
                 limits=self._server_limits,
                 placer=self._placer,
                 origins=self._origins,
+                runs=self._engine_runs,
                 plain_calls=self._plain_calls,
                 crash_detector=self._crash_protection.detector,
                 budget=self._budgets.budget,
@@ -311,6 +317,7 @@
         await self._tasks.stop()
         await self._load_poller.stop()
         await self._prober.stop()
+        await self._engine_runs.stop()
         await self._role_controller.stop()
         await self._registration.stop()
         await self._store_follower.stop()
--- a/flamingoshelf/gateway/_request_path.py
+++ b/flamingoshelf/gateway/_request_path.py
@@ -8,6 +8,7 @@
 from flamingoshelf.gateway._app import Gateway
 from flamingoshelf.gateway._backend_client import BackendClient
 from flamingoshelf.gateway._crash_detector import CrashDetector
+from flamingoshelf.gateway._engine_runs import EngineRuns
 from flamingoshelf.gateway._plain_forwarder import PlainForwarder
 from flamingoshelf.gateway._stream_forwarder import StreamForwarder
 from flamingoshelf.gateway._target_selector import TargetSelector
@@ -31,6 +32,7 @@
     limits: LimitService,
     placer: Placer,
     origins: StreamOrigins,
+    runs: EngineRuns,
     plain_calls: PlainCallMeter,
     crash_detector: CrashDetector,
     budget: Callable[[str], RetryBudget],
@@ -65,6 +67,7 @@
         directory=directory,
         placer=placer,
         origins=origins,
+        runs=runs,
         crash_detector=crash_detector,
         metrics=metrics,
     )
--- a/flamingoshelf/gateway/_stream_attempt.py
+++ b/flamingoshelf/gateway/_stream_attempt.py
@@ -14,12 +14,13 @@
     WrongInstanceError,
 )
 from flamingoshelf.gateway._crash_detector import BEGUN_EVENTS
+from flamingoshelf.gateway._engine_runs import RunCheck
 from flamingoshelf.gateway._prefill_timeout import prefill_timeout_s
 from flamingoshelf.gateway._silence_watch import SilenceWatch
 from flamingoshelf.gateway._stream_relay import RelayResult, RunRelay
 from flamingoshelf.gateway._stream_state import AttemptTools, StreamState, origin_of
 from flamingoshelf.gateway._wire import BackendCall, KvHandle
-from flamingoshelf.http1 import NoFreeConnectionError
+from flamingoshelf.http1 import BackendConnection, NoFreeConnectionError
 from flamingoshelf.placement import FailureKind, RunOutcome, Turn
 from flamingoshelf.routing import BackendInstance
 from flamingoshelf.stream_origins import stream_key
@@ -76,6 +77,7 @@
         self._handle: KvHandle | None = None
         self._prefill_engine: BackendInstance | None = None
         self._run: RunRelay | None = None
+        self._run_check = RunCheck()
         self._overlap_timer: asyncio.TimerHandle | None = None
         self._watch = SilenceWatch(on_silence=self._on_silence, on_progress=self._on_progress)
         self._task = asyncio.create_task(self._use_turn(), name="stream.attempt")
@@ -265,7 +267,9 @@
         state.has_called_decode = True
         self._limit_overlap()
         try:
-            async with self._tools.client.send(state.request, call) as response:
+            async with self._tools.client.send(
+                state.request, call, on_sent=lambda sent: self._check_run(engine, sent)
+            ) as response:
                 return await self._relay(self._run, engine, response, call)
         except WrongInstanceError as error:
             log.info("decode not run: {}", error.message)
@@ -290,6 +294,10 @@
         self._set_has_run(False)
         return RelayResult.NOT_RUN
 
+    def _check_run(self, engine: BackendInstance, connection: BackendConnection) -> None:
+        if self._state.request.route.may_resume:
+            self._run_check = self._tools.runs.check(engine, connection)
+
     def _record_first_event(self, engine: BackendInstance) -> None:
         """Report the first event of a run; the first one of all binds the stream to its version."""
         state, tools = self._state, self._tools
@@ -297,9 +305,18 @@
         if state.origin is None:
             state.origin = origin_of(engine)
         if state.relay.event_count == 0 and state.request.route.may_resume:
-            key = stream_key(state.request.workspace_name or "", state.request.request_id)
-            keep_s = state.request.patience_s + _ORIGIN_SLACK_S
-            tools.origins.record(key, state.origin, keep_s=keep_s)
+            self._run_check.subscribe(self._record_origin)
+
+    def _record_origin(self, is_confirmed: bool) -> None:
+        """Record what began the stream, or that it isn't certain."""
+        state = self._state
+        state.is_origin_certain = is_confirmed
+        key = stream_key(state.request.workspace_name or "", state.request.request_id)
+        self._tools.origins.record(
+            key,
+            state.origin if is_confirmed else None,
+            keep_s=state.request.patience_s + _ORIGIN_SLACK_S,
+        )
 
     async def _relay(
         self, run: RunRelay, engine: BackendInstance, response: BackendResponse, call: BackendCall
@@ -309,6 +326,10 @@
             return RelayResult.BROKEN
         if not self._state.may_run_at(engine):  # another run has begun the stream meanwhile
             return RelayResult.BROKEN
+        if self._state.origin is not None and not await self._run_check.is_confirmed():
+            self._state.unlisted.add(engine.key)
+            self._log("decode", engine.key).warning("engine may run another software version")
+            return RelayResult.BROKEN
         if not self._take_over(self._silent):
             return RelayResult.BROKEN
         self._state.relay.backend_server = engine.key
--- a/flamingoshelf/gateway/_stream_forwarder.py
+++ b/flamingoshelf/gateway/_stream_forwarder.py
@@ -9,6 +9,7 @@
 from flamingoshelf.gateway._admission import AdmittedRequest
 from flamingoshelf.gateway._backend_client import BackendClient
 from flamingoshelf.gateway._crash_detector import CrashDetector
+from flamingoshelf.gateway._engine_runs import EngineRuns
 from flamingoshelf.gateway._stream_attempt import StreamAttempt
 from flamingoshelf.gateway._stream_relay import StreamRelay
 from flamingoshelf.gateway._stream_state import (
@@ -61,6 +62,8 @@
         Grants turns.
     origins : StreamOrigins
         Knows which software version began a stream.
+    runs : EngineRuns
+        Confirms that engines are the listed ones.
     crash_detector : CrashDetector
         Detects and refuses requests that crash engines.
     metrics : Metrics
@@ -75,6 +78,7 @@
         directory: InstanceDirectory,
         placer: Placer,
         origins: StreamOrigins,
+        runs: EngineRuns,
         crash_detector: CrashDetector,
         metrics: Metrics,
     ) -> None:
@@ -89,6 +93,7 @@
             directory=directory,
             placer=placer,
             origins=origins,
+            runs=runs,
             crash_detector=crash_detector,
             metrics=metrics,
         )
--- a/flamingoshelf/gateway/_stream_state.py
+++ b/flamingoshelf/gateway/_stream_state.py
@@ -8,6 +8,7 @@
 from flamingoshelf.gateway._admission import AdmittedRequest
 from flamingoshelf.gateway._backend_client import BackendClient
 from flamingoshelf.gateway._crash_detector import BEGUN_EVENTS, CrashDetector
+from flamingoshelf.gateway._engine_runs import EngineRuns
 from flamingoshelf.gateway._stream_relay import StreamRelay
 from flamingoshelf.placement import Placer
 from flamingoshelf.refusals import Refusal, RefusalReason
@@ -41,6 +42,7 @@
     directory: InstanceDirectory
     placer: Placer
     origins: StreamOrigins
+    runs: EngineRuns
     crash_detector: CrashDetector
     metrics: Metrics
 
@@ -70,6 +72,8 @@
     origin : StreamOrigin or None
         What began the stream, None before its first event; only engines of the same service and
         software version can continue it.
+    is_origin_certain : bool
+        Whether the engine was the listed one when it began the stream.
     refusal : Refusal or None
         Set if the content was quarantined before an answer had begun.
     """
@@ -86,6 +90,7 @@
     attempts: "list[StreamAttempt]" = attrs.field(factory=list)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     origin: StreamOrigin | None = None
+    is_origin_certain: bool = True
     refusal: Refusal | None = None
     is_charged: bool = False
     has_called_prefill: bool = False
@@ -101,6 +106,8 @@
         """Whether another decode engine may run the request."""
         if self.refusal is not None or not self.relay.may_be_continued:
             return False
+        if not self.is_origin_certain:
+            return False
         if self.sent and not self.request.route.may_repeat:
             return False
         return self.sent < self.request.route.max_attempts
--- a/flamingoshelf/gateway/tests/conftest.py
+++ b/flamingoshelf/gateway/tests/conftest.py
@@ -17,7 +17,7 @@
     TargetSelector,
 )
 from flamingoshelf.gateway._backend_client import NotRunError, ServerPausedError, WrongInstanceError
-from flamingoshelf.gateway.tests.fake_origins import FakeOrigins
+from flamingoshelf.gateway.tests.fake_origins import FakeOrigins, new_engine_runs
 from flamingoshelf.gateway.tests.fake_placer import FakePlacer
 from flamingoshelf.http1 import Exchange, Headers, RequestHead, ResponseHead
 from flamingoshelf.refusals import Refusal, RefusalReason
@@ -176,7 +176,7 @@
         return [call.instance.key for call in self.calls]
 
     @asynccontextmanager
-    async def send(self, request, call, *, fresh=False):
+    async def send(self, request, call, *, fresh=False, on_sent=None):
         began_s = now_s()
         try:
             async with self._send(call) as response:
@@ -426,6 +426,7 @@
         directory=directory,
         placer=placer,
         origins=origins,
+        runs=new_engine_runs(),
         crash_detector=crash_detector,
         metrics=metrics,
     )
--- a/flamingoshelf/gateway/tests/fake_origins.py
+++ b/flamingoshelf/gateway/tests/fake_origins.py
@@ -1,4 +1,6 @@
-"""Origins of streams that need no other node and no store."""
+"""Origins of streams and runs of engines that need no other node and no store."""
+
+from flamingoshelf.gateway._engine_runs import EngineRuns
 
 
 class FakeOrigins:
@@ -14,3 +16,12 @@
 
     async def find(self, key):
         return self.known.get(key)
+
+
+def new_engine_runs():
+    """Return checks that ask no engine, and take each for the listed one."""
+
+    async def report(engine):
+        raise NotImplementedError
+
+    return EngineRuns(report=report, may_ask=lambda engine: False)
--- a/flamingoshelf/gateway/tests/test_changed_configuration.py
+++ b/flamingoshelf/gateway/tests/test_changed_configuration.py
@@ -12,7 +12,7 @@
 from flamingoshelf.gateway._node_limits import NodeLimits
 from flamingoshelf.gateway._request_path import new_gateway
 from flamingoshelf.gateway.tests.conftest import ENGINE, Answer, FakeOutput, lost, route, server
-from flamingoshelf.gateway.tests.fake_origins import FakeOrigins
+from flamingoshelf.gateway.tests.fake_origins import FakeOrigins, new_engine_runs
 from flamingoshelf.gateway.tests.fake_placer import FakePlacer
 from flamingoshelf.http1 import ConnectionLimits, Exchange, Headers, RequestHead
 from flamingoshelf.placement import (
@@ -116,6 +116,7 @@
             limits=LimitService(node_name="n", incarnation="1", members=MemberList()),
             placer=placer,
             origins=FakeOrigins(),
+            runs=new_engine_runs(),
             plain_calls=self.plain_calls,
             crash_detector=crash_detector,
             budget=budgets.budget,
--- a/flamingoshelf/gateway/tests/test_competing_attempts.py
+++ b/flamingoshelf/gateway/tests/test_competing_attempts.py
@@ -17,7 +17,7 @@
     events,
     server,
 )
-from flamingoshelf.gateway.tests.fake_origins import FakeOrigins
+from flamingoshelf.gateway.tests.fake_origins import FakeOrigins, new_engine_runs
 from flamingoshelf.gateway.tests.fake_placer import NO_ENGINE, FakePlacer
 from flamingoshelf.http1 import Exchange, NoFreeConnectionError
 from flamingoshelf.placement import (
@@ -104,6 +104,7 @@
             directory=directory,
             placer=placer,
             origins=FakeOrigins(),
+            runs=new_engine_runs(),
             crash_detector=crash_detector,
             metrics=metrics,
         )
--- /dev/null
+++ b/flamingoshelf/gateway/tests/test_engine_runs.py
@@ -0,0 +1,97 @@
+"""Connections to engines that started again under their identity."""
+
+import asyncio
+
+import attrs
+import pytest
+
+from flamingoshelf.exceptions import OutcomeUnknownError
+from flamingoshelf.gateway import EngineReport
+from flamingoshelf.gateway._engine_runs import EngineRuns
+from flamingoshelf.gateway.tests.conftest import server
+from flamingoshelf.routing import EngineRole
+
+pytestmark = pytest.mark.looptime
+
+ENGINE = attrs.evolve(server("d1", EngineRole.DECODE), started_ms=100)
+REPORT = EngineReport(
+    role=EngineRole.DECODE,
+    is_changing=False,
+    order_count=0,
+    running=0,
+    waiting=0,
+    held_tokens=0,
+    capacity_tokens=1,
+)
+
+
+class Connection:
+    is_closed = False
+
+
+class Engine:
+    """An engine that states its start in reports; some of them are lost."""
+
+    def __init__(self):
+        self.started_ms = 100
+        self.lost = 0
+        self.asked = 0
+        self.may_ask = True
+
+    async def report(self, engine):
+        self.asked += 1
+        await asyncio.sleep(0.01)
+        if self.asked <= self.lost:
+            raise OutcomeUnknownError("no answer", step="report")
+        return attrs.evolve(REPORT, started_ms=self.started_ms)
+
+
+@pytest.fixture
+def engine():
+    return Engine()
+
+
+@pytest.fixture
+def runs(engine):
+    return EngineRuns(report=engine.report, may_ask=lambda _: engine.may_ask)
+
+
+async def test_each_connection_is_checked_once(engine, runs):
+    connection = Connection()
+    for _ in range(3):
+        assert await runs.check(ENGINE, connection).is_confirmed()
+    assert engine.asked == 1
+    assert await runs.check(ENGINE, Connection()).is_confirmed()
+    assert engine.asked == 2
+
+
+# An engine that had started again at another version was taken for the listed one.
+async def test_later_run_of_the_engine_is_not_confirmed(engine, runs):
+    engine.started_ms = 200
+    check = runs.check(ENGINE, Connection())
+    results: list[bool] = []
+    check.subscribe(results.append)
+    assert not await check.is_confirmed()
+    await asyncio.sleep(0)
+    assert results == [False]
+
+
+async def test_connection_that_ends_meanwhile_proves_nothing(engine, runs):
+    connection = Connection()
+    engine.lost = 1
+    check = runs.check(ENGINE, connection)
+    await asyncio.sleep(0.02)
+    connection.is_closed = True
+    assert not await check.is_confirmed()
+
+
+@pytest.mark.parametrize(("lost", "is_confirmed"), [(2, True), (3, False)])
+async def test_lost_reports_are_asked_for_again(engine, runs, lost, is_confirmed):
+    engine.lost = lost
+    assert await runs.check(ENGINE, Connection()).is_confirmed() is is_confirmed
+
+
+async def test_engine_that_wants_no_more_requests_is_not_asked(engine, runs):
+    engine.may_ask = False
+    assert await runs.check(ENGINE, Connection()).is_confirmed()
+    assert engine.asked == 0
--- a/flamingoshelf/gateway/tests/test_plain_faults.py
+++ b/flamingoshelf/gateway/tests/test_plain_faults.py
@@ -188,7 +188,7 @@
         super().__init__()
         self.started_s = {}
 
-    def send(self, request, call, *, fresh=False):
+    def send(self, request, call, *, fresh=False, on_sent=None):
         assert call.instance.key not in self.started_s, "a server is called twice"
         self.started_s[call.instance.key] = now_s()
         return super().send(request, call)
--- a/flamingoshelf/gateway/tests/test_random_silences.py
+++ b/flamingoshelf/gateway/tests/test_random_silences.py
@@ -25,7 +25,7 @@
     route,
     server,
 )
-from flamingoshelf.gateway.tests.fake_origins import FakeOrigins
+from flamingoshelf.gateway.tests.fake_origins import FakeOrigins, new_engine_runs
 from flamingoshelf.gateway.tests.fake_placer import NO_ENGINE, FakePlacer
 from flamingoshelf.http1 import Exchange, Headers, RequestHead
 from flamingoshelf.routing import (
@@ -99,6 +99,7 @@
         directory=directory,
         placer=placer,
         origins=FakeOrigins(),
+        runs=new_engine_runs(),
         crash_detector=crash_detector,
         metrics=Metrics(node_name="n"),
     )
--- a/flamingoshelf/platform/_engine_wire.py
+++ b/flamingoshelf/platform/_engine_wire.py
@@ -44,6 +44,7 @@
                 held_tokens=int(document["kvUsed"]),
                 capacity_tokens=int(document["kvTotal"]),
                 runs=tuple(_decode_run(entry) for entry in document.get("runs") or ()),
+                started_ms=int(document.get("born") or 0),
             )
         except (KeyError, TypeError, OverflowError, AttributeError) as error:
             raise ValueError(repr(error)) from error
--- a/lab/tests/test_software_versions.py
+++ b/lab/tests/test_software_versions.py
@@ -210,3 +210,29 @@
     assert streams.joined() == []
     broken = [stream for stream in streams.streams if stream.answers[0].request_id in began]
     assert len(broken) >= 3 and share_that_goes_on(broken) >= MIN_SHARE
+
+
+# Nodes that read the store late took an engine for the version that it had before it started anew.
+async def test_engine_that_starts_again_at_another_version_continues_no_stream(new_site):
+    site = await start_site(new_site, node_count=3, versions=("v1",))
+    decodes = [engine for engine in site.engines if engine.role == "decode"]
+    streams = Streams(site)
+    sending = [asyncio.ensure_future(streams.send()) for _ in range(24)]
+    await asyncio.sleep(0.8)
+    site.store.faults.mode = "reset"
+    site.store._wake_watches()
+    for engine in decodes[::2]:  # same id and address
+        await engine.stop()
+        engine.version = "v2"
+        engine.started_ms += 1000
+        site.store.put("servers", engine.instance_id, engine.entry())
+        await engine.start()
+    await asyncio.sleep(0.2)
+    sending += [asyncio.ensure_future(streams.send()) for _ in range(12)]
+    await asyncio.sleep(0.8)
+    await decodes[1].stop()
+    await asyncio.gather(*sending)
+    assert streams.joined() == []
+    broken = [stream for stream in streams.streams if stream.is_broken]
+    await asyncio.gather(*(streams.take_up(stream) for stream in broken))
+    assert streams.joined() == []
