Soak: streams over releases of engines and losses of all nodes

A stream of two versions, with an event missing or twice, or that looks complete and isn't, is a breach.

--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -61,6 +61,7 @@
         gateway_kinds=SILENCE_KINDS if options.silences else tuple(FaultKind),
         has_crashing_parts=options.crashing_parts,
         has_limits=options.limits,
+        has_versions=options.versions,
     )
     options.folder.mkdir(parents=True, exist_ok=True)
     if options.gateway:
@@ -100,6 +101,11 @@
         action="store_true",
         help="with --gateway: servers state how many requests they accept",
     )
+    soak.add_argument(
+        "--versions",
+        action="store_true",
+        help="with --gateway: engines of several software versions, and losses of all nodes",
+    )
     soak.add_argument("--duration", type=float, default=120.0, help="seconds of load")
     soak.add_argument("--load", type=float, default=0.6, help="part of the site's capacity")
     soak.add_argument("--gap", type=float, default=3.0, help="mean seconds between faults")
--- a/lab/gateway/_site.py
+++ b/lab/gateway/_site.py
@@ -110,6 +110,18 @@
         await server.start()
         self.register(server)
 
+    async def replace_by_version(self, engine: EngineStandIn, version: str, drain_s: float) -> None:
+        """Let an engine drain; then a new one of another version starts at its address."""
+        engine.state = "draining"
+        self.register(engine)
+        await asyncio.sleep(drain_s)
+        await engine.stop()
+        self.store.remove("servers", engine.instance_id)
+        engine.renew()
+        engine.state, engine.version = "ready", version
+        await engine.start()
+        self.register(engine)
+
     def configure(self, **changes: Any) -> None:
         """Write the next version of the configuration; `changes` replace top-level fields."""
         self.version += 3
--- a/lab/gateway/_soak.py
+++ b/lab/gateway/_soak.py
@@ -21,6 +21,7 @@
 from lab.gateway._records import ServerFaults
 from lab.gateway._servers import EngineStandIn, PlainStandIn
 from lab.gateway._site import BOOKINGS, KEY, NOTES, RESUMABLE, STOCK, GatewaySite
+from lab.gateway._versions import VersionedStreams
 from lab.processes import Process
 from lab.proxy import FaultProxy, ProxyMode
 
@@ -38,6 +39,7 @@
 _REST_S = 0.5  # at least, between two silences of a server
 _SKIPPED_S = 0.02  # a fault that ended so soon was skipped for the sake of another one
 _PAUSE_STATED_S = 0.3  # time in which a server turns requests away and asks for a pause
+_ALL_DOWN_S = 0.3
 _ENGINE_OUTAGE_S = 1.0  # after a crash under a part of a prompt
 _SERVER_FAULTS = (
     ServerFaults(reset_before=0.5),
@@ -51,7 +53,13 @@
 
 class _GatewayRun:
     def __init__(
-        self, site: GatewaySite, *, seed: int, has_crashing_parts: bool, has_limits: bool
+        self,
+        site: GatewaySite,
+        *,
+        seed: int,
+        has_crashing_parts: bool,
+        has_limits: bool,
+        has_versions: bool,
     ) -> None:
         self._site = site
         self._random = random.Random(seed)
@@ -68,6 +76,13 @@
         )
         self._has_crashing_parts = has_crashing_parts
         self._has_limits = has_limits
+        self._has_versions = has_versions
+        self.versioned = VersionedStreams(
+            site=site,
+            restart=self._restart_exclusively,
+            kill_all=self._kill_all_nodes,
+            random_source=random.Random(f"versions of {seed}"),
+        )
         self.limited = LimitedServers(site=site, random_source=random.Random(f"limits of {seed}"))
 
     async def run(self, faults: Sequence[Fault], duration_s: float) -> None:
@@ -84,6 +99,8 @@
             callers.append(self._tasks.start(self.crashing.send(), name="crashing caller"))
         if self._has_limits:
             callers.append(self._tasks.start(self.limited.run(), name="limits"))
+        if self._has_versions:
+            callers.append(self._tasks.start(self.versioned.run(), name="versions"))
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         async with asyncio.TaskGroup() as tasks:
@@ -288,6 +305,19 @@
         await asyncio.sleep(downtime_s)
         node.start()
 
+    async def _kill_all_nodes(self) -> None:
+        start_s = now_s()
+        await asyncio.gather(
+            *(
+                self._restart_exclusively(node.name, self._restart(node, _ALL_DOWN_S))
+                for node in self._site.nodes
+            )
+        )
+        self._disruptions += [
+            Disruption(kind=FaultKind.KILL_NODE, target=address, start_s=start_s, end_s=now_s())
+            for address in self._site.node_addresses
+        ]
+
     async def _stop(self, node: Process, pause_s: float) -> None:
         node.send(signal.SIGCONT)
         timeout_s = _STOP_LIMIT_S + pause_s  # a paused process can't exit
@@ -365,6 +395,7 @@
         streams = [call for call in self._calls if call.path in (NOTES, RESUMABLE)]
         self.breaches += self.crashing.find_breaches(streams, self._disruptions)
         self.breaches += self.limited.find_breaches(self._calls, self._disruptions)
+        self.breaches += self.versioned.find_breaches()
         self.breaches += check_orders(self._site.log.orders)
 
 
@@ -376,12 +407,24 @@
     duration_s: float,
     has_crashing_parts: bool = False,
     has_limits: bool = False,
+    has_versions: bool = False,
 ) -> tuple[list[str], dict[str, float]]:
     """Run a site of gateway nodes under faults; return the breaches and measures."""
     site = GatewaySite(
-        folder=folder, node_count=3, prefill_count=2, decode_count=3, plain_count=2, seed=seed
+        folder=folder,
+        node_count=3,
+        prefill_count=2,
+        decode_count=5 if has_versions else 3,
+        plain_count=2,
+        seed=seed,
+    )
+    run = _GatewayRun(
+        site,
+        seed=seed,
+        has_crashing_parts=has_crashing_parts,
+        has_limits=has_limits,
+        has_versions=has_versions,
     )
-    run = _GatewayRun(site, seed=seed, has_crashing_parts=has_crashing_parts, has_limits=has_limits)
     try:
         await site.start()
         await run.run(faults, duration_s)
@@ -393,5 +436,7 @@
         "served": served,
         "judged": run.judged,
         "limits": len(run.limited.spans),
+        "take_ups": run.versioned.take_ups,
+        "taken_up": sum(s.is_served and len(s.answers) > 1 for s in run.versioned.streams),
         "crashes": sum(len(part.crashes_s) for part in run.crashing.parts),
     }
--- a/lab/soak.py
+++ b/lab/soak.py
@@ -60,6 +60,8 @@
         Whether engines of such a site crash under parts of prompts.
     has_limits : bool
         Whether servers of such a site state limits.
+    has_versions : bool
+        Whether engines of such a site are of several software versions, and all nodes are lost.
     """
 
     seed: int
@@ -69,6 +71,7 @@
     gateway_kinds: tuple[FaultKind, ...] = tuple(FaultKind)
     has_crashing_parts: bool = False
     has_limits: bool = False
+    has_versions: bool = False
 
 
 @attrs.define(kw_only=True)
@@ -118,6 +121,7 @@
         duration_s=options.duration_s,
         has_crashing_parts=options.has_crashing_parts,
         has_limits=options.has_limits,
+        has_versions=options.has_versions,
     )
     injected = [f"{fault.start_s:.1f} s {fault.kind.value}" for fault in faults]
     return SoakReport(breaches=breaches, faults=injected, measures=dict(measures))
--- a/lab/tests/test_soak.py
+++ b/lab/tests/test_soak.py
@@ -79,3 +79,15 @@
     report = await run_gateway_soak(folder=tmp_path, options=options)
     assert report.breaches == [], report.faults
     assert report.measures["limits"] >= 7
+
+
+# Streams were joined from two software versions once nodes were lost or engines broke off.
+@pytest.mark.parametrize("seed", [3001])
+async def test_streams_keep_their_version_while_nodes_and_servers_fail(tmp_path, seed):
+    options = attrs.evolve(
+        _options(seed, duration_s=20.0, mean_gap_s=2.0, gateway_kinds=tuple(FaultKind)),
+        has_versions=True,
+    )
+    report = await run_gateway_soak(folder=tmp_path, options=options)
+    assert report.breaches == [], report.faults
+    assert report.measures["taken_up"] >= 5
--- a/lab/tests/test_software_versions.py
+++ b/lab/tests/test_software_versions.py
@@ -3,13 +3,11 @@
 import asyncio
 import itertools
 
-import attrs
 import pytest
 
-from lab.gateway._caller import Answer
-from lab.gateway._checks import is_served
 from lab.gateway._records import ServerFaults
 from lab.gateway._site import RESUMABLE
+from lab.gateway._versions import ResumedStream, find_joined
 from lab.tests.test_gateway_site import wait_for_initial_roles
 
 pytestmark = [pytest.mark.processes, pytest.mark.timeout(60)]
@@ -22,34 +20,6 @@
 STORE_LAG_S = 0.5  # streams that begin as late before all nodes are lost may be forgotten
 
 
-@attrs.define(kw_only=True)
-class Stream:
-    """A stream, with all attempts of its caller."""
-
-    number: int
-    answers: list[Answer] = attrs.field(factory=list)
-
-    @property
-    def events(self):
-        return [event for answer in self.answers for event in answer.events]
-
-    @property
-    def versions(self):
-        return {version for answer in self.answers for version in answer.versions}
-
-    @property
-    def is_broken(self):
-        return bool(self.events) and not self.is_served
-
-    @property
-    def is_served(self):
-        return is_served(self.answers[-1])
-
-    @property
-    def first_id(self):
-        return next(answer.request_id for answer in self.answers if answer.events)
-
-
 class Streams:
     """Sends streams to all nodes in turn, and takes them up again."""
 
@@ -63,15 +33,14 @@
 
     async def send(self):
         """Send a new stream."""
-        stream = Stream(number=next(self._numbers))
+        stream = ResumedStream(number=next(self._numbers))
         self.streams.append(stream)
         await self._try(stream)
         return stream
 
     async def take_up(self, stream, **call):
         """Take a broken stream up again at some node."""
-        headers = [("Last-Event-Id", str(stream.events[-1])), ("Resumes", stream.first_id)]
-        await self._try(stream, headers=headers, **call)
+        await self._try(stream, headers=stream.take_up_headers, **call)
 
     async def _try(self, stream, **call):
         answer = await self.site.caller.call(
@@ -80,14 +49,7 @@
         stream.answers.append(answer)
 
     def joined(self):
-        """Return the streams that hold events of several versions, or not each event once."""
-        return [
-            stream
-            for stream in self.streams
-            if len(stream.versions) > 1
-            or stream.events != list(range(1, len(stream.events) + 1))
-            or (stream.is_served and len(stream.events) != EVENTS)
-        ]
+        return find_joined(self.streams, events=EVENTS)
 
 
 async def start_site(new_site, *, node_count, decode_count=6, versions=("v1", "v2")):
