--- a/lab/gateway/_soak.py
+++ b/lab/gateway/_soak.py
@@ -79,7 +79,7 @@
         self._has_versions = has_versions
         self.versioned = VersionedStreams(
             site=site,
-            restart=self._restart_exclusively,
+            replace=self._replace_engine,
             kill_all=self._kill_all_nodes,
             random_source=random.Random(f"versions of {seed}"),
         )
@@ -170,10 +170,11 @@
         self._tasks.start(self._replace_crashed(engine), name="crash")
 
     async def _replace_crashed(self, engine: EngineStandIn) -> None:
+        await self._replace_engine(engine, self._site.replace_crashed(engine, _ENGINE_OUTAGE_S))
+
+    async def _replace_engine(self, engine: EngineStandIn, change: Awaitable[None]) -> None:
         start_s = now_s()
-        await self._restart_exclusively(
-            engine.instance_id, self._site.replace_crashed(engine, _ENGINE_OUTAGE_S)
-        )
+        await self._restart_exclusively(engine.instance_id, change)
         kind = FaultKind.KILL_ENGINE
         self._disruptions.append(
             Disruption(kind=kind, target=engine.service, start_s=start_s, end_s=now_s())
