--- a/lab/gateway/_soak.py
+++ b/lab/gateway/_soak.py
@@ -6,8 +6,9 @@
 import asyncio
 import random
 import signal
-from collections.abc import Awaitable, Sequence
+from collections.abc import Awaitable, Coroutine, Sequence
 from pathlib import Path
+from typing import Any
 
 from flamingoshelf.exceptions import PeerUnreachableError
 from flamingoshelf.http1 import BackendConnection
@@ -79,8 +80,8 @@
         self._has_versions = has_versions
         self.versioned = VersionedStreams(
             site=site,
-            replace=self._replace_engine,
-            kill_all=self._kill_all_nodes,
+            replace=lambda engine, change: self._finish(self._replace_engine(engine, change)),
+            kill_all=lambda: self._finish(self._kill_all_nodes()),
             random_source=random.Random(f"versions of {seed}"),
         )
         self.limited = LimitedServers(site=site, random_source=random.Random(f"limits of {seed}"))
@@ -306,6 +307,10 @@
         await asyncio.sleep(downtime_s)
         node.start()
 
+    async def _finish(self, change: Coroutine[Any, Any, None]) -> None:
+        """Await a change that also goes on to its end if the load ends meanwhile."""
+        await asyncio.shield(self._tasks.start(change, name="change"))
+
     async def _kill_all_nodes(self) -> None:
         start_s = now_s()
         await asyncio.gather(
