--- a/review/__init__.py
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Cases of an independent review; see REPORT.md."""
