--- a/review/4/check.py
+++ b/review/4/check.py
@@ -316,7 +316,7 @@
         share = _served_share([item for item in others if item.kind == kind])
         record.add(f"of {kind}, {share:.2f} were served at the others")
     is_less = served_there < _LEAST_SHARE * served_others
-    return not (is_less and failed > _ALLOWED_FAILED + _ALLOWED_FAILED_SHARE * len(judged))
+    return not (is_less and failed > _ALLOWED_FAILED + _ALLOWED_FAILED_SHARE * len(tries))
 
 
 def _served_share(tries: list[FirstTry]) -> float:
--- a/review/case.py
+++ b/review/case.py
@@ -1,6 +1,7 @@
 """Runs a case: a time limit, the record, and the exit status."""
 
 import asyncio
+import signal
 import sys
 import tempfile
 import time
@@ -74,5 +75,8 @@
 
 
 async def _limited(playing: Awaitable[bool]) -> bool:
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     async with asyncio.timeout(_MAX_SECONDS):
         return await playing
--- a/review/site.py
+++ b/review/site.py
@@ -109,6 +109,9 @@
 
     def start(self) -> None:
         """Start the process; a second start begins a new run with the same log file."""
+        if self._popen is not None:  # the whole system starts for the first time only once
+            text = self._settings.read_text()
+            self._settings.write_text(text.replace("bootstrap=true", "bootstrap=false"))
         deploy = tomllib.loads((_ROOT / "deploy" / "system.toml").read_text())
         command = deploy["roles"]["gateway"]["run"].split()
         variables = {name: os.environ[name] for name in _PASSED_VARIABLES if name in os.environ}
