Log which node reported the failure of an engine

Incident of nodes cut from all servers: hypotheses 1 (only the cut nodes fail) and 2 (engines are marked down for all by what one node can't reach) look alike in the lines "engine call failed" and "engine marked down", as the reporting node stood in a text only. It is a field of both lines now, empty for a probe of the coordinator itself.

No logic is changed. Tests of placement and gateway pass.

--- a/flamingoshelf/placement/_engines.py
+++ b/flamingoshelf/placement/_engines.py
@@ -254,9 +254,11 @@
         """Return the health tier of an engine: 0 healthy, 1 degraded, 2 bad."""
         return self._health.tier(key, self._now_s)
 
-    def record_failure(self, key: str, kind: FailureKind, *, detail: str) -> None:
-        """Record a failed call."""
-        self._health.record_failure(key, kind, now_s=self._now_s, detail=detail)
+    def record_failure(
+        self, key: str, kind: FailureKind, *, detail: str, reporter: str = ""
+    ) -> None:
+        """Record a failed call; `reporter` is the node that made it."""
+        self._health.record_failure(key, kind, now_s=self._now_s, detail=detail, reporter=reporter)
         self._usable.clear()
 
     def record_success(self, key: str) -> None:
--- a/flamingoshelf/placement/_health.py
+++ b/flamingoshelf/placement/_health.py
@@ -88,8 +88,10 @@
             return 2
         return 1 if rate >= _DEGRADED_FAILURE_RATE or record.is_suspected else 0
 
-    def record_failure(self, key: str, kind: FailureKind, *, now_s: float, detail: str) -> None:
-        """Record a failed call."""
+    def record_failure(
+        self, key: str, kind: FailureKind, *, now_s: float, detail: str, reporter: str = ""
+    ) -> None:
+        """Record a failed call; `reporter` is the node that made it."""
         record = self._records.setdefault(key, _EngineHealth(updated_s=now_s))
         if kind is FailureKind.REPLACED:
             self._mark_replaced(record, key)
@@ -102,10 +104,11 @@
         if kind is FailureKind.UNREACHABLE:
             record.silent_since_s = None
         if kind is FailureKind.UNREACHABLE and not record.is_down:
-            self._mark_down(record, key, now_s, detail)
+            self._mark_down(record, key, now_s, detail, reporter=reporter)
         logger.bind(
             step="engine",
             peer=key,
+            reporter=reporter,
             kind=kind.value,
             rate=round(record.rate, 2),
             is_down=record.is_down,
@@ -176,10 +179,14 @@
         """Drop the record of an engine, as when it is no longer listed."""
         self._records.pop(key, None)
 
-    def _mark_down(self, record: _EngineHealth, key: str, now_s: float, detail: str) -> None:
+    def _mark_down(
+        self, record: _EngineHealth, key: str, now_s: float, detail: str, *, reporter: str = ""
+    ) -> None:
         record.is_down = True
         record.down_since_s = now_s
-        logger.bind(step="engine", peer=key).warning("engine marked down: {}", detail)
+        logger.bind(step="engine", peer=key, reporter=reporter).warning(
+            "engine marked down: {}", detail
+        )
 
     def _mark_replaced(self, record: _EngineHealth, key: str) -> None:
         if not record.is_replaced:
--- a/flamingoshelf/placement/_service.py
+++ b/flamingoshelf/placement/_service.py
@@ -171,8 +171,9 @@
         runner = self.runner(updates.service)
         dispatcher = runner.dispatcher
         for failed in updates.failed:
-            detail = f"{failed.detail} at {peer}"
-            dispatcher.engines.record_failure(failed.engine_id, failed.kind, detail=detail)
+            dispatcher.engines.record_failure(
+                failed.engine_id, failed.kind, detail=failed.detail, reporter=peer
+            )
         for engine_id in updates.rejected:
             dispatcher.record_rejection(engine_id)
         for prompt in updates.prefilled:
