--- /dev/null
+++ b/lab/tests/test_cut_nodes.py
@@ -0,0 +1,92 @@
+"""Whole nodes, some of which are cut from all backend servers while all else reaches them."""
+
+import asyncio
+
+import pytest
+
+from flamingoshelf.utils import now_s
+from lab.gateway._cut_load import CutLoad, served_share
+from lab.gateway._paths import CutForm, PathSite
+
+pytestmark = [pytest.mark.processes, pytest.mark.timeout(90)]
+
+CALM_S, CUT_S, AFTER_S = 2.0, 8.0, 3.0
+CONTACT_S = 3.0  # time after which nodes are to have adapted
+DIRECT_S = 1.0  # time after the end of a cut from which nodes use their own paths again
+INTERVAL_S = 0.12  # between two requests to one node
+MIN_SHARE = 0.9  # of the share that is served at the other nodes
+MAX_FAILED_SHARE = 1 / 50
+MIN_SERVED = 0.98  # at nodes that reach all servers, and at all in calm times
+
+
+@pytest.fixture
+async def new_path_site(tmp_path):
+    sites = []
+
+    async def start(node_count):
+        site = PathSite(folder=tmp_path, node_count=node_count, prefill_count=2, decode_count=3)
+        sites.append(site)
+        await site.start()
+        await asyncio.sleep(2.5)  # for the initial changes of engine roles
+        return site
+
+    yield start
+    for site in sites:
+        await site.stop()
+
+
+async def cut_under_load(site, nodes, form):
+    """Cut nodes for a time; return the load, and the time at which the cut began."""
+    load = CutLoad(site, interval_s=INTERVAL_S)
+    running = asyncio.ensure_future(load.run(CALM_S + CUT_S + AFTER_S))
+    await asyncio.sleep(CALM_S)
+    began_s = now_s()
+    site.cut(nodes, form)
+    await asyncio.sleep(CUT_S)
+    site.heal()
+    await running
+    return load, began_s
+
+
+def check_shares(load, nodes, others, began_s):
+    """Check the requests from the time at which the nodes are to have adapted."""
+    span = (began_s + CONTACT_S, began_s + CUT_S)
+    at_cut, at_others = load.between(*span, nodes), load.between(*span, others)
+    failed = [item for item in at_cut if not item.is_served]
+    statuses = sorted((item.path, item.answer.status) for item in failed)
+    assert len(failed) <= MAX_FAILED_SHARE * len(at_cut + at_others), statuses
+    assert served_share(at_cut) >= MIN_SHARE * served_share(at_others)
+    assert served_share(at_others) >= MIN_SERVED
+
+
+def coordinator_of(site):
+    """Return the number of the node that coordinates the others."""
+    names = [
+        node.log.rpartition('"step": "coordinator", "peer": "front-')[2] for node in site.nodes
+    ]
+    return int(names[0].partition('"')[0])
+
+
+# Callers of nodes that reached no server were refused or failed, though other nodes served all,
+# and the streams of nodes that reached every engine were refused as well.
+@pytest.mark.parametrize("form", list(CutForm))
+@pytest.mark.parametrize(
+    ("node_count", "cut_count", "with_coordinator"),
+    [(3, 1, True), (3, 1, False), (4, 2, True), (6, 4, False)],
+)
+async def test_callers_of_nodes_that_reach_no_server_are_served(
+    new_path_site, form, node_count, cut_count, with_coordinator
+):
+    site = await new_path_site(node_count)
+    first = coordinator_of(site)
+    numbers = [(first + step + (not with_coordinator)) % node_count for step in range(node_count)]
+    nodes, others = numbers[:cut_count], numbers[cut_count:]
+    load, began_s = await cut_under_load(site, nodes, form)
+    assert load.find_breaches() == []
+    assert served_share(load.between(0, began_s - 0.5, numbers)) >= MIN_SERVED
+    check_shares(load, nodes, others, began_s)
+    healed_s = began_s + CUT_S
+    after = load.between(healed_s + DIRECT_S, now_s(), numbers)
+    assert served_share(after) >= MIN_SERVED
+    node_of = {arrival.request_id: arrival.node for arrival in site.arrivals}
+    assert all(node_of[item.answer.request_id] == item.node for item in after)
