Channels between nodes: messages and bytes in order, with back pressure

The connection of a link carries the messages of all matters between two nodes, so an exchange with a slow reader would hold up heartbeats. A channel is a websocket of its own on the same address, with the same handshake, used by one exchange at a time and kept for the next. It ends the exchange at the other side when it closes.

Tests: order, reuse, a slow reader beside a request on the link, the end at either side, a node without the secret.

--- a/flamingoshelf/nodes/_acceptor.py
+++ b/flamingoshelf/nodes/_acceptor.py
@@ -11,6 +11,12 @@
 from websockets.http11 import Request, Response
 
 from flamingoshelf.exceptions import ProtocolError
+from flamingoshelf.nodes._channels import (
+    CHANNEL_PATH,
+    ChannelHandler,
+    NodeChannel,
+    serve_channel,
+)
 from flamingoshelf.nodes._connection import MAX_FRAME_BYTES, Dispatch, NodeConnection
 from flamingoshelf.nodes._counters import LinkCounters
 from flamingoshelf.nodes._handshake import (
@@ -70,6 +76,11 @@
         self._incarnations: dict[str, str] = {}
         self._sockets: set[_PeerSocket] = set()
         self._server: Server | None = None
+        self._channel_handler: ChannelHandler | None = None
+
+    def serve_channels(self, handler: ChannelHandler) -> None:
+        """Run ``handler(channel)`` for each channel that a peer opens."""
+        self._channel_handler = handler
 
     def incarnation_of(self, peer: str) -> str | None:
         """Return the incarnation of a peer that is connected to this node, None if it is not."""
@@ -139,6 +150,11 @@
         except Exception as error:
             self._reject(socket, error)
             return
+        if socket.request is not None and socket.request.path == CHANNEL_PATH:
+            if self._channel_handler is not None:
+                channel = NodeChannel(socket=socket, peer=peer.name)
+                await serve_channel(channel, self._channel_handler)
+            return
         connection = NodeConnection(
             socket=socket, peer=peer, dispatch=self._dispatch, counters=self._counters
         )
--- a/flamingoshelf/nodes/_link.py
+++ b/flamingoshelf/nodes/_link.py
@@ -7,7 +7,7 @@
 
 import attrs
 from loguru import logger
-from websockets.asyncio.client import connect
+from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import WebSocketException
 
 from flamingoshelf.exceptions import (
@@ -18,6 +18,12 @@
     RemoteError,
 )
 from flamingoshelf.nodes._acceptor import PING_INTERVAL_S, PING_TIMEOUT_S, Acceptor
+from flamingoshelf.nodes._channels import (
+    CHANNEL_PATH,
+    ChannelHandler,
+    ChannelPool,
+    NodeChannel,
+)
 from flamingoshelf.nodes._connection import MAX_FRAME_BYTES, NodeConnection
 from flamingoshelf.nodes._counters import LinkCounters
 from flamingoshelf.nodes._dialler import Dialler
@@ -98,6 +104,8 @@
             dispatch=self._dispatch,
             counters=self._counters,
         )
+        self._resolve = resolve
+        self._channels = ChannelPool(open_channel=self._open_channel)
         self._tasks = TaskGroup(owner="nodes")
 
     @property
@@ -139,11 +147,13 @@
             The address is in use, for instance by an earlier run of this node that has not ended.
         """
         await self._acceptor.start()
+        await self._channels.start()
         self._tasks.start(self._run_reports(), name="report")
 
     async def stop(self) -> None:
         """Close all connections; abort those whose peers do not respond in time."""
         await self._tasks.stop()
+        await self._channels.stop()
         try:
             async with asyncio.timeout(_STOP_TIMEOUT_S):
                 await asyncio.gather(self._dialler.stop(), self._acceptor.stop())
@@ -182,6 +192,21 @@
         """Close the connection to a peer, so that the next message opens a new one."""
         self._dialler.drop_connection(peer)
 
+    def serve_channels(self, handler: ChannelHandler) -> None:
+        """Run ``handler(channel)`` for each channel that a peer opens."""
+        self._acceptor.serve_channels(handler)
+
+    async def take_channel(self, peer: str) -> NodeChannel:
+        """Return a channel to a peer for one exchange; raise `PeerUnreachableError` if none opens.
+
+        It is given back, or aborted if the exchange has not ended.
+        """
+        return await self._channels.take(peer)
+
+    def give_back_channel(self, channel: NodeChannel) -> None:
+        """Keep a channel whose exchange has ended for another one."""
+        self._channels.give_back(channel)
+
     async def _notify(self, peer: str, message: Any) -> None:
         try:
             async with asyncio.timeout(_NOTIFY_TIMEOUT_S):
@@ -213,10 +238,27 @@
         return await handler(peer, message)
 
     async def _open_connection(self, peer: str, address: str) -> NodeConnection:
+        socket, identity = await self._open_socket(peer, address, path="")
+        return NodeConnection(
+            socket=socket, peer=identity, dispatch=self._dispatch, counters=self._counters
+        )
+
+    async def _open_channel(self, peer: str) -> NodeChannel:
+        address = self._resolve(peer)
+        if address is None:
+            raise PeerUnreachableError("no address is known", step="channel", peer=peer)
+        self._counters.dials += 1
+        socket, identity = await self._open_socket(peer, address, path=CHANNEL_PATH)
+        return NodeChannel(socket=socket, peer=identity.name)
+
+    async def _open_socket(
+        self, peer: str, address: str, *, path: str
+    ) -> tuple[ClientConnection, Identity]:
+        """Open an authenticated websocket to a peer."""
         greeting = new_greeting(self._identity, target=peer)
         scheme = "ws" if self._tls is None else "wss"
         socket = await connect(
-            f"{scheme}://{address}",
+            f"{scheme}://{address}{path}",
             additional_headers={GREETING_HEADER: greeting.encode(self._secret)},
             ssl=None if self._tls is None else self._tls.client,
             max_size=MAX_FRAME_BYTES,
@@ -236,9 +278,7 @@
         except BaseException:
             await socket.close()
             raise
-        return NodeConnection(
-            socket=socket, peer=identity, dispatch=self._dispatch, counters=self._counters
-        )
+        return socket, identity
 
     async def _run_reports(self) -> None:
         while True:
