--- a/flamingoshelf/gateway/_backend_client.py
+++ b/flamingoshelf/gateway/_backend_client.py
@@ -1,126 +1,74 @@
-"""Sends requests to backend servers and validates the heads of their responses."""
+"""Calls to backend servers: over this node's own path, or through another node."""
 
 import asyncio
-from collections.abc import AsyncGenerator, Callable
-from contextlib import asynccontextmanager
-from enum import StrEnum
+from collections.abc import AsyncGenerator, Callable, Sequence
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import attrs
 from loguru import logger
 
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
 from flamingoshelf.gateway._admission import AdmittedRequest
-from flamingoshelf.gateway._wire import BackendCall, BackendResponseHead, KvHandle, WireFormat
-from flamingoshelf.http1 import BackendConnection, ConnectionPool, RequestHead, ResponseHead
-from flamingoshelf.routing import BackendInstance, ServerNotices
+from flamingoshelf.gateway._backend_response import BackendResponse, NotRunError, read_all
+from flamingoshelf.gateway._direct_calls import DirectCalls
+from flamingoshelf.gateway._proxied_calls import PeerPassedError, ProxiedCall, ProxiedCalls
+from flamingoshelf.gateway._wire import BackendCall, KvHandle, WireFormat
+from flamingoshelf.http1 import BackendConnection, NoFreeConnectionError, RequestHead
+from flamingoshelf.paths import PathService, PathState, PathTable
+from flamingoshelf.routing import BackendInstance
 from flamingoshelf.server_limits import StatedLimits
 from flamingoshelf.utils import TaskGroup, now_s
 
-__all__ = [
-    "BackendClient",
-    "BackendResponse",
-    "NotRunError",
-    "ServerPausedError",
-    "WrongInstanceError",
-]
+__all__ = ["BackendClient"]
 
 _RELEASE_HANDLE_TIMEOUT_S = 0.5  # lifetime of a handle; later it has expired anyway
-_DISCARD_TIMEOUT_S = 0.05  # the body of a refusal follows its head immediately
 _MAX_HANDLE_BYTES = 16 * 1024  # a handle has some hundred bytes
 _MAX_CALL_BYTES = 1024 * 1024  # a report lists each run in some tens of bytes
-_MAX_STALE_ANSWERS = 2  # late responses to earlier requests skipped per request
+# A failed connection attempt leaves time for another server; a check takes milliseconds if
+# connections are refused.
+_VERDICT_WAIT_S = 0.05
+_MAX_PEERS_PER_CALL = 2  # nodes that a call is offered to, of which one at most sends it
 
-
-class NotRunError(PeerUnreachableError):
-    """The server states that it did not run the request and will not run it."""
-
-
-class ServerPausedError(NotRunError):
-    """The server wants no requests from this node for a time.
-
-    Parameters
-    ----------
-    message, step, peer : str
-        As in `FlamingoshelfError`.
-    pause_s : float
-        Seconds until the pause ends.
-    was_sent : bool
-        Whether the request was sent and turned away, rather than held back by this node.
-    """
-
-    def __init__(
-        self, message: str, *, step: str, peer: str = "", pause_s: float, was_sent: bool
-    ) -> None:
-        super().__init__(message, step=step, peer=peer)
-        self.pause_s = pause_s
-        self.was_sent = was_sent
-
-
-class WrongInstanceError(NotRunError):
-    """The address belongs to another server than the expected one."""
-
-
-class ResponseFault(StrEnum):
-    """Why a response is not accepted as the server's answer."""
-
-    OTHER_REQUEST = "answers no known request"
-    ENCODED = "has an encoding that was not asked for"
-
-
-@attrs.frozen(kw_only=True)
-class BackendResponse:
-    """A response whose head was validated as the answer to the request.
-
-    Parameters
-    ----------
-    head : ResponseHead
-        Status and headers.
-    is_signed : bool
-        Whether it carries the server's signature.
-    connection : BackendConnection
-        Connection to read the body from.
-    """
-
-    head: ResponseHead
-    is_signed: bool
-    connection: BackendConnection
-
-    async def read(self) -> bytes:
-        """Return the next bytes of the body, or empty bytes at its regular end."""
-        return await self.connection.read()
-
-    async def read_all(self, *, limit: int) -> bytes | None:
-        """Return the whole body, or None if it has more than `limit` bytes."""
-        return await _read_all(self.connection, limit=limit)
+OnSent = Callable[[BackendConnection | ProxiedCall], None]
 
 
 class BackendClient:
     """Sends requests to backend servers.
 
+    A server that this node doesn't reach is called through a node that does.
+
     Parameters
     ----------
-    pool : ConnectionPool
-        Connections reused across requests.
+    direct : DirectCalls
+        Calls over this node's own connections.
+    proxied : ProxiedCalls
+        Calls through other nodes.
+    paths : PathService
+        Checks paths that have failed.
+    path_table : PathTable
+        State of the paths.
     wire : WireFormat
-        Encodes and decodes heads.
-    notices : ServerNotices
-        Servers that leave, and pauses that they ask for; nothing is sent to a server in its pause.
+        Encodes heads and decodes handles.
     limits : StatedLimits
-        Learns of the limits that servers state.
+        Limits that servers state.
     """
 
     def __init__(
         self,
         *,
-        pool: ConnectionPool,
+        direct: DirectCalls,
+        proxied: ProxiedCalls,
+        paths: PathService,
+        path_table: PathTable,
         wire: WireFormat,
-        notices: ServerNotices,
         limits: StatedLimits,
     ) -> None:
-        self._notices = notices
-        self._limits = limits
-        self._pool = pool
+        self._direct = direct
+        self._proxied = proxied
+        self._paths = paths
+        self._path_table = path_table
         self._wire = wire
+        self._limits = limits
         self._tasks = TaskGroup(owner="backend_client")
 
     async def stop(self) -> None:
@@ -134,7 +82,7 @@
         call: BackendCall,
         *,
         fresh: bool = False,
-        on_sent: Callable[[BackendConnection], None] = lambda connection: None,
+        on_sent: OnSent = lambda connection: None,
     ) -> AsyncGenerator[BackendResponse, None]:
         """Send a request; leaving the context before the end of the body cancels it at the server.
 
@@ -150,16 +98,22 @@
         OutcomeUnknownError
             The server may have run the request, but gave no valid answer.
         """
-        instance = call.instance
-        self._check_pause(instance)
-        head = self._wire.encode_request(request.head, call, body_bytes=len(request.body))
-        sent_s = now_s()
-        self._limits.count_request(instance.run)
-        async with await self._pool.call(
-            instance.key, instance.address, head, request.body, fresh=fresh
-        ) as pooled:
-            on_sent(pooled.connection)
-            yield await self._read_response(request, instance, pooled.connection, sent_s=sent_s)
+        began_s = now_s()
+
+        def encode() -> RequestHead:
+            left = attrs.evolve(call, remaining_s=call.remaining_s - (now_s() - began_s))
+            return self._wire.encode_request(request.head, left, body_bytes=len(request.body))
+
+        async with AsyncExitStack() as stack:
+            yield await self._open(
+                stack,
+                call.instance,
+                encode,
+                request.body,
+                request_id=request.request_id,
+                fresh=fresh,
+                on_sent=on_sent,
+            )
 
     async def prefill(self, request: AdmittedRequest, call: BackendCall) -> KvHandle:
         """Run a prefill and return its KV cache handle; errors as in `send`."""
@@ -184,9 +138,12 @@
         *,
         step: str,
         timeout_s: float,
+        direct_only: bool = False,
     ) -> tuple[int, bytes]:
         """Send a call that originates at this node; return status and body of the response.
 
+        With `direct_only`, it isn't sent through another node.
+
         Raises
         ------
         PeerUnreachableError
@@ -194,24 +151,23 @@
         OutcomeUnknownError
             The call may have taken effect, but no complete answer arrived in time.
         """
-        self._check_pause(instance)
         sent_s = now_s()
         try:
-            async with asyncio.timeout(timeout_s):
-                async with await self._pool.call(
-                    instance.key, instance.address, head, body
-                ) as pooled:
-                    answer = await pooled.connection.read_head()
-                    decoded = self._wire.decode_response_head(answer)
-                    self._record_notices(instance, decoded)
-                    if decoded.limit_per_s is not None:  # a report need not repeat the limit
-                        self._record_limit(instance, decoded, sent_s=sent_s)
-                    content = await _read_all(pooled.connection, limit=_MAX_CALL_BYTES)
-                    if content is None:
-                        reason = f"its answer has more than {_MAX_CALL_BYTES} bytes"
-                        raise OutcomeUnknownError(reason, step=step, peer=instance.key)
-                    return answer.status, content
+            async with asyncio.timeout(timeout_s), AsyncExitStack() as stack:
+                if direct_only:
+                    exchange = self._direct.exchange(instance, head, body, request_id=None)
+                    response = await stack.enter_async_context(exchange)
+                else:
+                    response = await self._open(
+                        stack, instance, lambda: head, body, request_id=None
+                    )
+                content = await read_all(response.connection, limit=_MAX_CALL_BYTES)
+                if content is None:
+                    reason = f"its answer has more than {_MAX_CALL_BYTES} bytes"
+                    raise OutcomeUnknownError(reason, step=step, peer=instance.key)
+                return response.head.status, content
         except TimeoutError as error:
+            self._paths.record_silence(instance, since_s=sent_s)
             reason = f"no answer within {timeout_s} s"
             raise OutcomeUnknownError(reason, step=step, peer=instance.key) from error
 
@@ -238,105 +194,81 @@
                 "handle release not confirmed; the handle will expire: {!r}", error
             )
 
-    async def _read_response(
+    async def _open(
         self,
-        request: AdmittedRequest,
+        stack: AsyncExitStack,
         instance: BackendInstance,
-        connection: BackendConnection,
+        encode: Callable[[], RequestHead],
+        body: bytes,
         *,
-        sent_s: float,
+        request_id: str | None,
+        fresh: bool = False,
+        on_sent: OnSent = lambda connection: None,
     ) -> BackendResponse:
-        """Return the response to `request`; skip late responses to other requests.
-
-        A response that names no request is late as well if the connection carried another one
-        before.
-        """
-        for _ in range(_MAX_STALE_ANSWERS + 1):
-            head = await connection.read_head()
-            answer = self._wire.decode_response_head(head)
-            self._record_notices(instance, answer)
-            names_none = answer.request_id is None
-            if answer.request_id == request.request_id or (names_none and connection.calls == 1):
-                self._record_limit(instance, answer, sent_s=sent_s)
-                if answer.has_not_run:
-                    await _discard_body(connection)
-                self._check_answer(answer, head, instance)
-                return BackendResponse(head=head, is_signed=answer.is_signed, connection=connection)
-            logger.bind(request_id=request.request_id, step="answer", peer=instance.key).warning(
-                "skipped a late response to request {}", answer.request_id or "(no id)"
-            )
-            await connection.skip_response()
-        raise OutcomeUnknownError(ResponseFault.OTHER_REQUEST, step="answer", peer=instance.key)
-
-    def _check_pause(self, instance: BackendInstance) -> None:
-        """Raise `ServerPausedError` if the server wants nothing from this node now."""
-        pause_s = self._notices.pause_s(instance)
-        if pause_s > 0:
-            raise ServerPausedError(
-                f"asked for a pause of another {pause_s:.1f} s",
-                step="pause",
-                peer=instance.key,
-                pause_s=pause_s,
-                was_sent=False,
-            )
-
-    def _record_notices(self, instance: BackendInstance, answer: BackendResponseHead) -> None:
-        """Record what the server states about itself, unless another one has its address."""
-        if answer.is_wrong_instance:
-            return
-        if answer.is_leaving:
-            self._notices.record_leaving(instance.run, source="server")
-        if answer.pause_s is not None:
-            self._notices.record_pause(instance, answer.pause_s)
-
-    def _record_limit(
-        self, instance: BackendInstance, answer: BackendResponseHead, *, sent_s: float
-    ) -> None:
-        """Record the limit that the answer to a request sent at `sent_s` states, or its end."""
-        if not answer.is_wrong_instance:
-            self._limits.record_answer(instance.run, answer.limit_per_s, sent_s=sent_s)
-
-    def _check_answer(
-        self, answer: BackendResponseHead, head: ResponseHead, instance: BackendInstance
-    ) -> None:
-        """Raise unless the head belongs to an answer of the expected server."""
-        if answer.is_wrong_instance:
-            raise WrongInstanceError("another server", step="answer", peer=instance.key)
-        if answer.has_not_run and answer.pause_s is not None:
-            raise ServerPausedError(
-                f"status {head.status}, asks for a pause",
-                step="answer",
-                peer=instance.key,
-                pause_s=self._notices.pause_s(instance),
-                was_sent=True,
-            )
-        if answer.has_not_run:
-            raise NotRunError(f"status {head.status}", step="answer", peer=instance.key)
-        if answer.is_encoded:
-            raise OutcomeUnknownError(ResponseFault.ENCODED, step="answer", peer=instance.key)
-        if head.is_success and answer.request_id is None:
-            raise OutcomeUnknownError(ResponseFault.OTHER_REQUEST, step="answer", peer=instance.key)
-
-
-async def _read_all(connection: BackendConnection, *, limit: int) -> bytes | None:
-    """Return the whole body, or None if it has more than `limit` bytes."""
-    parts = []
-    size = 0
-    while part := await connection.read():
-        size += len(part)
-        if size > limit:
-            return None
-        parts.append(part)
-    return b"".join(parts)
+        """Return the response to a request, which ends with the `stack`."""
+        if self._uses_own_path(instance.key):
+            try:
+                return await stack.enter_async_context(
+                    self._direct.exchange(
+                        instance,
+                        encode(),
+                        body,
+                        request_id=request_id,
+                        fresh=fresh,
+                        on_sent=on_sent,
+                    )
+                )
+            except (NotRunError, NoFreeConnectionError):
+                raise
+            except PeerUnreachableError:  # nothing was sent
+                if not await self._is_found_cut(instance):
+                    raise
+        failure: PeerUnreachableError | None = None
+        for peer in self._choose_peers(instance.key):
+            head = encode()
+            logger.bind(
+                request_id=request_id, step="proxy", peer=instance.key, node=peer, path=head.target
+            ).info("calling through another node")
+            try:
+                return await stack.enter_async_context(
+                    self._proxied.exchange(
+                        peer, instance, head, body, request_id=request_id, on_sent=on_sent
+                    )
+                )
+            except PeerPassedError as error:
+                logger.bind(request_id=request_id, step="proxy", peer=instance.key, node=peer).info(
+                    "call not made by another node: {}", error.message
+                )
+                failure = self._record_passed(instance, error)
+        raise failure or PeerUnreachableError(
+            "no node reaches the server", step="proxy", peer=instance.key
+        )
 
+    def _uses_own_path(self, key: str) -> bool:
+        """Return whether a server is called over this node's own path."""
+        state = self._path_table.state(key)
+        if state is PathState.CUT and self._path_table.keeps_connections(key):
+            return self._direct.has_open_connection(key)
+        return state is PathState.DIRECT
 
-async def _discard_body(connection: BackendConnection) -> None:
-    """Read and drop a short body, so that the connection can be reused."""
-    try:
-        async with asyncio.timeout(_DISCARD_TIMEOUT_S):
-            while await connection.read():
-                pass
-    except (OutcomeUnknownError, TimeoutError) as error:
-        logger.bind(step="discard").debug(
-            "response body not drained; closing the connection: {!r}", error
-        )
+    async def _is_found_cut(self, instance: BackendInstance) -> bool:
+        """Return whether a check that takes little time finds the path cut."""
+        try:
+            async with asyncio.timeout(_VERDICT_WAIT_S):
+                return await self._paths.is_cut(instance)
+        except TimeoutError:
+            return False  # the check goes on, for the calls that follow
+
+    def _choose_peers(self, key: str) -> Sequence[str]:
+        """Return nodes that reach a server, the one that makes fewest calls for this node first."""
+        peers = sorted(self._path_table.peers(key), key=self._proxied.running)
+        return peers[:_MAX_PEERS_PER_CALL]
+
+    def _record_passed(
+        self, instance: BackendInstance, error: PeerPassedError
+    ) -> PeerUnreachableError:
+        """Record that a node has not sent a call; return the error for the caller."""
+        if error.is_busy:
+            return NoFreeConnectionError(error.message, step="proxy", peer=instance.key)
+        self._paths.record_peer_failure(instance, error.peer)
+        return PeerUnreachableError(error.message, step="proxy", peer=instance.key)
--- a/flamingoshelf/gateway/_crash_detector.py
+++ b/flamingoshelf/gateway/_crash_detector.py
@@ -1,7 +1,7 @@
 """Tells requests that crash backend servers from those that a crash interrupts by chance."""
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 
 import attrs
@@ -55,8 +55,9 @@
     """Checks whether a server crashed after a lost run, and refuses content that crashes servers.
 
     A lost run alone proves nothing: the connection may have failed. The server counts as crashed
-    if it refuses connections afterwards, if another one takes its place, or if another node
-    reports it. Only requests that it had not begun to answer are suspected.
+    if it refuses connections afterwards and other nodes don't reach it either, if another one takes
+    its place, or if another node reports it. Only requests that it had not begun to answer are
+    suspected.
 
     Parameters
     ----------
@@ -65,6 +66,8 @@
     is_succeeded : callable
         ``is_succeeded(instance)`` returns whether a later run of a server, or another server at its
         address, is registered.
+    is_cut : callable
+        ``await is_cut(instance)`` returns whether only this node's path to a server has failed.
     """
 
     def __init__(
@@ -72,7 +75,9 @@
         *,
         guard: ContentGuard,
         is_succeeded: Callable[[BackendInstance], bool] = lambda instance: False,
+        is_cut: Callable[[BackendInstance], Awaitable[bool]],
     ) -> None:
+        self._is_cut = is_cut
         self._guard = guard
         self._is_succeeded = is_succeeded
         self._lost: list[_LostRuns] = []
@@ -175,13 +180,15 @@
                     continue
                 if self._is_succeeded(lost.instance):
                     self._report(lost, reason="another server took its place")
-                elif after_s in _CONNECT_AFTER_S and await _refuses_connections(
-                    lost.instance.address
-                ):
+                elif after_s in _CONNECT_AFTER_S and await self._refuses_all(lost.instance):
                     self._report(lost, reason="it refuses connections")
         finally:
             self._lost.remove(lost)
 
+    async def _refuses_all(self, instance: BackendInstance) -> bool:
+        """Return whether a server refuses connections, and not only those of this node."""
+        return await _refuses_connections(instance.address) and not await self._is_cut(instance)
+
     def _report(self, lost: _LostRuns, *, reason: str = "the crash is known") -> None:
         requests = lost.requests[lost.reported :]
         lost.reported = len(lost.requests)
--- a/flamingoshelf/gateway/_crash_protection.py
+++ b/flamingoshelf/gateway/_crash_protection.py
@@ -2,13 +2,13 @@
 
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from flamingoshelf.base import NodeLink
 from flamingoshelf.cluster import MemberList
 from flamingoshelf.gateway._crash_detector import CrashDetector
 from flamingoshelf.quarantine import CrashArchive, Quarantine, QuarantineService
-from flamingoshelf.routing import InstanceDirectory
+from flamingoshelf.routing import BackendInstance, InstanceDirectory
 from flamingoshelf.store import KindStore, StoreEras
 from flamingoshelf.telemetry import Metrics
 
@@ -36,6 +36,9 @@
         Returns whether this node writes the copy in the store.
     is_cut_off : callable
         Returns whether there are nodes that this one can't reach.
+    is_path_cut : callable
+        ``await is_path_cut(instance)`` returns whether only this node's path to a server has
+        failed.
     """
 
     def __init__(
@@ -49,6 +52,7 @@
         random_source: random.Random,
         may_write: Callable[[], bool],
         is_cut_off: Callable[[], bool],
+        is_path_cut: Callable[[BackendInstance], Awaitable[bool]],
     ) -> None:
         self._quarantine = QuarantineService(
             quarantine=Quarantine(),
@@ -56,7 +60,9 @@
             metrics=metrics,
             random_source=random_source,
         )
-        self._detector = CrashDetector(guard=self._quarantine, is_succeeded=directory.has_successor)
+        self._detector = CrashDetector(
+            guard=self._quarantine, is_succeeded=directory.has_successor, is_cut=is_path_cut
+        )
         self._archive = CrashArchive(
             store=store,
             quarantine=self._quarantine,
--- a/flamingoshelf/gateway/_engine_control.py
+++ b/flamingoshelf/gateway/_engine_control.py
@@ -162,6 +162,8 @@
     async def order(self, instance: BackendInstance, order: RoleOrder) -> OrderOutcome:
         """Send an order, and return how the engine answered.
 
+        It is sent from this node, as an order from another one would be that of another holder.
+
         Raises
         ------
         PeerUnreachableError
@@ -171,6 +173,6 @@
         """
         head, body = self._wire.encode_order(instance, order)
         status, _ = await self._client.call(
-            instance, head, body, step="order", timeout_s=_ORDER_TIMEOUT_S
+            instance, head, body, step="order", timeout_s=_ORDER_TIMEOUT_S, direct_only=True
         )
         return self._wire.decode_outcome(status)
--- a/flamingoshelf/gateway/_engine_prober.py
+++ b/flamingoshelf/gateway/_engine_prober.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from flamingoshelf.exceptions import FlamingoshelfError
-from flamingoshelf.gateway._backend_client import ServerPausedError
+from flamingoshelf.gateway._backend_response import ServerPausedError
 from flamingoshelf.gateway._engine_control import EngineControl
 from flamingoshelf.http1 import NoFreeConnectionError
 from flamingoshelf.placement import Dispatcher
--- a/flamingoshelf/gateway/_engine_runs.py
+++ b/flamingoshelf/gateway/_engine_runs.py
@@ -13,6 +13,7 @@
 
 from flamingoshelf.exceptions import FlamingoshelfError
 from flamingoshelf.gateway._engine_control import EngineReport
+from flamingoshelf.gateway._proxied_calls import ProxiedCall
 from flamingoshelf.http1 import BackendConnection
 from flamingoshelf.routing import BackendInstance, ServerRun
 from flamingoshelf.utils import TaskGroup
@@ -72,8 +73,15 @@
         """Cancel all checks."""
         await self._tasks.stop()
 
-    def check(self, engine: BackendInstance, connection: BackendConnection) -> RunCheck:
-        """Begin to check the run at the other end of an open connection."""
+    def check(
+        self, engine: BackendInstance, connection: BackendConnection | ProxiedCall
+    ) -> RunCheck:
+        """Begin to check the run at the other end of an open connection.
+
+        The node that makes a call for this one checks its own connection.
+        """
+        if isinstance(connection, ProxiedCall):
+            return RunCheck(self._tasks.start(connection.confirm_run(), name="ask"))
         is_known = self._confirmed.get(connection) == engine.run
         if not engine.started_ms or is_known or not self._may_ask(engine):
             return RunCheck()
--- a/flamingoshelf/gateway/_fleet_view.py
+++ b/flamingoshelf/gateway/_fleet_view.py
@@ -42,3 +42,11 @@
     def responsive_nodes(self) -> set[str]:
         """Return the names of the other nodes that replied lately."""
         return set() if self._coordination is None else self._coordination.responsive_members()
+
+    def peers(self) -> list[str]:
+        """Return the names of the other nodes that may be asked for help, the coordinator first."""
+        coordination = self._coordination
+        if coordination is None:
+            return []
+        names = [n for n in coordination.responsive_members() if not coordination.is_leaving(n)]
+        return sorted(names, key=lambda name: (name != coordination.coordinator, name))
--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -9,10 +9,10 @@
 
 from flamingoshelf.cluster import Coordination, ExclusiveDuty, Member, MemberList, Registration
 from flamingoshelf.gateway._active_configuration import ActiveConfiguration
-from flamingoshelf.gateway._backend_client import BackendClient
 from flamingoshelf.gateway._configuration_exchange import ConfigurationExchange
 from flamingoshelf.gateway._crash_protection import CrashProtection
 from flamingoshelf.gateway._engine_control import EngineControl, EngineWire
+from flamingoshelf.gateway._engine_failures import EngineFailures
 from flamingoshelf.gateway._engine_prober import EngineProber
 from flamingoshelf.gateway._engine_runs import EngineRuns
 from flamingoshelf.gateway._fleet_view import FleetView
@@ -22,6 +22,7 @@
 from flamingoshelf.gateway._peer_news import PeerNews
 from flamingoshelf.gateway._request_path import new_gateway
 from flamingoshelf.gateway._role_controller import RoleController
+from flamingoshelf.gateway._server_access import ServerAccess
 from flamingoshelf.gateway._settings import GatewaySettings, changed_fields
 from flamingoshelf.gateway._shutdown import ShutdownPlan
 from flamingoshelf.gateway._status_server import StatusServer
@@ -32,7 +33,7 @@
     StoreFormat,
 )
 from flamingoshelf.gateway._wire import WireFormat
-from flamingoshelf.http1 import ConnectionPool, HttpServer
+from flamingoshelf.http1 import HttpServer
 from flamingoshelf.nodes import WebsocketNodeLink
 from flamingoshelf.placement import (
     Dispatcher,
@@ -111,9 +112,6 @@
             configuration=self._configuration,
             node_count=self._fleet.node_count,
         )
-        self._pool = ConnectionPool(
-            max_connections=lambda key: self._node_limits.connections(self._directory.get(key))
-        )
         self._incarnation = new_incarnation()
         self._server_limits = LimitService(
             node_name=settings.node_name, incarnation=self._incarnation, members=self._members
@@ -125,8 +123,15 @@
             eras=eras,
             node_count=self._fleet.node_count,
         )
-        self._client = BackendClient(
-            pool=self._pool, wire=wire, notices=self._notices, limits=self._server_limits.stated
+        self._access = ServerAccess(
+            max_connections=lambda key: self._node_limits.connections(self._directory.get(key)),
+            wire=wire,
+            engine_wire=engine_wire,
+            configuration=self._configuration,
+            directory=self._directory,
+            notices=self._notices,
+            limits=self._server_limits,
+            random_source=self._random,
         )
         self._budgets = RetryBudgets(
             node_count=self._fleet.node_count, bounds=self._node_limits.retries()
@@ -169,6 +174,7 @@
             random_source=self._random,
             may_write=lambda: self._coordination is None or self._coordination.is_coordinator,
             is_cut_off=self._fleet.may_others_place,
+            is_path_cut=self._access.paths.is_cut,
         )
         self._placer = FleetPlacer(
             node_name=settings.node_name,
@@ -176,7 +182,8 @@
             plain_calls=self._plain_calls,
             placed_services=self._engine_services,
         )
-        control = EngineControl(client=self._client, wire=engine_wire)
+        self._failures = EngineFailures(placer=self._placer, paths=self._access.paths)
+        control = EngineControl(client=self._access.client, wire=engine_wire)
         self._engine_runs = EngineRuns(
             report=control.report,
             may_ask=lambda engine: self._server_limits.stated.limit(engine.run) is None,
@@ -239,7 +246,7 @@
             address=settings.caller_address,
             handle=new_gateway(
                 configuration=self._configuration,
-                client=self._client,
+                client=self._access.client,
                 directory=self._directory,
                 notices=self._notices,
                 limits=self._server_limits,
@@ -248,6 +255,9 @@
                 runs=self._engine_runs,
                 plain_calls=self._plain_calls,
                 crash_detector=self._crash_protection.detector,
+                paths=self._access.paths,
+                path_table=self._access.path_table,
+                failures=self._failures,
                 budget=self._budgets.budget,
                 wire=wire,
                 data_centre=settings.data_centre,
@@ -278,7 +288,7 @@
         """Start following the store and serving callers."""
         await self._caller_server.start()
         await self._status_server.start()
-        await self._pool.start()
+        await self._access.start()
         await self._placer.start()
         await self._store_follower.start()
         await self._crash_protection.start()
@@ -331,8 +341,8 @@
             await self._link.stop()
         await self._server_limits.stop()
         await self._crash_protection.stop()
-        await self._client.stop()
-        await self._pool.stop()
+        await self._failures.stop()
+        await self._access.stop()
         await self._status_server.stop()
         logger.bind(step="stop", cut=self._caller_server.running_requests).info("node stopped")
 
@@ -361,6 +371,7 @@
         self._crash_protection.connect(link)
         self._server_limits.connect(link, coordination)
         self._origins.connect(link, coordination)
+        self._access.connect(link, peers=self._fleet.peers, runs=self._engine_runs)
         await link.start()
         await coordination.start()
         self._link, self._coordination = link, coordination
@@ -407,4 +418,4 @@
     def _on_servers_changed(self) -> None:
         """Record that servers are known, and close connections to removed ones."""
         self._has_server_list = True
-        self._pool.close_idle_except(self._directory.ids())
+        self._access.forget_removed()
--- a/flamingoshelf/gateway/_plain_attempt.py
+++ b/flamingoshelf/gateway/_plain_attempt.py
@@ -7,7 +7,8 @@
 
 from flamingoshelf.exceptions import OutcomeUnknownError
 from flamingoshelf.gateway._admission import AdmittedRequest
-from flamingoshelf.gateway._backend_client import BackendClient, BackendResponse
+from flamingoshelf.gateway._backend_client import BackendClient
+from flamingoshelf.gateway._backend_response import BackendResponse
 from flamingoshelf.gateway._wire import BackendCall
 from flamingoshelf.http1 import Exchange, ResponseHead
 from flamingoshelf.routing import BackendInstance
--- a/flamingoshelf/gateway/_plain_forwarder.py
+++ b/flamingoshelf/gateway/_plain_forwarder.py
@@ -8,8 +8,8 @@
 
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
 from flamingoshelf.gateway._admission import AdmittedRequest
-from flamingoshelf.gateway._backend_client import (
-    BackendClient,
+from flamingoshelf.gateway._backend_client import BackendClient
+from flamingoshelf.gateway._backend_response import (
     NotRunError,
     ServerPausedError,
     WrongInstanceError,
@@ -21,6 +21,7 @@
 from flamingoshelf.gateway._target_selector import TargetSelector
 from flamingoshelf.gateway._wire import BackendCall
 from flamingoshelf.http1 import Exchange, NoFreeConnectionError
+from flamingoshelf.paths import PathReports
 from flamingoshelf.placement import PlainCallMeter
 from flamingoshelf.refusals import Refusal, RetryReason
 from flamingoshelf.retries import RetryBudget
@@ -62,6 +63,8 @@
         Charges calls to their workspaces' limits.
     crash_detector : CrashDetector
         Detects and refuses requests that crash servers.
+    paths : PathReports
+        Learns of silent servers.
     metrics : Metrics
         Counts retries.
     """
@@ -76,8 +79,10 @@
         budget: Callable[[str], RetryBudget],
         plain_calls: PlainCallMeter,
         crash_detector: CrashDetector,
+        paths: PathReports,
         metrics: Metrics,
     ) -> None:
+        self._paths = paths
         self._crash_detector = crash_detector
         self._plain_calls = plain_calls
         self._client = client
@@ -231,7 +236,7 @@
     async def _hedge(self, state: PlainState, attempt: PlainAttempt) -> None:
         """Call another server beside an overdue call."""
         attempt.is_overdue = True
-        self._selector.record_silence(attempt.key, since_s=attempt.started_s)
+        self._record_silence(attempt)
         obstacle = await self._start_attempt(state)
         log = self._log(state, attempt).bind(waited_s=round(now_s() - attempt.started_s, 3))
         if obstacle:
@@ -243,7 +248,7 @@
         """End all calls at the deadline."""
         state.is_out_of_time = True
         for attempt in state.running:
-            self._selector.record_silence(attempt.key, since_s=attempt.started_s)
+            self._record_silence(attempt)
             self._log_timeout(state, attempt)
             state.sent += 1
             self._end(attempt, is_failure=None)
@@ -282,6 +287,10 @@
         finally:
             self._end(attempt, is_failure=is_failure)
 
+    def _record_silence(self, attempt: PlainAttempt) -> None:
+        self._selector.record_silence(attempt.key, since_s=attempt.started_s)
+        self._paths.record_silence(attempt.instance, since_s=attempt.started_s)
+
     def _end(self, attempt: PlainAttempt, *, is_failure: bool | None) -> None:
         """Record the outcome of a call at the selector, unless that was done before."""
         if not attempt.is_ended:
--- a/flamingoshelf/gateway/_plain_state.py
+++ b/flamingoshelf/gateway/_plain_state.py
@@ -3,7 +3,7 @@
 import attrs
 
 from flamingoshelf.gateway._admission import AdmittedRequest
-from flamingoshelf.gateway._backend_client import NotRunError, ServerPausedError
+from flamingoshelf.gateway._backend_response import NotRunError, ServerPausedError
 from flamingoshelf.gateway._plain_attempt import PlainAttempt
 from flamingoshelf.http1 import Exchange, NoFreeConnectionError
 from flamingoshelf.refusals import Refusal, RefusalReason
--- a/flamingoshelf/gateway/_request_path.py
+++ b/flamingoshelf/gateway/_request_path.py
@@ -8,11 +8,13 @@
 from flamingoshelf.gateway._app import Gateway
 from flamingoshelf.gateway._backend_client import BackendClient
 from flamingoshelf.gateway._crash_detector import CrashDetector
+from flamingoshelf.gateway._engine_failures import EngineFailures
 from flamingoshelf.gateway._engine_runs import EngineRuns
 from flamingoshelf.gateway._plain_forwarder import PlainForwarder
 from flamingoshelf.gateway._stream_forwarder import StreamForwarder
 from flamingoshelf.gateway._target_selector import TargetSelector
 from flamingoshelf.gateway._wire import WireFormat
+from flamingoshelf.paths import PathReports, PathTable
 from flamingoshelf.placement import Placer, PlainCallMeter
 from flamingoshelf.retries import RetryBudget
 from flamingoshelf.routing import EjectionRule, InstanceDirectory, ServerNotices, ServerSelector
@@ -35,6 +37,9 @@
     runs: EngineRuns,
     plain_calls: PlainCallMeter,
     crash_detector: CrashDetector,
+    paths: PathReports,
+    path_table: PathTable,
+    failures: EngineFailures,
     budget: Callable[[str], RetryBudget],
     wire: WireFormat,
     data_centre: str,
@@ -49,16 +54,19 @@
         random_source=random_source,
         notices=notices,
     )
+    selector = ServerSelector(
+        data_centre=data_centre, rule=EjectionRule(), random_source=random_source
+    )
+    path_table.subscribe(selector.forget)
     plain = PlainForwarder(
         client=client,
         targets=targets,
-        selector=ServerSelector(
-            data_centre=data_centre, rule=EjectionRule(), random_source=random_source
-        ),
+        selector=selector,
         limits=limits,
         budget=budget,
         plain_calls=plain_calls,
         crash_detector=crash_detector,
+        paths=paths,
         metrics=metrics,
     )
     streams = StreamForwarder(
@@ -69,6 +77,7 @@
         origins=origins,
         runs=runs,
         crash_detector=crash_detector,
+        failures=failures,
         metrics=metrics,
     )
     return Gateway(
--- a/flamingoshelf/gateway/_stream_attempt.py
+++ b/flamingoshelf/gateway/_stream_attempt.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
-from flamingoshelf.gateway._backend_client import (
+from flamingoshelf.gateway._backend_response import (
     BackendResponse,
     NotRunError,
     ServerPausedError,
@@ -16,6 +16,7 @@
 from flamingoshelf.gateway._crash_detector import BEGUN_EVENTS
 from flamingoshelf.gateway._engine_runs import RunCheck
 from flamingoshelf.gateway._prefill_timeout import prefill_timeout_s
+from flamingoshelf.gateway._proxied_calls import ProxiedCall
 from flamingoshelf.gateway._silence_watch import SilenceWatch
 from flamingoshelf.gateway._stream_relay import RelayResult, RunRelay
 from flamingoshelf.gateway._stream_state import AttemptTools, StreamState, origin_of
@@ -71,7 +72,7 @@
         self._tools = tools
         self._silent = tuple(silent)
         self._number = state.turns
-        self._engine_id = ""
+        self._engine: BackendInstance | None = None
         self._has_run = False  # whether a decode engine may have run the request
         self._is_replaced = False
         self._handle: KvHandle | None = None
@@ -86,7 +87,7 @@
     @property
     def engine_id(self) -> str:
         """Engine that works on the request, empty before the first call."""
-        return self._engine_id
+        return "" if self._engine is None else self._engine.key
 
     @property
     def has_run(self) -> bool:
@@ -185,7 +186,7 @@
             state.avoid.add(engine_id)
             log.info("prefill engine not listed at this node")
             return None
-        self._engine_id = engine_id
+        self._engine = engine
         began_s = now_s()
         state.has_called_prefill = True
         timeout_s = prefill_timeout_s(self._turn.prefill_s, state.request.goal_s - began_s)
@@ -197,20 +198,20 @@
                 )
         except WrongInstanceError as error:
             log.info("prefill not run: {}", error.message)
-            self._record_failure(engine_id, FailureKind.REPLACED, error.message)
+            self._record_failure(engine, FailureKind.REPLACED, error.message)
         except NotRunError as error:
             log.info("prefill not run: {}", error.message)
-            self._record_rejection(engine_id, error)
+            self._record_rejection(engine, error)
         except NoFreeConnectionError as error:  # says nothing about the engine's health
             log.info("prefill not sent: {}", error.message)
             state.avoid.add(engine_id)
         except PeerUnreachableError as error:
             log.warning("prefill not sent: {}", error.message)
-            self._record_failure(engine_id, FailureKind.UNREACHABLE, error.message)
+            self._record_failure(engine, FailureKind.UNREACHABLE, error.message)
         except OutcomeUnknownError as error:
             log.warning("prefill failed: {}", error.message)
             self._tools.crash_detector.record_lost_run(state.request, engine, sent_s=began_s)
-            self._record_failure(engine_id, FailureKind.BROKE_OFF, error.message)
+            self._record_failure(engine, FailureKind.BROKE_OFF, error.message)
         except TimeoutError:
             self._report_slow_prefill(now_s() - began_s)
         else:
@@ -245,20 +246,20 @@
 
     async def _decode(self, engine: BackendInstance) -> RelayResult:
         """Run the request at a decode engine, and relay its events to the caller."""
-        state, placer = self._state, self._tools.placer
+        state = self._state
         log = self._log("decode", engine.key)
         if not state.may_run:  # the silent attempt has run meanwhile
             return RelayResult.NOT_RUN
         call = self._call(engine, kv_handle=self._handle)
-        self._engine_id = engine.key
+        self._engine = engine
         self._run = RunRelay(
             relay=state.relay,
             request=state.request,
             engine=engine,
             on_first_event=lambda: self._record_first_event(engine),
             on_begin=lambda: self._tools.crash_detector.record_begin(state.request),
-            on_suspicion=lambda: placer.record_failure(
-                state.service, engine.key, FailureKind.SILENT, detail="no event for a time"
+            on_suspicion=lambda silent_s: self._report_silence(
+                engine, "no event for a time", silent_s=silent_s
             ),
             watch=self._watch,
         )
@@ -273,28 +274,30 @@
                 return await self._relay(self._run, engine, response, call)
         except WrongInstanceError as error:
             log.info("decode not run: {}", error.message)
-            self._record_failure(engine.key, FailureKind.REPLACED, error.message)
+            self._record_failure(engine, FailureKind.REPLACED, error.message)
         except NotRunError as error:
             log.info("decode not run: {}", error.message)
-            self._record_rejection(engine.key, error)
+            self._record_rejection(engine, error)
             self._count_wasted_prefill()
         except NoFreeConnectionError as error:
             log.info("decode not sent: {}", error.message)
             state.avoid.add(engine.key)
         except PeerUnreachableError as error:
             log.warning("decode not sent: {}", error.message)
-            self._record_failure(engine.key, FailureKind.UNREACHABLE, error.message)
+            self._record_failure(engine, FailureKind.UNREACHABLE, error.message)
         except OutcomeUnknownError as error:
             log.warning("broke off after event {}: {}", state.relay.last_event_id, error.message)
             self._tools.crash_detector.record_lost_run(
                 state.request, engine, sent_s=sent_s, events=self._run.event_count
             )
-            self._record_failure(engine.key, FailureKind.BROKE_OFF, error.message)
+            self._record_failure(engine, FailureKind.BROKE_OFF, error.message)
             return RelayResult.BROKEN
         self._set_has_run(False)
         return RelayResult.NOT_RUN
 
-    def _check_run(self, engine: BackendInstance, connection: BackendConnection) -> None:
+    def _check_run(
+        self, engine: BackendInstance, connection: BackendConnection | ProxiedCall
+    ) -> None:
         if self._state.request.route.may_resume:
             self._run_check = self._tools.runs.check(engine, connection)
 
@@ -336,7 +339,7 @@
         result = await run.relay(response)
         if result is RelayResult.FAILED and response.head.status >= _SERVER_ERROR_STATUS:
             detail = f"status {response.head.status}"
-            self._record_failure(engine.key, FailureKind.BROKE_OFF, detail)
+            self._record_failure(engine, FailureKind.BROKE_OFF, detail)
         return result
 
     def _take_over(self, attempts: "Sequence[StreamAttempt]") -> bool:
@@ -356,44 +359,43 @@
     def _on_deadline(self) -> RelayResult:
         if self._run is None:
             return RelayResult.NOT_RUN
-        self._log("decode", self._engine_id).warning(
+        self._log("decode", self.engine_id).warning(
             "no time left after event {}", self._state.relay.last_event_id
         )
         if self._run.is_suspect:
-            self._record_failure(self._engine_id, FailureKind.BROKE_OFF, "stalled")
+            self._record_failure(self._run.engine, FailureKind.BROKE_OFF, "stalled")
         return RelayResult.BROKEN
 
     def _on_silence(self) -> None:
         self._state.changed.set()
-        self._log("silence", self._engine_id).info(
+        self._log("silence", self.engine_id).info(
             "engine silent for {:.3f} s after event {}",
             self._watch.pause_s,
             self._state.relay.last_event_id,
         )
-        if self._run is None:
-            self._tools.placer.record_failure(
-                self._state.service, self._engine_id, FailureKind.SILENT, detail="prefill overdue"
-            )
+        if self._run is None and self._engine is not None:
+            self._report_silence(self._engine, "prefill overdue", silent_s=self._watch.pause_s)
 
     def _on_progress(self, silent_s: float) -> None:
         self._state.changed.set()
-        self._log("silence", self._engine_id).info("engine goes on after {:.3f} s", silent_s)
+        self._log("silence", self.engine_id).info("engine goes on after {:.3f} s", silent_s)
 
     def _report_replaced(self) -> None:
         if self._run is None:
             self._report_slow_prefill(self._watch.pause_s)
             return
-        self._log("decode", self._engine_id).warning(
+        self._log("decode", self.engine_id).warning(
             "stalled after event {}; another run has taken over", self._state.relay.last_event_id
         )
-        self._record_failure(self._engine_id, FailureKind.BROKE_OFF, "stalled")
+        self._record_failure(self._run.engine, FailureKind.BROKE_OFF, "stalled")
 
     def _report_slow_prefill(self, seconds: float) -> None:
-        self._log("prefill", self._engine_id).bind(
+        assert self._engine is not None
+        self._log("prefill", self._engine.key).bind(
             expected_s=round(self._turn.prefill_s, 3)
         ).warning("prefill timed out after {:.3f} s", seconds)
-        self._tools.placer.record_slow_prefill(self._turn, seconds=seconds)
-        self._record_failure(self._engine_id, FailureKind.BROKE_OFF, "no answer to a prefill")
+        self._tools.failures.report_slow_prefill(self._engine, self._turn, seconds=seconds)
+        self._record_failure(self._engine, FailureKind.BROKE_OFF, "no answer to a prefill")
 
     def _call(
         self,
@@ -423,14 +425,17 @@
         if self._handle is not None:
             self._tools.metrics.count_event("prefills_wasted")
 
-    def _record_failure(self, engine_id: str, kind: FailureKind, detail: str) -> None:
-        self._state.avoid.add(engine_id)
-        self._tools.placer.record_failure(self._state.service, engine_id, kind, detail=detail)
+    def _record_failure(self, engine: BackendInstance, kind: FailureKind, detail: str) -> None:
+        self._state.avoid.add(engine.key)
+        self._tools.failures.report(engine, kind, detail=detail)
+
+    def _report_silence(self, engine: BackendInstance, detail: str, *, silent_s: float) -> None:
+        self._tools.failures.report_silence(engine, since_s=now_s() - silent_s, detail=detail)
 
-    def _record_rejection(self, engine_id: str, error: NotRunError) -> None:
-        self._state.avoid.add(engine_id)
+    def _record_rejection(self, engine: BackendInstance, error: NotRunError) -> None:
+        self._state.avoid.add(engine.key)
         if not isinstance(error, ServerPausedError):  # it has room, but not for this node
-            self._tools.placer.record_rejection(self._state.service, engine_id)
+            self._tools.placer.record_rejection(self._state.service, engine.key)
 
     def _log(self, step: str, peer: str | None) -> "Logger":
         request_id = self._state.request.request_id
--- a/flamingoshelf/gateway/_stream_forwarder.py
+++ b/flamingoshelf/gateway/_stream_forwarder.py
@@ -9,6 +9,7 @@
 from flamingoshelf.gateway._admission import AdmittedRequest
 from flamingoshelf.gateway._backend_client import BackendClient
 from flamingoshelf.gateway._crash_detector import CrashDetector
+from flamingoshelf.gateway._engine_failures import EngineFailures
 from flamingoshelf.gateway._engine_runs import EngineRuns
 from flamingoshelf.gateway._stream_attempt import StreamAttempt
 from flamingoshelf.gateway._stream_relay import StreamRelay
@@ -66,6 +67,8 @@
         Confirms that engines are the listed ones.
     crash_detector : CrashDetector
         Detects and refuses requests that crash engines.
+    failures : EngineFailures
+        Reports failed calls.
     metrics : Metrics
         Counters and latency histograms.
     """
@@ -80,6 +83,7 @@
         origins: StreamOrigins,
         runs: EngineRuns,
         crash_detector: CrashDetector,
+        failures: EngineFailures,
         metrics: Metrics,
     ) -> None:
         self._targets = targets
@@ -95,6 +99,7 @@
             origins=origins,
             runs=runs,
             crash_detector=crash_detector,
+            failures=failures,
             metrics=metrics,
         )
 
--- a/flamingoshelf/gateway/_stream_relay.py
+++ b/flamingoshelf/gateway/_stream_relay.py
@@ -7,7 +7,7 @@
 
 from flamingoshelf.exceptions import OutcomeUnknownError
 from flamingoshelf.gateway._admission import AdmittedRequest
-from flamingoshelf.gateway._backend_client import BackendResponse
+from flamingoshelf.gateway._backend_response import BackendResponse
 from flamingoshelf.gateway._crash_detector import BEGUN_EVENTS
 from flamingoshelf.gateway._events import EventSplitter, StreamEvent
 from flamingoshelf.gateway._silence_watch import SilenceWatch
@@ -156,7 +156,8 @@
     engine : BackendInstance
         Engine of the run.
     on_suspicion : callable
-        Called each time the engine has sent nothing for longer than the route's goal for pauses.
+        ``on_suspicion(silent_s)`` is called each time the engine has sent nothing for longer than
+        the route's goal for pauses.
     watch : SilenceWatch
         Watch of the run, started with its limit.
     """
@@ -169,7 +170,7 @@
         engine: BackendInstance,
         on_first_event: Callable[[], None],
         on_begin: Callable[[], None],
-        on_suspicion: Callable[[], None],
+        on_suspicion: Callable[[float], None],
         watch: SilenceWatch,
     ) -> None:
         self._relay = relay
@@ -182,11 +183,16 @@
         self._first_event_s: float | None = None
         self._last_event_s = 0.0
         self._longest_pause_s = 0.0
-        self._suspicion = SilenceWatch(on_silence=on_suspicion)
+        self._suspicion = SilenceWatch(on_silence=lambda: on_suspicion(self._suspicion.pause_s))
         self._suspicion.start(self._suspicion_limit_s)
         self._watch = watch
         self._watch.start(self._stall_limit_s)
 
+    @property
+    def engine(self) -> BackendInstance:
+        """Engine of the run."""
+        return self._engine
+
     @property
     def event_count(self) -> int:
         """Number of events of this run that were sent to the caller."""
--- a/flamingoshelf/gateway/_stream_state.py
+++ b/flamingoshelf/gateway/_stream_state.py
@@ -8,6 +8,7 @@
 from flamingoshelf.gateway._admission import AdmittedRequest
 from flamingoshelf.gateway._backend_client import BackendClient
 from flamingoshelf.gateway._crash_detector import BEGUN_EVENTS, CrashDetector
+from flamingoshelf.gateway._engine_failures import EngineFailures
 from flamingoshelf.gateway._engine_runs import EngineRuns
 from flamingoshelf.gateway._stream_relay import StreamRelay
 from flamingoshelf.placement import Placer
@@ -44,6 +45,7 @@
     origins: StreamOrigins
     runs: EngineRuns
     crash_detector: CrashDetector
+    failures: EngineFailures
     metrics: Metrics
 
 
--- a/flamingoshelf/gateway/_wire.py
+++ b/flamingoshelf/gateway/_wire.py
@@ -162,3 +162,6 @@
 
     def encode_handle_release(self, handle: KvHandle, instance: BackendInstance) -> RequestHead:
         """Return the head of a call that releases a handle."""
+
+    def encode_health_check(self, instance: BackendInstance, path: str) -> RequestHead:
+        """Return the head of a call to the path of a server's health check."""
--- a/flamingoshelf/gateway/tests/conftest.py
+++ b/flamingoshelf/gateway/tests/conftest.py
@@ -16,8 +16,13 @@
     StreamForwarder,
     TargetSelector,
 )
-from flamingoshelf.gateway._backend_client import NotRunError, ServerPausedError, WrongInstanceError
+from flamingoshelf.gateway._backend_response import (
+    NotRunError,
+    ServerPausedError,
+    WrongInstanceError,
+)
 from flamingoshelf.gateway.tests.fake_origins import FakeOrigins, new_engine_runs
+from flamingoshelf.gateway.tests.fake_paths import FakePaths, new_failures
 from flamingoshelf.gateway.tests.fake_placer import FakePlacer
 from flamingoshelf.http1 import Exchange, Headers, RequestHead, ResponseHead
 from flamingoshelf.refusals import Refusal, RefusalReason
@@ -419,7 +424,12 @@
 
 
 @pytest.fixture
-def forwarder(client, targets, directory, placer, origins, crash_detector, metrics):
+def paths():
+    return FakePaths()
+
+
+@pytest.fixture
+def forwarder(client, targets, directory, placer, origins, crash_detector, paths, metrics):
     return StreamForwarder(
         client=client,
         targets=targets,
@@ -428,6 +438,7 @@
         origins=origins,
         runs=new_engine_runs(),
         crash_detector=crash_detector,
+        failures=new_failures(placer, paths),
         metrics=metrics,
     )
 
--- a/flamingoshelf/gateway/tests/test_backend_client.py
+++ b/flamingoshelf/gateway/tests/test_backend_client.py
@@ -7,13 +7,14 @@
 import pytest
 
 from flamingoshelf.exceptions import OutcomeUnknownError
-from flamingoshelf.gateway import BackendCall, BackendClient, BackendResponseHead
-from flamingoshelf.gateway._backend_client import (
+from flamingoshelf.gateway import BackendCall, BackendResponseHead
+from flamingoshelf.gateway._backend_response import (
     NotRunError,
     ServerPausedError,
     WrongInstanceError,
 )
 from flamingoshelf.gateway.tests.conftest import server
+from flamingoshelf.gateway.tests.fake_paths import new_client
 from flamingoshelf.http1 import ConnectionPool, Headers, NoFreeConnectionError, RequestHead
 
 
@@ -33,6 +34,9 @@
     def encode_handle_release(self, handle, instance):
         raise NotImplementedError
 
+    def encode_health_check(self, instance, path):
+        raise NotImplementedError
+
     def decode_response_head(self, head):
         return BackendResponseHead(
             request_id=head.headers.get("Answers"),
@@ -55,7 +59,7 @@
 async def ask_in_turn(new_request, notices, limits):
     """Return a function that sends requests on one connection, each answered with other bytes."""
     pool = ConnectionPool(max_connections=lambda key: 4)
-    client = BackendClient(pool=pool, wire=Wire(), notices=notices, limits=limits)
+    client = new_client(pool=pool, wire=Wire(), notices=notices, limits=limits)
 
     async def run(*answers):
         async def serve(reader, writer):
@@ -88,7 +92,7 @@
     With `endless`, the server goes on sending these bytes until the connection is closed.
     """
     pool = ConnectionPool(max_connections=lambda key: 4)
-    client = BackendClient(pool=pool, wire=Wire(), notices=notices, limits=limits)
+    client = new_client(pool=pool, wire=Wire(), notices=notices, limits=limits)
     connections = []
 
     @asynccontextmanager
@@ -240,7 +244,7 @@
 ):
     """Guards against a server that is ejected because this node may open no connection to it."""
     pool = ConnectionPool(max_connections=lambda key: 0)
-    client = BackendClient(pool=pool, wire=Wire(), notices=notices, limits=limits)
+    client = new_client(pool=pool, wire=Wire(), notices=notices, limits=limits)
     call = BackendCall(instance=server("x"), workspace=None, remaining_s=1.0)
     with pytest.raises(NoFreeConnectionError):
         async with client.send(new_request(), call):
--- a/flamingoshelf/gateway/tests/test_changed_configuration.py
+++ b/flamingoshelf/gateway/tests/test_changed_configuration.py
@@ -13,8 +13,10 @@
 from flamingoshelf.gateway._request_path import new_gateway
 from flamingoshelf.gateway.tests.conftest import ENGINE, Answer, FakeOutput, lost, route, server
 from flamingoshelf.gateway.tests.fake_origins import FakeOrigins, new_engine_runs
+from flamingoshelf.gateway.tests.fake_paths import FakePaths, new_failures
 from flamingoshelf.gateway.tests.fake_placer import FakePlacer
 from flamingoshelf.http1 import ConnectionLimits, Exchange, Headers, RequestHead
+from flamingoshelf.paths import PathTable
 from flamingoshelf.placement import (
     Dispatcher,
     DispatcherService,
@@ -119,6 +121,9 @@
             runs=new_engine_runs(),
             plain_calls=self.plain_calls,
             crash_detector=crash_detector,
+            paths=FakePaths(),
+            path_table=PathTable(),
+            failures=new_failures(placer),
             budget=budgets.budget,
             wire=cast(Any, Wire()),
             data_centre="a",
--- a/flamingoshelf/gateway/tests/test_competing_attempts.py
+++ b/flamingoshelf/gateway/tests/test_competing_attempts.py
@@ -18,6 +18,7 @@
     server,
 )
 from flamingoshelf.gateway.tests.fake_origins import FakeOrigins, new_engine_runs
+from flamingoshelf.gateway.tests.fake_paths import FakePaths, new_failures
 from flamingoshelf.gateway.tests.fake_placer import NO_ENGINE, FakePlacer
 from flamingoshelf.http1 import Exchange, NoFreeConnectionError
 from flamingoshelf.placement import (
@@ -106,6 +107,7 @@
             origins=FakeOrigins(),
             runs=new_engine_runs(),
             crash_detector=crash_detector,
+            failures=new_failures(placer),
             metrics=metrics,
         )
         values = {
@@ -271,6 +273,7 @@
         budget=lambda service: budget,
         plain_calls=PlainCallMeter(),
         crash_detector=crash_detector,
+        paths=FakePaths(),
         metrics=metrics,
     )
     list_servers(server("a"), server("b", data_centre="b"))  # "a" is called first
--- a/flamingoshelf/gateway/tests/test_crash_detector.py
+++ b/flamingoshelf/gateway/tests/test_crash_detector.py
@@ -10,6 +10,7 @@
 from flamingoshelf.gateway import CallerRequest
 from flamingoshelf.gateway._crash_detector import BEGUN_EVENTS, CrashDetector
 from flamingoshelf.gateway.tests.conftest import server
+from flamingoshelf.gateway.tests.fake_paths import FakePaths
 from flamingoshelf.quarantine import Quarantine, QuarantineService, Suspect
 from flamingoshelf.refusals import Refusal
 from flamingoshelf.telemetry import Metrics
@@ -35,8 +36,17 @@
 
 
 @pytest.fixture
-async def detector(guard, succeeded):
-    detector = CrashDetector(guard=guard, is_succeeded=lambda server: server.key in succeeded)
+def paths():
+    return FakePaths()
+
+
+@pytest.fixture
+async def detector(guard, succeeded, paths):
+    detector = CrashDetector(
+        guard=guard,
+        is_succeeded=lambda server: server.key in succeeded,
+        is_cut=paths.is_cut,
+    )
     yield detector
     await detector.stop()
 
@@ -108,6 +118,15 @@
         item.close()
 
 
+# Resets and refused connections of a node that was cut off looked like crashes of the servers, and
+# the requests that they ended were refused by all nodes.
+async def test_server_that_refuses_this_node_alone_has_not_crashed(detector, new_request, paths):
+    closed = AddressPool().reserve(2)
+    paths.is_cut_from_all = True
+    await lose_runs(detector, *((new_request(), address) for address in closed))
+    assert detector.check(new_request()) is None
+
+
 async def test_success_clears_one_crash(detector, new_request):
     one, two = AddressPool().reserve(2)
     await lose_runs(detector, (new_request(), one))
--- a/flamingoshelf/gateway/tests/test_limited_control_calls.py
+++ b/flamingoshelf/gateway/tests/test_limited_control_calls.py
@@ -7,12 +7,13 @@
 import pytest
 
 from flamingoshelf.cluster import FencingToken
-from flamingoshelf.gateway import BackendClient, EngineReport, OrderOutcome
+from flamingoshelf.gateway import EngineReport, OrderOutcome
 from flamingoshelf.gateway._engine_prober import EngineProber
 from flamingoshelf.gateway._load_poller import LoadPoller
 from flamingoshelf.gateway._role_controller import RoleController
 from flamingoshelf.gateway._wire import KvHandle
 from flamingoshelf.gateway.tests.conftest import ENGINE, server
+from flamingoshelf.gateway.tests.fake_paths import new_client
 from flamingoshelf.placement import Dispatcher, FailureKind, RoleChange
 from flamingoshelf.placement.tests.test_fleet import placement_request
 from flamingoshelf.routing import EngineRole
@@ -142,9 +143,7 @@
 
 
 async def test_handle_of_an_engine_that_states_a_limit_is_left_to_expire(notices, limits, state):
-    client = BackendClient(
-        pool=cast(Any, None), wire=cast(Any, None), notices=notices, limits=limits
-    )
+    client = new_client(pool=cast(Any, None), wire=cast(Any, None), notices=notices, limits=limits)
     state(PREFILL, 2.0)
     client.release_handle(KvHandle(address="p:80", handle_id="h"), PREFILL)
     assert not client._tasks._tasks
--- a/flamingoshelf/gateway/tests/test_limited_servers.py
+++ b/flamingoshelf/gateway/tests/test_limited_servers.py
@@ -7,6 +7,7 @@
 
 from flamingoshelf.gateway import PlainForwarder
 from flamingoshelf.gateway.tests.conftest import Answer, lost, not_run, server
+from flamingoshelf.gateway.tests.fake_paths import FakePaths
 from flamingoshelf.placement import PlainCallMeter
 from flamingoshelf.refusals import RefusalReason
 from flamingoshelf.retries import RetryBounds, RetryBudget
@@ -73,6 +74,7 @@
             budget=lambda service: budget,
             plain_calls=PlainCallMeter(),
             crash_detector=crash_detector,
+            paths=FakePaths(),
             metrics=metrics,
         )
         # Only the first server is in the local data centre, so it is chosen first.
--- a/flamingoshelf/gateway/tests/test_plain_faults.py
+++ b/flamingoshelf/gateway/tests/test_plain_faults.py
@@ -31,6 +31,7 @@
     route,
     server,
 )
+from flamingoshelf.gateway.tests.fake_paths import FakePaths
 from flamingoshelf.http1 import Exchange, Headers, NoFreeConnectionError, RequestHead
 from flamingoshelf.placement import PlainCallMeter
 from flamingoshelf.refusals import RefusalReason
@@ -98,6 +99,7 @@
         budget=lambda service: budget,
         plain_calls=PlainCallMeter(),
         crash_detector=crash_detector,
+        paths=FakePaths(),
         metrics=metrics,
     )
 
--- a/flamingoshelf/gateway/tests/test_plain_forwarder.py
+++ b/flamingoshelf/gateway/tests/test_plain_forwarder.py
@@ -15,6 +15,7 @@
     refused,
     server,
 )
+from flamingoshelf.gateway.tests.fake_paths import FakePaths
 from flamingoshelf.placement import PlainCallMeter
 from flamingoshelf.refusals import Refusal, RefusalReason
 from flamingoshelf.retries import RetryBounds, RetryBudget
@@ -52,6 +53,7 @@
         budget=lambda service: budget,
         plain_calls=plain_calls,
         crash_detector=crash_detector,
+        paths=FakePaths(),
         metrics=metrics,
     )
 
--- a/flamingoshelf/gateway/tests/test_random_silences.py
+++ b/flamingoshelf/gateway/tests/test_random_silences.py
@@ -26,6 +26,7 @@
     server,
 )
 from flamingoshelf.gateway.tests.fake_origins import FakeOrigins, new_engine_runs
+from flamingoshelf.gateway.tests.fake_paths import new_failures
 from flamingoshelf.gateway.tests.fake_placer import NO_ENGINE, FakePlacer
 from flamingoshelf.http1 import Exchange, Headers, RequestHead
 from flamingoshelf.routing import (
@@ -101,6 +102,7 @@
         origins=FakeOrigins(),
         runs=new_engine_runs(),
         crash_detector=crash_detector,
+        failures=new_failures(placer),
         metrics=Metrics(node_name="n"),
     )
 
--- a/flamingoshelf/gateway/tests/test_stream_forwarder.py
+++ b/flamingoshelf/gateway/tests/test_stream_forwarder.py
@@ -6,7 +6,7 @@
 
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
 from flamingoshelf.gateway import CallerRequest
-from flamingoshelf.gateway._backend_client import NotRunError
+from flamingoshelf.gateway._backend_response import NotRunError
 from flamingoshelf.gateway._stream_state import origin_of
 from flamingoshelf.gateway.tests.conftest import (
     SILENT,
--- a/flamingoshelf/http1/_pool.py
+++ b/flamingoshelf/http1/_pool.py
@@ -91,6 +91,10 @@
         """Return the number of running requests at a server."""
         return self._in_use.get(key, 0)
 
+    def has_idle(self, key: str) -> bool:
+        """Return whether a connection to a server is open and idle."""
+        return any(connection.is_reusable for connection in self._idle.get(key, ()))
+
     async def call(
         self, key: str, address: str, head: RequestHead, body: bytes, *, fresh: bool = False
     ) -> PooledCall:
--- /dev/null
+++ b/flamingoshelf/paths/_service.py
@@ -0,0 +1,430 @@
+"""Tells a lost path from a lost server, and finds nodes that reach a server in this one's place."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Iterable, Sequence
+
+import attrs
+from loguru import logger
+
+from flamingoshelf.base import NodeLink
+from flamingoshelf.exceptions import FlamingoshelfError
+from flamingoshelf.paths._messages import CheckServer, ServerChecked
+from flamingoshelf.paths._table import PathState, PathTable
+from flamingoshelf.paths._types import ProbeResult
+from flamingoshelf.routing import BackendInstance
+from flamingoshelf.utils import TaskGroup, now_s
+
+__all__ = ["PathService"]
+
+# Time for a probe of a silent server before other nodes are asked; most take milliseconds.
+_HEAD_START_S = 0.1
+_REPLY_TIMEOUT_S = 0.4  # a node that has to probe the server itself replies within 0.3 s
+_STRAGGLER_WAIT_S = 0.03  # for other nodes' replies, after one that reaches the server
+# Nodes that are asked at once. Doubles with each check in which none of them reaches the server, as
+# most nodes may be cut off.
+_MIN_ASKED = 3
+_MAX_ASKED = 24
+# A server that is connected but silent may be busy; so are few that other nodes reach at the same
+# time. One silent server alone is taken for cut off only after as many checks in a row.
+_SILENT_CHECKS = 2
+_VERDICT_LIFETIME_S = 0.3  # no new check for as long after one that found no cut
+_MAX_VERDICT_LIFETIME_S = 2.0  # it doubles while the server answers probes but not its calls
+_LOST_AFTER_S = 2.0  # sound servers may be silent for a second or so
+_WATCH_INTERVAL_S = 0.25  # calls are direct again within a second of the end of a cut
+_PROBES_PER_ROUND = 4  # bounds the probes of a node that reaches no server
+_LOST_CHECK_INTERVAL_S = 1.0
+_MAX_CONCURRENT_CHECKS = 64
+_PEERS_KEPT = 4  # nodes to share the calls to one server among
+
+
+@attrs.define(kw_only=True)
+class _Checks:
+    """Checks of one server.
+
+    Attributes
+    ----------
+    running : asyncio.Task or None
+        Check that is running; its result is whether the path is cut.
+    not_before_s : float
+        Time before which no new check begins.
+    lifetime_s : float
+        Time for which the last verdict holds.
+    asked : int
+        Number of nodes to ask next.
+    unreached_since_s : float or None
+        Begin of the first of the checks in which no node reached the server.
+    """
+
+    running: asyncio.Task[bool] | None = None
+    not_before_s: float = 0.0
+    lifetime_s: float = _VERDICT_LIFETIME_S
+    asked: int = _MIN_ASKED
+    unreached_since_s: float | None = None
+
+
+class PathService:
+    """Checks paths that have failed, and watches those that are cut until they are restored.
+
+    A failed call alone doesn't tell whether the server or the path to it has failed. So this node
+    probes the server and asks other nodes whether they reach it: if only they do, the path is cut.
+
+    Parameters
+    ----------
+    table : PathTable
+        State of the paths.
+    probe : callable
+        ``await probe(instance, is_fresh)`` probes a server over this node's own path, with a new
+        connection if `is_fresh`, else over an open one if there is any.
+    servers : callable
+        Returns the listed servers.
+    has_open_connection : callable
+        ``has_open_connection(key)`` returns whether a connection to a server is open and idle.
+    close_connections : callable
+        ``close_connections(key)`` closes the idle connections to a server.
+    random_source : random.Random
+        Source of the random choice of nodes.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: PathTable,
+        probe: Callable[[BackendInstance, bool], Awaitable[ProbeResult]],
+        servers: Callable[[], Iterable[BackendInstance]],
+        has_open_connection: Callable[[str], bool],
+        close_connections: Callable[[str], None],
+        random_source: random.Random,
+    ) -> None:
+        self._table = table
+        self._probe = probe
+        self._servers = servers
+        self._has_open_connection = has_open_connection
+        self._close_connections = close_connections
+        self._random = random_source
+        self._link: NodeLink | None = None
+        self._peers: Callable[[], Sequence[str]] = tuple
+        self._checks: dict[str, _Checks] = {}
+        self._peer_probes: dict[str, asyncio.Task[ProbeResult]] = {}
+        self._slots = asyncio.Semaphore(_MAX_CONCURRENT_CHECKS)
+        self._lost_checked_s = 0.0
+        self._tasks = TaskGroup(owner="paths")
+
+    def connect(self, link: NodeLink, peers: Callable[[], Sequence[str]]) -> None:
+        """Ask other nodes from now on; `peers` returns their names, the best to ask first."""
+        link.register(CheckServer, self._on_check)
+        self._link, self._peers = link, peers
+
+    async def start(self) -> None:
+        """Start watching paths that are cut."""
+        self._tasks.start(self._watch(), name="watch")
+
+    async def stop(self) -> None:
+        """Cancel all checks."""
+        await self._tasks.stop()
+
+    def record_answer(self, key: str, *, is_fresh: bool) -> None:
+        """Record an answer over this node's own path, on a new connection if `is_fresh`."""
+        self._table.record_answer(key, is_fresh=is_fresh)
+
+    def record_refusal(self, instance: BackendInstance) -> None:
+        """Record that a new connection to a server failed."""
+        self._check_soon(instance, since_s=now_s())
+
+    def record_break(self, instance: BackendInstance, *, is_fresh: bool) -> None:
+        """Record that a connection ended before the answer to a call.
+
+        Servers may drop connections that were idle; only a new one (`is_fresh`) gives a reason to
+        doubt the path.
+        """
+        if self._table.stop_keeping(instance.key):
+            self._close_connections(instance.key)
+        if is_fresh:
+            self._check_soon(instance, since_s=now_s())
+
+    def record_silence(self, instance: BackendInstance, *, since_s: float) -> None:
+        """Record that a call that was sent at `since_s` has made no progress for too long."""
+        key = instance.key
+        if self._table.state(key) is PathState.CUT:
+            if self._table.stop_keeping(key):
+                self._close_connections(key)
+            self._recheck_peers(instance, self._table.peers(key))
+        elif self._table.answered_s(key) <= since_s:
+            self._check_soon(instance, since_s=since_s, head_start_s=_HEAD_START_S)
+
+    def record_peer_failure(self, instance: BackendInstance, peer: str) -> None:
+        """Record that a node failed to pass a call on to a server."""
+        if self._table.drop_peer(instance.key, peer):
+            self._check_soon(instance, since_s=now_s())
+
+    def is_known_cut(self, key: str) -> bool:
+        """Return whether only this node's path to a server has failed, as known by now."""
+        return bool(self._table.peers(key))
+
+    async def is_cut(self, instance: BackendInstance) -> bool:
+        """Return whether only this node's path to a server has failed, once that is known."""
+        if self.is_known_cut(instance.key):
+            return True
+        check = self._check_soon(instance, since_s=now_s())
+        return False if check is None else await asyncio.shield(check)
+
+    def _check_soon(
+        self, instance: BackendInstance, *, since_s: float, head_start_s: float = 0.0
+    ) -> asyncio.Task[bool] | None:
+        """Begin a check of a server, unless one is running; None if the last verdict holds."""
+        self._table.record_failure(instance, since_s=since_s)
+        checks = self._checks.setdefault(instance.key, _Checks())
+        if checks.running is not None:
+            return checks.running
+        if now_s() < checks.not_before_s or self._link is None:
+            return None
+        checks.running = self._tasks.start(
+            self._check(instance, checks, head_start_s=head_start_s), name=f"check.{instance.key}"
+        )
+        return checks.running
+
+    async def _check(
+        self, instance: BackendInstance, checks: _Checks, *, head_start_s: float
+    ) -> bool:
+        """Return whether the path to a server is cut."""
+        is_cut = False
+        try:
+            async with self._slots:
+                is_cut = await self._judge(instance, checks, head_start_s=head_start_s)
+        finally:
+            checks.running = None
+            checks.not_before_s = now_s() + checks.lifetime_s
+        if is_cut:
+            self._check_others()
+        return is_cut
+
+    async def _judge(
+        self, instance: BackendInstance, checks: _Checks, *, head_start_s: float
+    ) -> bool:
+        began_s = now_s()
+        for number in range(_SILENT_CHECKS):
+            result, peers, keeps = await self._probe_and_ask(
+                instance, checks, head_start_s=head_start_s
+            )
+            self._log_check(instance, result, peers, began_s=began_s)
+            if result is ProbeResult.ANSWERED:
+                checks.lifetime_s = min(2 * checks.lifetime_s, _MAX_VERDICT_LIFETIME_S)
+                checks.unreached_since_s = None
+                return False
+            if result is ProbeResult.HELD_BACK:
+                return False
+            if not peers:
+                self._record_unreached(instance, checks, began_s=began_s)
+                return False
+            is_alone = self._table.failed_count() == 1
+            if result is ProbeResult.FAILED or not is_alone or number == _SILENT_CHECKS - 1:
+                break
+        checks.lifetime_s = _VERDICT_LIFETIME_S
+        checks.asked = _MIN_ASKED
+        checks.unreached_since_s = None
+        if not keeps:
+            self._close_connections(instance.key)
+        self._table.mark_cut(instance, peers, checked_s=began_s, keeps_connections=keeps)
+        return self._table.state(instance.key) is PathState.CUT
+
+    async def _probe_and_ask(
+        self, instance: BackendInstance, checks: _Checks, *, head_start_s: float
+    ) -> tuple[ProbeResult, list[str], bool]:
+        """Return the result of a probe, the nodes that reach the server, and whether open
+        connections to it carry calls."""
+        direct = asyncio.ensure_future(self._probe(instance, True))
+        kept = (
+            asyncio.ensure_future(self._probe(instance, False))
+            if self._has_open_connection(instance.key)
+            else None
+        )
+        asking: asyncio.Future[list[str]] | None = None
+        try:
+            await asyncio.wait({direct}, timeout=head_start_s)
+            if not direct.done() or direct.result() is not ProbeResult.ANSWERED:
+                asking = asyncio.ensure_future(self._ask_peers(instance, checks))
+                await asyncio.wait({direct, asking}, return_when=asyncio.FIRST_COMPLETED)
+            if direct.done() and direct.result() is ProbeResult.ANSWERED:
+                return ProbeResult.ANSWERED, [], True
+            peers = await asking if asking is not None else []
+            result = await direct
+            is_kept = kept is not None and await kept is ProbeResult.ANSWERED
+            return result, peers, is_kept
+        finally:
+            for task in (direct, kept, asking):
+                if task is not None:
+                    task.cancel()
+
+    def _record_unreached(
+        self, instance: BackendInstance, checks: _Checks, *, began_s: float
+    ) -> None:
+        """Record that no node that was asked reaches a server."""
+        checks.asked = min(2 * checks.asked, _MAX_ASKED)
+        checks.lifetime_s = _VERDICT_LIFETIME_S
+        if checks.unreached_since_s is None:
+            checks.unreached_since_s = began_s
+        if now_s() - checks.unreached_since_s >= _LOST_AFTER_S:
+            self._table.mark_lost(instance)
+
+    async def _ask_peers(self, instance: BackendInstance, checks: _Checks) -> list[str]:
+        """Return nodes that reach a server."""
+        asked = self._candidates()[: checks.asked]
+        silent_s = now_s() - self._table.failed_since_s(instance.key)
+        reached, hints = await self._ask(instance, asked, silent_s=silent_s)
+        if not reached:
+            known = set(self._peers())
+            others = [name for name in hints if name in known and name not in asked]
+            reached, _ = await self._ask(instance, others[:_MIN_ASKED], silent_s=silent_s)
+        return reached[:_PEERS_KEPT]
+
+    def _candidates(self) -> list[str]:
+        """Return the nodes to ask: those that reach other servers, the first one, any others."""
+        peers = list(self._peers())
+        first, others = peers[:1], peers[1:]
+        self._random.shuffle(others)
+        reaching = self._table.all_peers()
+        return sorted([*first, *others], key=lambda name: name not in reaching)
+
+    async def _ask(
+        self, instance: BackendInstance, peers: Sequence[str], *, silent_s: float
+    ) -> tuple[list[str], list[str]]:
+        """Ask some nodes at once; return those that reach the server, and others they name."""
+        question = CheckServer(
+            server=instance.instance_id,
+            address=instance.address,
+            service=instance.service,
+            started_ms=instance.started_ms,
+            silent_s=round(silent_s, 3),
+        )
+        waiting = {asyncio.ensure_future(self._ask_peer(peer, question)): peer for peer in peers}
+        reached: list[str] = []
+        hints: list[str] = []
+        timeout_s: float | None = None
+        try:
+            while waiting:
+                done, _ = await asyncio.wait(
+                    waiting, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+                )
+                if not done:
+                    break
+                for task in done:
+                    peer, reply = waiting.pop(task), task.result()
+                    if reply is not None and reply.is_answered:
+                        reached.append(peer)
+                        timeout_s = _STRAGGLER_WAIT_S
+                    elif reply is not None:
+                        hints += reply.peers
+        finally:
+            for task in waiting:
+                task.cancel()
+        return reached, list(dict.fromkeys(hints))
+
+    async def _ask_peer(self, peer: str, question: CheckServer) -> ServerChecked | None:
+        assert self._link is not None
+        try:
+            reply = await self._link.request(peer, question, timeout_s=_REPLY_TIMEOUT_S)
+        except FlamingoshelfError as error:
+            logger.bind(step="path", peer=peer, server=question.server).debug(
+                "node not asked about a server: {}", error.message
+            )
+            return None
+        return reply if isinstance(reply, ServerChecked) else None
+
+    async def _on_check(self, peer: str, question: CheckServer) -> ServerChecked:
+        key = question.server
+        if self._table.state(key) is not PathState.DIRECT:
+            return ServerChecked(is_answered=False, peers=self._table.peers(key))
+        if self._table.answered_s(key) > now_s() - question.silent_s:
+            return ServerChecked(is_answered=True)
+        probe = self._peer_probes.get(key)
+        if probe is None:
+            instance = BackendInstance(
+                instance_id=question.server,
+                service=question.service,
+                address=question.address,
+                data_centre="",
+                started_ms=question.started_ms,
+            )
+            probe = self._tasks.start(self._probe_for_peers(instance), name=f"probe.{key}")
+            self._peer_probes[key] = probe
+        result = await asyncio.shield(probe)
+        return ServerChecked(is_answered=result is ProbeResult.ANSWERED)
+
+    async def _probe_for_peers(self, instance: BackendInstance) -> ProbeResult:
+        try:
+            return await self._probe(instance, False)
+        finally:
+            self._peer_probes.pop(instance.key, None)
+
+    def _recheck_peers(self, instance: BackendInstance, peers: Sequence[str]) -> None:
+        """Ask the nodes that pass calls on whether they still reach the server."""
+        checks = self._checks.setdefault(instance.key, _Checks())
+        if now_s() >= checks.not_before_s:
+            checks.not_before_s = now_s() + _VERDICT_LIFETIME_S
+            self._tasks.start(self._drop_failed_peers(instance, peers), name="peers")
+
+    async def _drop_failed_peers(self, instance: BackendInstance, peers: Sequence[str]) -> None:
+        reached, _ = await self._ask(instance, peers, silent_s=0.0)
+        for peer in set(peers) - set(reached):
+            self.record_peer_failure(instance, peer)
+
+    def _check_others(self) -> None:
+        """Check the paths to the other servers, which are probably cut, too."""
+        for instance in self._servers():
+            key = instance.key
+            checks = self._checks.get(key)
+            is_known = self._table.state(key) is not PathState.DIRECT
+            is_checked = checks is not None and (
+                checks.running is not None or now_s() < checks.not_before_s
+            )
+            has_answered = self._table.answered_s(key) > now_s() - _VERDICT_LIFETIME_S
+            if not is_known and not is_checked and not has_answered:
+                self._check_soon(instance, since_s=now_s())
+
+    async def _watch(self) -> None:
+        """Probe servers that this node doesn't reach until they answer."""
+        while True:
+            await asyncio.sleep(_WATCH_INTERVAL_S)
+            unreached = self._table.unreached()
+            results = await asyncio.gather(
+                *(self._probe_unreached(instance) for instance in unreached[:_PROBES_PER_ROUND])
+            )
+            if any(results):  # the others are probably reached, too
+                await asyncio.gather(*map(self._probe_unreached, unreached[_PROBES_PER_ROUND:]))
+            self._check_lost()
+
+    async def _probe_unreached(self, instance: BackendInstance) -> bool:
+        """Return whether a server answers a probe, which restores its path."""
+        async with self._slots:
+            self._table.record_probe(instance.key)
+            result = await self._probe(instance, True)
+        if result is ProbeResult.ANSWERED:
+            self._table.restore(instance.key)
+        return result is ProbeResult.ANSWERED
+
+    def _check_lost(self) -> None:
+        """Ask again whether other nodes reach the servers that none reached."""
+        if now_s() < self._lost_checked_s + _LOST_CHECK_INTERVAL_S:
+            return
+        self._lost_checked_s = now_s()
+        for instance in self._table.unreached():
+            if self._table.state(instance.key) is PathState.LOST:
+                self._check_soon(instance, since_s=now_s())
+
+    def _log_check(
+        self,
+        instance: BackendInstance,
+        result: ProbeResult,
+        peers: Sequence[str],
+        *,
+        began_s: float,
+    ) -> None:
+        logger.bind(
+            step="path",
+            peer=instance.key,
+            service=instance.service,
+            probe=result.value,
+            reached_by=list(peers),
+            failed_paths=self._table.failed_count(),
+            waited_s=round(now_s() - began_s, 3),
+        ).info("path to a backend server checked")
--- a/flamingoshelf/platform/_wire.py
+++ b/flamingoshelf/platform/_wire.py
@@ -116,6 +116,16 @@
             ),
         )
 
+    def encode_health_check(self, instance: BackendInstance, path: str) -> RequestHead:
+        """Return the head of a call to the path of a server's health check."""
+        return RequestHead(
+            method="GET",
+            target=path,
+            headers=Headers(
+                [("Host", instance.address), ("Expect-Instance", instance.instance_id)]
+            ),
+        )
+
 
 def _pause_s(head: ResponseHead) -> float | None:
     """Return the pause that a refusal asks for, not a number if it can't be read."""
--- a/flamingoshelf/routing/_server_selector.py
+++ b/flamingoshelf/routing/_server_selector.py
@@ -169,6 +169,16 @@
             )
         self._delay_probe(record)
 
+    def forget(self, key: str) -> None:
+        """Forget failures and silence of a server, as it is called in another way from now on."""
+        record = self._records.get(key)
+        if record is None:
+            return
+        if record.running:
+            self._records[key] = _Record(running=record.running)
+        else:
+            del self._records[key]
+
     def end_call(self, key: str, *, is_failure: bool | None) -> None:
         """Record the end of a call; `is_failure` is None if it says nothing about the server."""
         record = self._get_or_add_record(key)
