One object that can't be read costs that object only

With a port out of range, of thousands of digits or of digits that aren't ASCII, part of the calls ended in 500.

Cause: a page of the store's list was parsed as a whole, and errors of the parser that aren't documented (recursion, digits) passed all handlers; addresses were checked for digits only. The class: one item of a batch from outside decides over the batch.

Addresses, counts and names are checked in full when decoded. A change that a listener can't apply is logged, and the kind is listed again, so that nothing ends a watch for good. Looked for elsewhere: reports of engines (their parser's errors ended the poll of all engines; one odd run spoiled the report), numbers in callers' headers (a deadline of 400 digits was answered 500), the time in Keep-Alive (5,000 digits or a superscript broke the connection). Configurations stay as they are: a version is in force as a whole or not at all. Messages between nodes were safe already: any error of their decoder ends one connection.

--- a/flamingoshelf/http1/_client.py
+++ b/flamingoshelf/http1/_client.py
@@ -308,12 +308,15 @@
 
 # No request is sent on a connection that the server may be about to close.
 _KEEP_ALIVE_MARGIN_S = 0.5
+_MAX_KEEP_ALIVE_DIGITS = 9
 
 
 def _keep_alive_s(headers: Headers) -> float | None:
     """Return how long the connection may stay idle by the ``Keep-Alive`` header, less a margin."""
     for part in (headers.get("keep-alive") or "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.strip().isdigit():
-            return max(0.0, int(value) - _KEEP_ALIVE_MARGIN_S)
+        text = value.strip()
+        is_number = text.isascii() and text.isdigit() and len(text) <= _MAX_KEEP_ALIVE_DIGITS
+        if name.lower() == "timeout" and is_number:
+            return max(0.0, int(text) - _KEEP_ALIVE_MARGIN_S)
     return None
--- a/flamingoshelf/http1/tests/test_client.py
+++ b/flamingoshelf/http1/tests/test_client.py
@@ -161,6 +161,15 @@
     assert not connection.is_reusable
 
 
+# The reader of a head ended in an error, and with it the connection, in the middle of the answer.
+@pytest.mark.parametrize("value", [b"9" * 5000, b"\xb2", b"-1", b"x"])
+async def test_odd_time_to_keep_the_connection_is_ignored(connection, value):
+    answer = ANSWER.replace(b"Request-Id: 1", b"Keep-Alive: timeout=" + value)
+    assert (await exchange(connection, answer))[1] == b"ok"
+    connection.finish()
+    assert connection.is_reusable
+
+
 async def test_connection_is_not_used_when_the_server_may_close_it(connection):
     await exchange(connection, ANSWER.replace(b"Request-Id: 1", b"Keep-Alive: timeout=5"))
     connection.finish()
--- a/flamingoshelf/platform/_engine_wire.py
+++ b/flamingoshelf/platform/_engine_wire.py
@@ -3,8 +3,11 @@
 import json
 from typing import Any
 
+from loguru import logger
+
 from flamingoshelf.gateway import EngineReport, OrderOutcome, ReportedRun, RoleOrder
 from flamingoshelf.http1 import Headers, RequestHead
+from flamingoshelf.platform._documents import parse_document
 from flamingoshelf.routing import BackendInstance, EngineRole
 
 __all__ = ["PlatformEngineWire"]
@@ -33,7 +36,7 @@
 
     def decode_report(self, body: bytes) -> EngineReport:
         """Return the engine status in `body`; raise `ValueError` if it is malformed."""
-        document = json.loads(body)
+        document = parse_document(body)
         try:
             return EngineReport(
                 role=_ROLE_BY_STAGE[document["stage"]],
@@ -43,7 +46,7 @@
                 waiting=int(document["waiting"]),
                 held_tokens=int(document["kvUsed"]),
                 capacity_tokens=int(document["kvTotal"]),
-                runs=tuple(_decode_run(entry) for entry in document.get("runs") or ()),
+                runs=_decode_runs(document.get("runs") or ()),
                 started_ms=int(document.get("born") or 0),
             )
         except (KeyError, TypeError, OverflowError, AttributeError) as error:
@@ -80,7 +83,17 @@
         return _OUTCOME_BY_STATUS.get(status, OrderOutcome.REFUSED)
 
 
-def _decode_run(entry: Any) -> ReportedRun:
-    """Return a run from its list of request id, tokens in memory, events and priority."""
-    request_id, held_tokens, events, *_ = entry
-    return ReportedRun(request_id=str(request_id), held_tokens=int(held_tokens), events=int(events))
+def _decode_runs(entries: Any) -> tuple[ReportedRun, ...]:
+    """Return the runs of a report, without entries that are not readable."""
+    runs = []
+    for entry in entries if isinstance(entries, list) else ():
+        try:
+            request_id, held_tokens, events, *_ = entry  # then the priority
+            runs.append(
+                ReportedRun(
+                    request_id=str(request_id), held_tokens=int(held_tokens), events=int(events)
+                )
+            )
+        except (TypeError, ValueError, OverflowError) as error:
+            logger.bind(step="report").debug("run in a report left out: {!r}", error)
+    return tuple(runs)
--- a/flamingoshelf/platform/_instances.py
+++ b/flamingoshelf/platform/_instances.py
@@ -1,5 +1,6 @@
 """Decoding of the registry entries that backend servers write about themselves."""
 
+import ipaddress
 from typing import Any
 
 from flamingoshelf.exceptions import ConfigurationError
@@ -9,6 +10,9 @@
 
 INSTANCE_KIND = "servers"
 
+_MAX_NUMBER = 2**53  # the largest that JSON keeps in every language
+_MAX_PORT, _MAX_PORT_DIGITS = 65535, 5
+
 _STATE_BY_NAME = {"ready": InstanceState.READY, "draining": InstanceState.DRAINING}
 _ROLE_BY_STAGE = {"prefill": EngineRole.PREFILL, "decode": EngineRole.DECODE}
 
@@ -24,28 +28,46 @@
     try:
         stage = document.get("stage")
         return BackendInstance(
-            instance_id=name,
+            instance_id=_token(name),
             service=_text(document["service"]),
             address=_address(document["address"]),
             data_centre=_text(document["zone"]),
             state=_STATE_BY_NAME[document["state"]],
-            slots=int(document["slots"]),
+            slots=_count(document["slots"]),
             role=None if stage is None else _ROLE_BY_STAGE[stage],
-            started_ms=int(document.get("born") or 0),  # "born" is the start as Unix time in ms
+            started_ms=_count(document.get("born") or 0),  # "born" is the start as Unix time in ms
             software_version=_text(document["version"]),  # of the software, not of the weights
         )
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise ConfigurationError(repr(error), step="decode server", peer=name) from error
 
 
+def _count(value: Any) -> int:
+    """Return a number that is at least 0 and not larger than any count or time in ms."""
+    number = int(value)
+    if not 0 <= number <= _MAX_NUMBER:
+        raise ValueError(f"{number!r:.40} is out of range")
+    return number
+
+
 def _text(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise ValueError(f"{value!r} is not a non-empty string")
     return value
 
 
+def _token(value: str) -> str:
+    """Return a name that can be the value of a header."""
+    if not value or not value.isascii() or not value.isprintable() or " " in value:
+        raise ValueError(f"{value!r:.40} is not a name")
+    return value
+
+
 def _address(value: Any) -> str:
+    """Return an ``ip:port``."""
     host, _, port = _text(value).rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"{value!r} is not an address of the form host:port")
+    is_number = port.isascii() and port.isdigit() and len(port) <= _MAX_PORT_DIGITS
+    if not is_number or not 0 < int(port) <= _MAX_PORT:
+        raise ValueError(f"{value!r:.40} has no valid port")
+    ipaddress.ip_address(host)
     return str(value)
--- a/flamingoshelf/platform/_store.py
+++ b/flamingoshelf/platform/_store.py
@@ -17,6 +17,7 @@
     ProtocolError,
 )
 from flamingoshelf.http1 import ConnectionPool, Headers, RequestHead, ResponseHead
+from flamingoshelf.platform._documents import parse_answer
 from flamingoshelf.store import (
     KindChanges,
     KindSnapshot,
@@ -247,7 +248,10 @@
             raise ObjectServiceError(f"status {status}", step=step, peer=self._address)
         if status >= 500:
             raise OutcomeUnknownError(f"status {status}", step=step, peer=self._address)
-        return status, _parse(content, step=step, peer=self._address), era
+        try:
+            return status, parse_answer(content), era
+        except ValueError as error:
+            raise ProtocolError(f"not JSON: {error}", step=step, peer=self._address) from error
 
     def _observe_era(self, value: str | None) -> int:
         """Return the era that an answer states, or the newest known one if it states none."""
@@ -277,15 +281,6 @@
             return answer, b"".join(parts)
 
 
-def _parse(content: bytes, *, step: str, peer: str) -> Any:
-    if not content:
-        return None
-    try:
-        return json.loads(content)
-    except ValueError as error:
-        raise ProtocolError(f"not JSON: {error}", step=step, peer=peer) from error
-
-
 def _field(document: Any, name: str, kind: type) -> Any:
     """Return a field of a store document; raise `ProtocolError` unless it is of type `kind`."""
     value = document.get(name) if isinstance(document, dict) else None
--- a/flamingoshelf/platform/_wire.py
+++ b/flamingoshelf/platform/_wire.py
@@ -1,15 +1,15 @@
 """Encoding and decoding of the platform's HTTP headers."""
 
-import json
-
 from flamingoshelf.gateway import BackendCall, BackendResponseHead, CallerRequest, KvHandle
 from flamingoshelf.http1 import Headers, RequestHead, ResponseHead
+from flamingoshelf.platform._documents import parse_document
 from flamingoshelf.routing import BackendInstance
 
 __all__ = ["PlatformWire"]
 
 _KEY_SCHEME = "bearer"
 _UNAVAILABLE_STATUS = 503
+_MAX_DIGITS = 15  # of a number in a header
 # Only the gateway sets these headers; values sent by callers are dropped.
 _GATEWAY_HEADERS = frozenset(
     {
@@ -96,7 +96,7 @@
 
     def decode_handle(self, body: bytes, instance: BackendInstance) -> KvHandle:
         """Return the handle in the response to a prefill; raise `ValueError` if there is none."""
-        document = json.loads(body)
+        document = parse_document(body)
         handle = document.get("handle") if isinstance(document, dict) else None
         if not isinstance(handle, str) or not handle:
             raise ValueError("no handle")
@@ -145,9 +145,10 @@
 
 
 def _number(value: str | None) -> int | None:
-    """Return a header's value as a non-negative integer, or None if it is not one."""
+    """Return a header's value as a non-negative integer, or None if it is none or too long."""
     text = (value or "").strip()
-    return int(text) if text.isascii() and text.isdigit() else None
+    is_number = text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS
+    return int(text) if is_number else None
 
 
 def _token_counts(value: str | None) -> tuple[int | None, int | None]:
--- a/flamingoshelf/platform/tests/test_wire.py
+++ b/flamingoshelf/platform/tests/test_wire.py
@@ -47,7 +47,7 @@
     assert (caller.expected_output_tokens, caller.last_event_id) == (60, 12)
 
 
-@pytest.mark.parametrize("value", ["", "x", "-5", "1.5", "٣"])
+@pytest.mark.parametrize("value", ["", "x", "-5", "1.5", "٣", "9" * 400, "9" * 5000])
 def test_header_that_is_no_number_is_ignored(wire, value):
     head = RequestHead(
         method="GET",
--- a/flamingoshelf/store/_watcher.py
+++ b/flamingoshelf/store/_watcher.py
@@ -135,6 +135,14 @@
                 self._revision = None
             except FlamingoshelfError as error:
                 await self._wait_before_retry(error)
+            except Exception as error:  # of the listener; what the store holds goes on to change
+                logger.bind(step="watch", kind=self._kind).exception(
+                    "change of the store not applied: {!r}", error
+                )
+                self._revision = None
+                await self._wait_before_retry(
+                    FlamingoshelfError(f"a change was not applied: {error!r}", step="watch")
+                )
 
     async def _list(self) -> None:
         self._rewatch.clear()
--- a/flamingoshelf/store/tests/test_watcher.py
+++ b/flamingoshelf/store/tests/test_watcher.py
@@ -38,6 +38,21 @@
     assert listener.objects == {"a": 1, "b": 2}
 
 
+# A change that could not be applied ended the watch for good.
+async def test_change_that_can_not_be_applied_does_not_end_the_watch(
+    store, listener, watcher, monkeypatch
+):
+    await watcher.start()
+    await asyncio.sleep(0.1)
+    with monkeypatch.context() as patch:
+        patch.setattr(listener, "on_changes", lambda changes: 1 / 0)
+        store.set("a", 1)
+        await asyncio.sleep(0.01)
+    store.set("b", 2)
+    await asyncio.sleep(1)
+    assert listener.objects == {"a": 1, "b": 2}
+
+
 async def test_recovery_of_the_store_is_detected_without_a_change(store, listener, watcher):
     await watcher.start()
     await asyncio.sleep(0.1)
--- a/lab/gateway/_store.py
+++ b/lab/gateway/_store.py
@@ -67,6 +67,7 @@
         self._revision = 1
         self._changed = asyncio.Event()
         self._server = HttpServer(address=address, handle=self._handle)
+        self._raw: dict[str, bytes] = {}
         self.era = 1
         self.faults = StoreFaults()
         self.calls: Counter[str] = Counter()
@@ -109,6 +110,12 @@
         self._append_event(kind, item, removed=False)
         return self._revision
 
+    def put_raw(self, kind: str, name: str, spec: bytes) -> int:
+        """Write an object whose ``spec`` is served as these bytes, whatever they are."""
+        marker = f"raw:{len(self._raw)}:{name}"
+        self._raw[json.dumps(marker)] = spec
+        return self.put(kind, name, marker)
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
         item = self._objects.get(kind, {}).pop(name, None)
@@ -241,6 +248,7 @@
 
     def _respond(self, exchange: Exchange, status: int, document: Any) -> None:
         headers = Headers([("Content-Type", "application/json"), ("Store-Era", str(self.era))])
-        exchange.respond(
-            ResponseHead(status=status, headers=headers), json.dumps(document).encode()
-        )
+        body = json.dumps(document).encode()
+        for marker, spec in self._raw.items():
+            body = body.replace(marker.encode(), spec)
+        exchange.respond(ResponseHead(status=status, headers=headers), body)
