--- a/lab/tests/test_odd_entries.py
+++ b/lab/tests/test_odd_entries.py
@@ -49,7 +49,7 @@
     site.store.remove("servers", gone.instance_id)
     await asyncio.sleep(0.5)
     await gone.stop()
-    for node, address in zip(site.nodes[1:], site.ready_addresses[1:]):
+    for node, address in zip(site.nodes[1:], site.ready_addresses[1:], strict=True):
         node.kill()
         node.start()
         await site.wait_until_ready(address)
