Confirm the run of engines that state limits, too, with a permit

Two ways, one cause: a node that was out of step (cut off from the others and the store, or standing still) took an engine for the version that it had had before, and continued streams there or bound new ones to the old version; and with an entry that was 0.8 s late every node did.

Cause: an engine that states a limit was not asked which run of it a connection leads to, so as not to spend its requests, and was taken for the listed one.

The change: the report is asked for with a permit of the engine's limit, which is waited for up to a second, three times; until then a stream may begin, but nothing is recorded of it and nothing continues it. One report tells of all connections that were open when it was sent, so that streams that begin together take one permit.

The earlier test, by which such an engine counted as confirmed without a report, was wrong; its replacement asks for the contrary.

--- a/flamingoshelf/gateway/_engine_runs.py
+++ b/flamingoshelf/gateway/_engine_runs.py
@@ -52,18 +52,20 @@
     report : callable
         ``await report(engine)`` returns a report of an engine.
     may_ask : callable
-        ``may_ask(engine)`` returns whether an engine accepts a report beside its requests; one that
-        does not is taken for the listed run.
+        ``await may_ask(engine)`` waits until an engine that limits its requests accepts another
+        one; returns whether it does in time. Without a report nothing is confirmed.
     """
 
     def __init__(
         self,
         *,
         report: Callable[[BackendInstance], Awaitable[EngineReport]],
-        may_ask: Callable[[BackendInstance], bool],
+        may_ask: Callable[[BackendInstance], Awaitable[bool]],
     ) -> None:
         self._report = report
         self._may_ask = may_ask
+        # Reports that are not sent yet; they tell of all connections that are open by then.
+        self._queued: dict[ServerRun, asyncio.Task[EngineReport | None]] = {}
         self._confirmed: weakref.WeakKeyDictionary[BackendConnection, ServerRun] = (
             weakref.WeakKeyDictionary()
         )
@@ -83,7 +85,7 @@
         if isinstance(connection, ProxiedCall):
             return RunCheck(self._tasks.start(connection.confirm_run(), name="ask"))
         is_known = self._confirmed.get(connection) == engine.run
-        if not engine.started_ms or is_known or not self._may_ask(engine):
+        if not engine.started_ms or is_known:
             return RunCheck()
         return RunCheck(self._tasks.start(self._confirm(engine, connection), name="check"))
 
@@ -94,10 +96,8 @@
             if connection.is_closed:
                 log.info("run of the engine not confirmed; its connection has ended")
                 return False
-            try:
-                report = await self._report(engine)
-            except FlamingoshelfError as error:
-                log.info("run of the engine not confirmed yet: {}", error.message)
+            report = await asyncio.shield(self._ask_soon(engine))
+            if report is None:
                 continue
             if report.started_ms != engine.started_ms:
                 log.bind(reported_ms=report.started_ms).warning(
@@ -108,3 +108,26 @@
                 self._confirmed[connection] = engine.run
             return True
         return False
+
+    def _ask_soon(self, engine: BackendInstance) -> asyncio.Task[EngineReport | None]:
+        """Return the report that is asked for next."""
+        queued = self._queued.get(engine.run)
+        if queued is None:
+            queued = self._queued[engine.run] = self._tasks.start(self._ask(engine), name="report")
+        return queued
+
+    async def _ask(self, engine: BackendInstance) -> EngineReport | None:
+        """Return a report of an engine, or None if there is none."""
+        log = logger.bind(step="engine_run", peer=engine.key, started_ms=engine.started_ms)
+        try:
+            may_ask = await self._may_ask(engine)
+        finally:
+            del self._queued[engine.run]
+        if not may_ask:
+            log.info("run of the engine not confirmed yet; the engine is at its limit")
+            return None
+        try:
+            return await self._report(engine)
+        except FlamingoshelfError as error:
+            log.info("run of the engine not confirmed yet: {}", error.message)
+            return None
--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -54,6 +54,8 @@
 
 _METRICS_BUILD_DELAY_S = 2.0  # building them takes 0.1 s of CPU time, which would delay the start
 _ORDER_DUTY = "engine-orders"
+# A stream whose run is to be confirmed may begin, but not be continued elsewhere, before that.
+_REPORT_PERMIT_WAIT_S = 1.0
 
 
 class GatewayNode:
@@ -186,7 +188,7 @@
         control = EngineControl(client=self._access.client, wire=engine_wire)
         self._engine_runs = EngineRuns(
             report=control.report,
-            may_ask=lambda engine: self._server_limits.stated.limit(engine.run) is None,
+            may_ask=lambda engine: self._access.may_call(engine, wait_s=_REPORT_PERMIT_WAIT_S),
         )
         self._prober = EngineProber(dispatchers=self._dispatchers.dispatchers, control=control)
         self._load_poller = LoadPoller(
--- a/flamingoshelf/gateway/_server_access.py
+++ b/flamingoshelf/gateway/_server_access.py
@@ -80,9 +80,7 @@
         self._direct = DirectCalls(
             pool=self._pool, wire=wire, notices=notices, limits=limits.stated, paths=self._paths
         )
-        probe = ServerProbe(
-            direct=self._direct, encode=self._encode_probe, may_call=self._may_probe
-        )
+        probe = ServerProbe(direct=self._direct, encode=self._encode_probe, may_call=self.may_call)
         self._proxied = ProxiedCalls(wire=wire, notices=notices, limits=limits.stated)
         self._client = BackendClient(
             direct=self._direct,
@@ -130,6 +128,16 @@
         )
         link.serve_channels(proxy.serve)
 
+    async def may_call(self, instance: BackendInstance, *, wait_s: float = 0.0) -> bool:
+        """Return whether a server accepts another call by the limit that it states, if any.
+
+        A permit is waited for at most `wait_s` seconds, and used up by this call.
+        """
+        if self._limits.stated.limit(instance.run) is None:
+            return True
+        permit = await self._limits.acquire([instance.run], priority=0, wait_s=wait_s)
+        return permit is not None and permit.run is not None
+
     def forget_removed(self) -> None:
         """Drop connections and paths to servers that are not listed any more."""
         listed = self._directory.ids()
@@ -155,10 +163,3 @@
             return self._engine_wire.encode_report_request(instance)
         path = _DEFAULT_HEALTH_PATH if profile is None else profile.health_path
         return self._wire.encode_health_check(instance, path)
-
-    async def _may_probe(self, instance: BackendInstance) -> bool:
-        """Return whether a server accepts a probe by the limit that it states, if any."""
-        if self._limits.stated.limit(instance.run) is None:
-            return True
-        permit = await self._limits.acquire([instance.run], priority=0, wait_s=0.0)
-        return permit is not None and permit.run is not None
--- a/flamingoshelf/gateway/tests/fake_origins.py
+++ b/flamingoshelf/gateway/tests/fake_origins.py
@@ -18,10 +18,15 @@
         return self.known.get(key)
 
 
+async def may_ask(engine):
+    """Return that an engine accepts another call."""
+    return True
+
+
 def new_engine_runs():
-    """Return checks that ask no engine, and take each for the listed one."""
+    """Return checks for engines that don't state when they started, and are not asked."""
 
     async def report(engine):
         raise NotImplementedError
 
-    return EngineRuns(report=report, may_ask=lambda engine: False)
+    return EngineRuns(report=report, may_ask=may_ask)
--- a/flamingoshelf/gateway/tests/test_engine_runs.py
+++ b/flamingoshelf/gateway/tests/test_engine_runs.py
@@ -37,6 +37,11 @@
         self.lost = 0
         self.asked = 0
         self.may_ask = True
+        self.permit_s = 0.0
+
+    async def wait_for_permit(self, engine):
+        await asyncio.sleep(self.permit_s)
+        return self.may_ask
 
     async def report(self, engine):
         self.asked += 1
@@ -53,7 +58,7 @@
 
 @pytest.fixture
 def runs(engine):
-    return EngineRuns(report=engine.report, may_ask=lambda _: engine.may_ask)
+    return EngineRuns(report=engine.report, may_ask=engine.wait_for_permit)
 
 
 async def test_each_connection_is_checked_once(engine, runs):
@@ -91,7 +96,22 @@
     assert await runs.check(ENGINE, Connection()).is_confirmed() is is_confirmed
 
 
-async def test_engine_that_wants_no_more_requests_is_not_asked(engine, runs):
+# An engine that limited its requests was taken for the listed one without being asked.
+async def test_engine_that_accepts_no_more_requests_is_not_confirmed(engine, runs):
     engine.may_ask = False
-    assert await runs.check(ENGINE, Connection()).is_confirmed()
+    assert not await runs.check(ENGINE, Connection()).is_confirmed()
     assert engine.asked == 0
+
+
+# Each report counts against the limit of an engine that limits its requests.
+async def test_one_report_tells_of_all_connections_that_wait_for_it(engine, runs):
+    engine.permit_s = 0.5
+    checks = [runs.check(ENGINE, Connection()) for _ in range(3)]
+    await asyncio.sleep(0.4)
+    checks.append(runs.check(ENGINE, Connection()))
+    await asyncio.sleep(0.105)  # the report is under way, and may be of an earlier run
+    late = runs.check(ENGINE, Connection())
+    assert all([await check.is_confirmed() for check in checks])
+    assert engine.asked == 1
+    assert await late.is_confirmed()
+    assert engine.asked == 2
--- a/flamingoshelf/gateway/tests/test_proxied_calls.py
+++ b/flamingoshelf/gateway/tests/test_proxied_calls.py
@@ -19,6 +19,7 @@
 from flamingoshelf.gateway._engine_runs import EngineRuns
 from flamingoshelf.gateway._proxied_calls import PeerPassedError, ProxiedCalls
 from flamingoshelf.gateway.tests.conftest import server
+from flamingoshelf.gateway.tests.fake_origins import may_ask
 from flamingoshelf.gateway.tests.test_backend_client import Wire, response
 from flamingoshelf.gateway.tests.test_engine_runs import REPORT
 from flamingoshelf.http1 import ConnectionPool, Headers, RequestHead
@@ -106,7 +107,7 @@
             limits=self.limits["b"],
             paths=paths,
         )
-        self.runs = EngineRuns(report=self._report, may_ask=lambda engine: True)
+        self.runs = EngineRuns(report=self._report, may_ask=may_ask)
         proxy = CallProxy(
             direct=direct, runs=self.runs, paths=self.table, has_room=lambda key: self.has_room
         )
@@ -303,7 +304,7 @@
 async def test_other_node_confirms_the_run_of_its_own_connection(pair, served, reported_ms):
     pair.reported_ms = reported_ms
     served.answers = [[*chunked(b"id: 1\n\n", end=False), 0.1, b"0\r\n\r\n"], [response(*SIGNED)]]
-    own_runs = EngineRuns(report=cast(Any, None), may_ask=lambda engine: True)
+    own_runs = EngineRuns(report=cast(Any, None), may_ask=may_ask)
     checks = []
     async with pair.call(
         on_sent=lambda call: checks.append(own_runs.check(pair.instance, call))
@@ -318,7 +319,7 @@
 # The reply to an earlier question must not count for the next call on the same channel.
 async def test_call_that_ends_before_its_run_is_confirmed_ends_its_channel(pair, served):
     served.answers = [[response("Answers: q1", "Refused: 1", status=503)], [response(*SIGNED)]]
-    own_runs = EngineRuns(report=cast(Any, None), may_ask=lambda engine: True)
+    own_runs = EngineRuns(report=cast(Any, None), may_ask=may_ask)
     checks = []
     with pytest.raises(NotRunError):
         async with pair.call(on_sent=lambda c: checks.append(own_runs.check(pair.instance, c))):
