Refuse streams at once while no engine of a role has been reached for two seconds

What callers saw: while no node reached an engine, each stream waited until shortly before its caller would have left (3.5 s) and was refused then.

Cause: the check for requests that can't be served asks whether an engine could ever fit them, whatever the health of the engines. The change: if all engines of a role (but those that the request excludes) have been marked down for 2 s, longer than a sound engine is silent, new requests are refused with 503 and 1 to 3 s, spread so that callers don't return together. Resumed streams still wait, as an engine may be back in time.

Weighed: going on to wait serves those who wait at the moment of the return, but tells all others nothing for as long as they can wait.

Silences of the only engine of a role of up to 2 s still refuse nobody.

--- a/flamingoshelf/placement/_engines.py
+++ b/flamingoshelf/placement/_engines.py
@@ -180,6 +180,15 @@
             )
         ]
 
+    def has_lost_role(self, *, exclude: Collection[str] = ()) -> bool:
+        """Return whether all engines of a role have been down for some time."""
+        engines = [engine for engine in self._listed.values() if engine.key not in exclude]
+        lost = {engine.key: self._health.is_lost(engine.key, self._now_s) for engine in engines}
+        return any(
+            all(lost[engine.key] for engine in engines if engine.role is role)
+            for role in {engine.role for engine in engines}
+        )
+
     def is_usable(self, key: str) -> bool:
         """Return whether an engine is listed, isn't changing its role and isn't down."""
         return (
--- a/flamingoshelf/placement/_feasibility.py
+++ b/flamingoshelf/placement/_feasibility.py
@@ -14,6 +14,7 @@
 from flamingoshelf.placement._queue import QueuedRequest
 from flamingoshelf.placement._refusals import (
     limited_refusal,
+    lost_engines_refusal,
     no_engine_refusal,
     queue_full_refusal,
 )
@@ -82,6 +83,9 @@
             request.prompt_tokens, request.expected_tokens, exclude=request.exclude
         ):
             return no_engine_refusal(self._service)
+        if not request.is_resumed and self._engines.has_lost_role(exclude=request.exclude):
+            retry_after_s = self._random.uniform(_MIN_RETRY_AFTER_S, _MAX_RETRY_AFTER_S)
+            return lost_engines_refusal(self._service, retry_after_s=retry_after_s)
         memory = self._memory_without(frozenset(request.exclude))
         needed_tokens = initial_need_tokens(request.prompt_tokens, request.expected_tokens)
         permit_wait_s = self._permits.wait_s()
--- a/flamingoshelf/placement/_health.py
+++ b/flamingoshelf/placement/_health.py
@@ -18,6 +18,7 @@
 _BAD_FAILURE_RATE = 0.45  # half of the calls fail in the worst failures at the reference sites
 # Time for which a silent engine that is down is expected back; such silences last a second or two.
 _EXPECTED_BACK_S = 1.0
+_LOST_AFTER_S = 2.0  # longer than the silences of sound engines
 _SLOW_PROBE_S = 0.1  # a probe that takes longer was sent during a silence; most take milliseconds
 
 
@@ -38,7 +39,8 @@
     is_suspected: bool = False
     is_replaced: bool = False
     probe_at_s: float = 0.0
-    down_since_s: float = 0.0
+    down_since_s: float = 0.0  # last seen to be down
+    first_down_s: float = 0.0  # since when it has been down
     answered_s: float = float("-inf")  # time of the last answer to a call or a probe
     silent_since_s: float | None = None  # set while it is down as it answers no probe
     earlier_rate: float | None = None  # before the failures since the last answer, if there are any
@@ -66,6 +68,13 @@
             return False
         return record.is_replaced or now_s < record.down_since_s + _UNPROBED_RETRY_S
 
+    def is_lost(self, key: str, now_s: float) -> bool:
+        """Return whether an engine has been down for longer than sound engines are silent."""
+        record = self._records.get(key)
+        return (
+            record is not None and record.is_down and now_s >= record.first_down_s + _LOST_AFTER_S
+        )
+
     def is_suspected(self, key: str) -> bool:
         """Return whether an engine failed a call and has neither run one nor answered since."""
         record = self._records.get(key)
@@ -94,7 +103,7 @@
         """Record a failed call; `reporter` is the node that made it."""
         record = self._records.setdefault(key, _EngineHealth(updated_s=now_s))
         if kind is FailureKind.REPLACED:
-            self._mark_replaced(record, key)
+            self._mark_replaced(record, key, now_s)
             return
         if kind is not FailureKind.SILENT:  # a stalled call counts once it ends
             _count_failure(record, kind, now_s)
@@ -183,16 +192,17 @@
         self, record: _EngineHealth, key: str, now_s: float, detail: str, *, reporter: str = ""
     ) -> None:
         record.is_down = True
-        record.down_since_s = now_s
+        record.down_since_s = record.first_down_s = now_s
         logger.bind(step="engine", peer=key, reporter=reporter).warning(
             "engine marked down: {}", detail
         )
 
-    def _mark_replaced(self, record: _EngineHealth, key: str) -> None:
+    def _mark_replaced(self, record: _EngineHealth, key: str, now_s: float) -> None:
         if not record.is_replaced:
             logger.bind(step="engine", peer=key).warning(
                 "engine marked down; replaced at its address"
             )
+            record.first_down_s = now_s
         record.is_down = record.is_replaced = True
 
     def _mark_up(self, record: _EngineHealth, key: str) -> None:
--- a/flamingoshelf/placement/_refusals.py
+++ b/flamingoshelf/placement/_refusals.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "limited_refusal",
+    "lost_engines_refusal",
     "no_decision_refusal",
     "no_engine_refusal",
     "no_retry_budget_refusal",
@@ -37,6 +38,18 @@
     )
 
 
+def lost_engines_refusal(service: str, *, retry_after_s: float) -> Refusal:
+    """Return the refusal of a request while no engine of a role has been reached for a time."""
+    return Refusal(
+        reason=RefusalReason.NO_BACKEND,
+        status=503,
+        detail=f"No engine of {service} can be reached.",
+        not_run=True,
+        retry_after_s=retry_after_s,
+        step="place",
+    )
+
+
 def no_retry_budget_refusal(service: str) -> Refusal:
     """Return the refusal of a repeated request that exceeds the fleet's retry budget."""
     return Refusal(
--- a/flamingoshelf/placement/tests/test_silent_engines.py
+++ b/flamingoshelf/placement/tests/test_silent_engines.py
@@ -91,3 +91,21 @@
     noticed_s = SILENT_AT_S + NOTICED_S
     end_s = SILENT_AT_S + length_s
     assert [at for at, key in simulation.grants if key == "d0" and noticed_s < at < end_s] == []
+
+
+# Requests waited for engines that nobody reached until shortly before their callers left.
+@pytest.mark.parametrize("engines", [["p0"], ["d0"], ["p0", "d0"]])
+def test_requests_are_refused_at_once_while_no_engine_of_a_role_is_reached(engines):
+    length_s, lost_s = 16.0, 4.0
+    calls = make_calls(2.0, seconds=40, seed=1)
+    silences = dict.fromkeys(engines, (SILENT_AT_S, length_s))
+    simulation = SilentEnginesSimulation(calls, prefills=[1], decodes=[1], silences=silences)
+    simulation.run(60)
+    end_s = SILENT_AT_S + length_s
+    meanwhile = [c for c in simulation.calls if SILENT_AT_S + lost_s <= c.at_s < end_s - 0.5]
+    assert len(meanwhile) > 10
+    for call in meanwhile:
+        assert call.refused_s is not None and call.refused_s - call.at_s < 0.2
+        assert 1.0 <= call.retry_after_s <= 3.0
+    after = [c for c in simulation.calls if c.at_s > end_s + BACK_IN_USE_S]
+    assert len(after) > 10 and all(call.is_served for call in after)
--- a/lab/tests/test_cut_nodes.py
+++ b/lab/tests/test_cut_nodes.py
@@ -16,6 +16,8 @@
 INTERVAL_S = 0.12  # between two requests to one node
 MIN_SHARE = 0.9  # of the share that is served at the other nodes
 MAX_FAILED_SHARE = 1 / 50
+LOST_S = 5.0  # time after which servers that no node reaches are to be known as such
+AT_ONCE_S = 0.3
 MIN_SERVED = 0.98  # at nodes that reach all servers, and at all in calm times
 
 
@@ -90,3 +92,22 @@
     assert served_share(after) >= MIN_SERVED
     node_of = {arrival.request_id: arrival.node for arrival in site.arrivals}
     assert all(node_of[item.answer.request_id] == item.node for item in after)
+
+
+# While no node reached a server, calls hung until their deadlines and streams waited in vain.
+@pytest.mark.parametrize("form", [CutForm.HANG, CutForm.RESET])
+async def test_callers_are_refused_at_once_while_no_node_reaches_a_server(new_path_site, form):
+    site = await new_path_site(3)
+    nodes = range(3)
+    load, began_s = await cut_under_load(site, nodes, form)
+    assert load.find_breaches() == []
+    healed_s = began_s + CUT_S
+    refused = load.between(began_s + LOST_S, healed_s - AT_ONCE_S, nodes)
+    assert len(refused) >= 30
+    for item in refused:
+        answer = item.answer
+        assert answer.status == 503, item.path
+        assert answer.head_s - item.sent_s < AT_ONCE_S, item.path
+        assert float(answer.headers.get("Retry-After")) > 0
+    after = load.between(healed_s + DIRECT_S, now_s(), nodes)
+    assert served_share(after) >= MIN_SERVED
