Calls for other nodes: spread over the fleet, and not cut by a planned stop

What callers saw: a planned stop of a node ended the answers that it passed on for a node that was cut off, once its own callers had theirs (the new test: streams of 3.3 s, a grace period of 4 s). The coordinator was asked first for help by every node, and took most calls of those that were cut off, though it is the busiest.

The change: a stopping node says that it reaches no server, takes no more calls for others, and waits for those that run as it waits for its own. Nodes of the own data centre and of others are asked by turns, the coordinator last; among equally busy ones chance decides. An order isn't tried over a path that is known to be cut. What is known of servers that left is dropped. Explain shows lines about the paths to the servers of a request.

--- a/flamingoshelf/diagnosis/_trail.py
+++ b/flamingoshelf/diagnosis/_trail.py
@@ -13,9 +13,15 @@
 _CONTEXT_BEFORE_S = 5.0
 _CONTEXT_AFTER_S = 1.0  # what a request finds changes the nodes' view of an engine within 1 s
 _MAX_CONTEXT_LINES = 12  # more lines make the output hard to read
-_CONTEXT_STEPS = frozenset(
-    {"servers", "engine", "configuration", "dispatcher", "watch", "roles", "order", "stop", "start"}
-)
+_SERVER_STEPS = frozenset({"servers", "engine", "order", "path"})  # concern one server
+_CONTEXT_STEPS = _SERVER_STEPS | {
+    "configuration",
+    "dispatcher",
+    "watch",
+    "roles",
+    "stop",
+    "start",
+}
 
 
 @attrs.frozen(kw_only=True)
@@ -69,7 +75,7 @@
         and not record.request_id
         and record.step in _CONTEXT_STEPS
         and record.node in nodes
-        and (record.peer in servers or record.step not in ("servers", "engine", "order"))
+        and (record.peer in servers or record.step not in _SERVER_STEPS)
     ]
     return attrs.evolve(trail, context=tuple(context[-_MAX_CONTEXT_LINES:]))
 
--- a/flamingoshelf/gateway/_backend_client.py
+++ b/flamingoshelf/gateway/_backend_client.py
@@ -1,6 +1,7 @@
 """Calls to backend servers: over this node's own path, or through another node."""
 
 import asyncio
+import random
 from collections.abc import AsyncGenerator, Callable, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 
@@ -51,6 +52,8 @@
         Encodes heads and decodes handles.
     limits : StatedLimits
         Limits that servers state.
+    random_source : random.Random
+        Source of the random choice among equally busy nodes.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         path_table: PathTable,
         wire: WireFormat,
         limits: StatedLimits,
+        random_source: random.Random,
     ) -> None:
         self._direct = direct
         self._proxied = proxied
@@ -69,6 +73,7 @@
         self._path_table = path_table
         self._wire = wire
         self._limits = limits
+        self._random = random_source
         self._tasks = TaskGroup(owner="backend_client")
 
     async def stop(self) -> None:
@@ -155,6 +160,8 @@
         try:
             async with asyncio.timeout(timeout_s), AsyncExitStack() as stack:
                 if direct_only:
+                    if not self._uses_own_path(instance.key):
+                        raise PeerUnreachableError("no path", step=step, peer=instance.key)
                     exchange = self._direct.exchange(instance, head, body, request_id=None)
                     response = await stack.enter_async_context(exchange)
                 else:
@@ -261,8 +268,9 @@
 
     def _choose_peers(self, key: str) -> Sequence[str]:
         """Return nodes that reach a server, the one that makes fewest calls for this node first."""
-        peers = sorted(self._path_table.peers(key), key=self._proxied.running)
-        return peers[:_MAX_PEERS_PER_CALL]
+        peers = list(self._path_table.peers(key))
+        self._random.shuffle(peers)
+        return sorted(peers, key=self._proxied.running)[:_MAX_PEERS_PER_CALL]
 
     def _record_passed(
         self, instance: BackendInstance, error: PeerPassedError
--- a/flamingoshelf/gateway/_call_proxy.py
+++ b/flamingoshelf/gateway/_call_proxy.py
@@ -59,6 +59,12 @@
         self._runs = runs
         self._paths = paths
         self._has_room = has_room
+        self._running = 0
+
+    @property
+    def running(self) -> int:
+        """Number of running calls."""
+        return self._running
 
     async def serve(self, channel: NodeChannel) -> None:
         """Make the calls that arrive on a channel, one after another, until it closes."""
@@ -86,6 +92,7 @@
         call, channel = running.call, running.channel
         began_s = now_s()
         outcome = "cancelled"
+        self._running += 1
         try:
             failure = await self._forward(running)
             await channel.send(ProxyEnd() if failure is None else failure)
@@ -94,6 +101,7 @@
             outcome = error.message
         finally:
             running.close()
+            self._running -= 1
             logger.bind(
                 request_id=call.request_id,
                 step="proxy",
--- a/flamingoshelf/gateway/_fleet_view.py
+++ b/flamingoshelf/gateway/_fleet_view.py
@@ -1,5 +1,8 @@
 """Size of the fleet, and the nodes that this one can reach."""
 
+import itertools
+import random
+
 from flamingoshelf.cluster import Coordination, MemberList
 
 __all__ = ["FleetView"]
@@ -12,10 +15,18 @@
     ----------
     members : MemberList
         Known nodes.
+    data_centre : str
+        Data centre of this node.
+    random_source : random.Random
+        Source of the order in which nodes are asked for help.
     """
 
-    def __init__(self, *, members: MemberList) -> None:
+    def __init__(
+        self, *, members: MemberList, data_centre: str, random_source: random.Random
+    ) -> None:
         self._members = members
+        self._data_centre = data_centre
+        self._random = random_source
         self._coordination: Coordination | None = None
 
     def connect(self, coordination: Coordination) -> None:
@@ -44,9 +55,20 @@
         return set() if self._coordination is None else self._coordination.responsive_members()
 
     def peers(self) -> list[str]:
-        """Return the names of the other nodes that may be asked for help, the coordinator first."""
+        """Return the other nodes that may be asked for help, in the order to ask them.
+
+        Nodes of this data centre and of others take turns, as a whole data centre may be cut off;
+        the coordinator, which is busiest, comes last.
+        """
         coordination = self._coordination
         if coordination is None:
             return []
-        names = [n for n in coordination.responsive_members() if not coordination.is_leaving(n)]
-        return sorted(names, key=lambda name: (name != coordination.coordinator, name))
+        responsive = coordination.responsive_members()
+        members = [m for m in self._members if m.name in responsive]
+        members = [m for m in members if not coordination.is_leaving(m.name)]
+        self._random.shuffle(members)
+        local = [m.name for m in members if m.data_centre == self._data_centre]
+        remote = [m.name for m in members if m.data_centre != self._data_centre]
+        turns = itertools.chain.from_iterable(itertools.zip_longest(local, remote))
+        names = [name for name in turns if name is not None]
+        return sorted(names, key=lambda name: name == coordination.coordinator)
--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -108,7 +108,11 @@
         self._is_leaving = False
         self._answer_by_s = float("inf")
         self._members = MemberList()
-        self._fleet = FleetView(members=self._members)
+        self._fleet = FleetView(
+            members=self._members,
+            data_centre=settings.data_centre,
+            random_source=self._random,
+        )
         self._node_limits = NodeLimits(
             settings=lambda: self._settings,
             configuration=self._configuration,
@@ -325,7 +329,8 @@
         logger.bind(step="stop", running=self._caller_server.running_requests).info(
             "shutdown started"
         )
-        await plan.run(self._caller_server)
+        self._access.leave()
+        await plan.run(self._caller_server, calls_of_others=self._access.calls_of_others)
         await self._tasks.stop()
         await self._load_poller.stop()
         await self._prober.stop()
--- a/flamingoshelf/gateway/_server_access.py
+++ b/flamingoshelf/gateway/_server_access.py
@@ -46,7 +46,7 @@
     limits : LimitService
         Limits that servers state, and permits for requests to them.
     random_source : random.Random
-        Source of the random choice of nodes.
+        Source of the random choice among equally busy nodes.
     """
 
     def __init__(
@@ -75,12 +75,13 @@
             servers=self._listed_servers,
             has_open_connection=self._pool.has_idle,
             close_connections=self._pool.close_idle,
-            random_source=random_source,
         )
         self._direct = DirectCalls(
             pool=self._pool, wire=wire, notices=notices, limits=limits.stated, paths=self._paths
         )
         probe = ServerProbe(direct=self._direct, encode=self._encode_probe, may_call=self.may_call)
+        self._proxy: CallProxy | None = None
+        self._is_leaving = False
         self._proxied = ProxiedCalls(wire=wire, notices=notices, limits=limits.stated)
         self._client = BackendClient(
             direct=self._direct,
@@ -89,6 +90,7 @@
             path_table=self._table,
             wire=wire,
             limits=limits.stated,
+            random_source=random_source,
         )
 
     @property
@@ -123,10 +125,19 @@
         """Call servers through other nodes, and make calls for them, from now on."""
         self._paths.connect(link, peers)
         self._proxied.connect(link)
-        proxy = CallProxy(
+        self._proxy = CallProxy(
             direct=self._direct, runs=runs, paths=self._table, has_room=self._has_room
         )
-        link.serve_channels(proxy.serve)
+        link.serve_channels(self._proxy.serve)
+
+    def leave(self) -> None:
+        """Make no further calls for other nodes, as this one is about to stop."""
+        self._is_leaving = True
+        self._paths.leave()
+
+    def calls_of_others(self) -> int:
+        """Return the number of running calls that this node makes for others."""
+        return 0 if self._proxy is None else self._proxy.running
 
     async def may_call(self, instance: BackendInstance, *, wait_s: float = 0.0) -> bool:
         """Return whether a server accepts another call by the limit that it states, if any.
@@ -142,9 +153,11 @@
         """Drop connections and paths to servers that are not listed any more."""
         listed = self._directory.ids()
         self._pool.close_idle_except(listed)
-        self._table.retain(listed)
+        self._paths.retain(listed)
 
     def _has_room(self, key: str) -> bool:
+        if self._is_leaving:
+            return False
         return self._pool.in_use(key) < _PEERS_SHARE * self._max_connections(key)
 
     def _listed_servers(self) -> list[BackendInstance]:
--- a/flamingoshelf/gateway/_shutdown.py
+++ b/flamingoshelf/gateway/_shutdown.py
@@ -1,6 +1,7 @@
 """Graceful shutdown."""
 
 import asyncio
+from collections.abc import Callable
 
 from loguru import logger
 
@@ -39,8 +40,14 @@
         """Time by which requests must have their final answers."""
         return self._end_s - _ANSWER_MARGIN_S
 
-    async def run(self, server: HttpServer) -> None:
-        """Drain and stop `server`; return when all requests are answered or the time is over."""
+    async def run(
+        self, server: HttpServer, *, calls_of_others: Callable[[], int] = lambda: 0
+    ) -> None:
+        """Drain and stop `server`; return when all requests are answered or the time is over.
+
+        ``calls_of_others()`` returns the number of running calls that are made for other nodes,
+        whose callers must not be cut off either.
+        """
         end_s = self._end_s
         server.drain()
         await asyncio.sleep(min(_BALANCER_NOTICE_S, max(0.0, end_s - now_s())))
@@ -52,3 +59,5 @@
                 "grace period over; {} requests are cut off", server.running_requests
             )
         await server.stop()
+        while calls_of_others() and now_s() < end_s:
+            await asyncio.sleep(_POLL_INTERVAL_S)
--- a/flamingoshelf/gateway/tests/fake_paths.py
+++ b/flamingoshelf/gateway/tests/fake_paths.py
@@ -45,7 +45,6 @@
         servers=tuple,
         has_open_connection=lambda key: False,
         close_connections=lambda key: None,
-        random_source=random.Random(1),
     )
     return BackendClient(
         direct=DirectCalls(pool=pool, wire=wire, notices=notices, limits=limits, paths=paths),
@@ -54,4 +53,5 @@
         path_table=table,
         wire=wire,
         limits=limits,
+        random_source=random.Random(1),
     )
--- a/flamingoshelf/paths/_service.py
+++ b/flamingoshelf/paths/_service.py
@@ -1,8 +1,7 @@
 """Tells a lost path from a lost server, and finds nodes that reach a server in this one's place."""
 
 import asyncio
-import random
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Collection, Iterable, Sequence
 
 import attrs
 from loguru import logger
@@ -82,8 +81,6 @@
         ``has_open_connection(key)`` returns whether a connection to a server is open and idle.
     close_connections : callable
         ``close_connections(key)`` closes the idle connections to a server.
-    random_source : random.Random
-        Source of the random choice of nodes.
     """
 
     def __init__(
@@ -94,20 +91,19 @@
         servers: Callable[[], Iterable[BackendInstance]],
         has_open_connection: Callable[[str], bool],
         close_connections: Callable[[str], None],
-        random_source: random.Random,
     ) -> None:
         self._table = table
         self._probe = probe
         self._servers = servers
         self._has_open_connection = has_open_connection
         self._close_connections = close_connections
-        self._random = random_source
         self._link: NodeLink | None = None
         self._peers: Callable[[], Sequence[str]] = tuple
         self._checks: dict[str, _Checks] = {}
         self._peer_probes: dict[str, asyncio.Task[ProbeResult]] = {}
         self._slots = asyncio.Semaphore(_MAX_CONCURRENT_CHECKS)
         self._lost_checked_s = 0.0
+        self._is_leaving = False
         self._tasks = TaskGroup(owner="paths")
 
     def connect(self, link: NodeLink, peers: Callable[[], Sequence[str]]) -> None:
@@ -123,6 +119,16 @@
         """Cancel all checks."""
         await self._tasks.stop()
 
+    def leave(self) -> None:
+        """Tell other nodes that this one reaches no server any more, as it is about to stop."""
+        self._is_leaving = True
+
+    def retain(self, keys: Collection[str]) -> None:
+        """Drop what is known of all servers except `keys`."""
+        self._table.retain(keys)
+        for key in self._checks.keys() - set(keys):
+            del self._checks[key]
+
     def record_answer(self, key: str, *, is_fresh: bool) -> None:
         """Record an answer over this node's own path, on a new connection if `is_fresh`."""
         self._table.record_answer(key, is_fresh=is_fresh)
@@ -278,12 +284,9 @@
         return reached[:_PEERS_KEPT]
 
     def _candidates(self) -> list[str]:
-        """Return the nodes to ask: those that reach other servers, the first one, any others."""
-        peers = list(self._peers())
-        first, others = peers[:1], peers[1:]
-        self._random.shuffle(others)
+        """Return the nodes to ask, those first that reach other servers."""
         reaching = self._table.all_peers()
-        return sorted([*first, *others], key=lambda name: name not in reaching)
+        return sorted(self._peers(), key=lambda name: name not in reaching)
 
     async def _ask(
         self, instance: BackendInstance, peers: Sequence[str], *, silent_s: float
@@ -332,6 +335,8 @@
 
     async def _on_check(self, peer: str, question: CheckServer) -> ServerChecked:
         key = question.server
+        if self._is_leaving:
+            return ServerChecked(is_answered=False)
         if self._table.state(key) is not PathState.DIRECT:
             return ServerChecked(is_answered=False, peers=self._table.peers(key))
         if self._table.answered_s(key) > now_s() - question.silent_s:
--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -11,7 +11,7 @@
 from lab.booking import build_booking_app
 from lab.demo import DemoOptions, run_demo
 from lab.engine import EngineOptions, build_engine_app
-from lab.faults import SILENCE_KINDS, FaultKind
+from lab.faults import CUT_KINDS, GATEWAY_KINDS, SILENCE_KINDS
 from lab.platform import build_platform_app
 from lab.records import Recorder
 from lab.scenarios import SCENARIOS
@@ -58,7 +58,10 @@
         duration_s=options.duration,
         load=options.load,
         mean_gap_s=options.gap,
-        gateway_kinds=SILENCE_KINDS if options.silences else tuple(FaultKind),
+        gateway_kinds=(
+            SILENCE_KINDS if options.silences else CUT_KINDS if options.cuts else GATEWAY_KINDS
+        ),
+        has_cuts=options.cuts,
         has_crashing_parts=options.crashing_parts,
         has_limits=options.limits,
         has_versions=options.versions,
@@ -106,6 +109,11 @@
         action="store_true",
         help="with --gateway: engines of several software versions, and losses of all nodes",
     )
+    soak.add_argument(
+        "--cuts",
+        action="store_true",
+        help="with --gateway: nodes are cut from all backend servers, beside kills and restarts",
+    )
     soak.add_argument("--duration", type=float, default=120.0, help="seconds of load")
     soak.add_argument("--load", type=float, default=0.6, help="part of the site's capacity")
     soak.add_argument("--gap", type=float, default=3.0, help="mean seconds between faults")
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -6,7 +6,15 @@
 
 import attrs
 
-__all__ = ["BASE_KINDS", "SILENCE_KINDS", "Fault", "FaultKind", "draw_faults"]
+__all__ = [
+    "BASE_KINDS",
+    "CUT_KINDS",
+    "GATEWAY_KINDS",
+    "SILENCE_KINDS",
+    "Fault",
+    "FaultKind",
+    "draw_faults",
+]
 
 
 class FaultKind(StrEnum):
@@ -28,10 +36,20 @@
     LEAVE_SERVER = "leave_server"
     PAUSE_SERVER = "pause_server"
     SILENCE_SERVER = "silence_server"
+    CUT_NODE_FROM_SERVERS = "cut_node_from_servers"  # by a mode of its own
 
 
 # Kinds that were drawn first; seeds that failed with them stay as they were.
 BASE_KINDS = tuple(FaultKind)[:12]
+GATEWAY_KINDS = tuple(FaultKind)[:16]
+# Kinds beside cuts of nodes from all servers.
+CUT_KINDS = (
+    FaultKind.KILL_NODE,
+    FaultKind.STOP_NODE,
+    FaultKind.PAUSE_NODE,
+    FaultKind.CHANGE_OBJECTS,
+    FaultKind.CUT_NODE_FROM_STORE,
+)
 # Silences beside planned work alone: requests that are lost then have no other cause.
 SILENCE_KINDS = (
     FaultKind.SILENCE_SERVER,
--- a/lab/gateway/_lost.py
+++ b/lab/gateway/_lost.py
@@ -18,6 +18,7 @@
     FaultKind.PAUSE_NODE,
     FaultKind.CUT_NODE_FROM_STORE,
     FaultKind.CUT_NODE_FROM_PEERS,
+    FaultKind.CUT_NODE_FROM_SERVERS,
 )
 SERVER_FAULTS = (
     FaultKind.KILL_ENGINE,
--- a/lab/gateway/_soak.py
+++ b/lab/gateway/_soak.py
@@ -19,6 +19,8 @@
 from lab.gateway._crashing_part import CrashingCalls
 from lab.gateway._limits import LimitedServers
 from lab.gateway._lost import NODE_FAULTS, SERVER_FAULTS, Call, Disruption, find_lost
+from lab.gateway._node_cuts import NodeCuts
+from lab.gateway._paths import PathSite
 from lab.gateway._records import ServerFaults
 from lab.gateway._servers import EngineStandIn, PlainStandIn
 from lab.gateway._site import BOOKINGS, KEY, NOTES, RESUMABLE, STOCK, GatewaySite
@@ -61,6 +63,7 @@
         has_crashing_parts: bool,
         has_limits: bool,
         has_versions: bool,
+        has_cuts: bool,
     ) -> None:
         self._site = site
         self._random = random.Random(seed)
@@ -84,6 +87,15 @@
             kill_all=lambda: self._finish(self._kill_all_nodes()),
             random_source=random.Random(f"versions of {seed}"),
         )
+        self.cuts = (
+            NodeCuts(
+                site=site,
+                disruptions=self._disruptions,
+                random_source=random.Random(f"cuts of {seed}"),
+            )
+            if has_cuts and isinstance(site, PathSite)
+            else None
+        )
         self.limited = LimitedServers(site=site, random_source=random.Random(f"limits of {seed}"))
 
     async def run(self, faults: Sequence[Fault], duration_s: float) -> None:
@@ -102,6 +114,8 @@
             callers.append(self._tasks.start(self.limited.run(), name="limits"))
         if self._has_versions:
             callers.append(self._tasks.start(self.versioned.run(), name="versions"))
+        if self.cuts is not None:
+            callers.append(self._tasks.start(self.cuts.run(), name="cuts"))
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         async with asyncio.TaskGroup() as tasks:
@@ -111,6 +125,7 @@
         await asyncio.sleep(max(0.0, started_s + duration_s - loop.time()))
         for caller in callers:
             caller.cancel()
+        await asyncio.sleep(0)  # so that what they have changed is changed back
         await self._check_recovery()
         await self._tasks.stop()
         self._check_records()
@@ -402,6 +417,8 @@
         self.breaches += self.crashing.find_breaches(streams, self._disruptions)
         self.breaches += self.limited.find_breaches(self._calls, self._disruptions)
         self.breaches += self.versioned.find_breaches()
+        if self.cuts is not None:
+            self.breaches += self.cuts.find_breaches(self._calls)
         self.breaches += check_orders(self._site.log.orders)
 
 
@@ -414,11 +431,13 @@
     has_crashing_parts: bool = False,
     has_limits: bool = False,
     has_versions: bool = False,
+    has_cuts: bool = False,
 ) -> tuple[list[str], dict[str, float]]:
     """Run a site of gateway nodes under faults; return the breaches and measures."""
-    site = GatewaySite(
+    site_class = PathSite if has_cuts else GatewaySite
+    site = site_class(
         folder=folder,
-        node_count=3,
+        node_count=3 + seed % 4 if has_cuts else 3,
         prefill_count=2,
         decode_count=5 if has_versions else 3,
         plain_count=2,
@@ -430,6 +449,7 @@
         has_crashing_parts=has_crashing_parts,
         has_limits=has_limits,
         has_versions=has_versions,
+        has_cuts=has_cuts,
     )
     try:
         await site.start()
@@ -442,6 +462,8 @@
         "served": served,
         "judged": run.judged,
         "limits": len(run.limited.spans),
+        "cut_calls": 0 if run.cuts is None else run.cuts.judged,
+        "cut_calls_served": 0 if run.cuts is None else run.cuts.served,
         "take_ups": run.versioned.take_ups,
         "taken_up": sum(s.is_served and len(s.answers) > 1 for s in run.versioned.streams),
         "crashes": sum(len(part.crashes_s) for part in run.crashing.parts),
--- a/lab/soak.py
+++ b/lab/soak.py
@@ -21,7 +21,7 @@
     check_limits,
     check_revisions,
 )
-from lab.faults import Fault, FaultKind, draw_faults
+from lab.faults import GATEWAY_KINDS, Fault, FaultKind, draw_faults
 from lab.gateway._soak import run_gateway_faults
 from lab.load import LoadOptions, LoadResult, run_load
 from lab.processes import wait_until_listening
@@ -62,16 +62,19 @@
         Whether servers of such a site state limits.
     has_versions : bool
         Whether engines of such a site are of several software versions, and all nodes are lost.
+    has_cuts : bool
+        Whether nodes of such a site are cut from all backend servers.
     """
 
     seed: int
     duration_s: float
     load: float
     mean_gap_s: float
-    gateway_kinds: tuple[FaultKind, ...] = tuple(FaultKind)
+    gateway_kinds: tuple[FaultKind, ...] = GATEWAY_KINDS
     has_crashing_parts: bool = False
     has_limits: bool = False
     has_versions: bool = False
+    has_cuts: bool = False
 
 
 @attrs.define(kw_only=True)
@@ -122,6 +125,7 @@
         has_crashing_parts=options.has_crashing_parts,
         has_limits=options.has_limits,
         has_versions=options.has_versions,
+        has_cuts=options.has_cuts,
     )
     injected = [f"{fault.start_s:.1f} s {fault.kind.value}" for fault in faults]
     return SoakReport(breaches=breaches, faults=injected, measures=dict(measures))
--- a/lab/tests/test_cut_nodes.py
+++ b/lab/tests/test_cut_nodes.py
@@ -5,8 +5,10 @@
 import pytest
 
 from flamingoshelf.utils import now_s
+from lab.gateway._checks import is_served
 from lab.gateway._cut_load import CutLoad, served_share
 from lab.gateway._paths import CutForm, PathSite
+from lab.gateway._site import NOTES
 
 pytestmark = [pytest.mark.processes, pytest.mark.timeout(90)]
 
@@ -18,6 +20,7 @@
 MAX_FAILED_SHARE = 1 / 50
 LOST_S = 5.0  # time after which servers that no node reaches are to be known as such
 AT_ONCE_S = 0.3
+STOP_EVENTS = 65  # 3.3 s; the grace period is 4 s
 MIN_SERVED = 0.98  # at nodes that reach all servers, and at all in calm times
 
 
@@ -111,3 +114,27 @@
         assert float(answer.headers.get("Retry-After")) > 0
     after = load.between(healed_s + DIRECT_S, now_s(), nodes)
     assert served_share(after) >= MIN_SERVED
+
+
+# Answers that a node passed on for another one ended with its planned stop.
+async def test_planned_stop_cuts_no_answer_that_is_passed_on_for_another_node(new_path_site):
+    site = await new_path_site(2)
+    for engine in site.engines:
+        engine.s_per_event = 0.05  # so that a stream takes longer than the notice of the stop
+    cut = coordinator_of(site)
+    site.cut([cut], CutForm.RESET)
+    calls = []
+    for number in range(6):
+        calls.append(
+            asyncio.ensure_future(
+                site.caller.call(
+                    site.node_addresses[cut], f"{NOTES}{number}", tokens=(100, 8 * STOP_EVENTS)
+                )
+            )
+        )
+    await asyncio.sleep(0.5)
+    stopped = site.nodes[1 - cut]
+    assert await stopped.stop(timeout_s=6.0) == 0
+    answers = await asyncio.gather(*calls)
+    assert [len(answer.events) for answer in answers] == [STOP_EVENTS] * 6
+    assert all(is_served(answer) for answer in answers)
