--- a/flamingoshelf/gateway/_call_proxy.py
+++ b/flamingoshelf/gateway/_call_proxy.py
@@ -3,10 +3,12 @@
 import asyncio
 from collections.abc import Callable
 
+import attrs
 from loguru import logger
 
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError, ProtocolError
 from flamingoshelf.gateway._backend_response import (
+    BackendResponse,
     NotRunError,
     ServerPausedError,
     WrongInstanceError,
@@ -22,13 +24,15 @@
     ProxyHead,
     RunConfirmed,
 )
-from flamingoshelf.http1 import BackendConnection, NoFreeConnectionError
+from flamingoshelf.http1 import BackendConnection, NoFreeConnectionError, ResponseHead
 from flamingoshelf.nodes import NodeChannel
 from flamingoshelf.paths import PathState, PathTable
 from flamingoshelf.utils import TaskGroup, now_s
 
 __all__ = ["CallProxy"]
 
+_MAX_SHORT_DIGITS = 4  # of the size of a body that is passed back as a whole, in bytes
+
 
 class CallProxy:
     """Serves the channels that other nodes open to make calls.
@@ -95,7 +99,8 @@
         self._running += 1
         try:
             failure = await self._forward(running)
-            await channel.send(ProxyEnd() if failure is None else failure)
+            if failure is not None:
+                await channel.send(failure)
             outcome = "whole" if failure is None else f"{failure.kind}: {failure.text}"
         except OutcomeUnknownError as error:
             outcome = error.message
@@ -113,6 +118,20 @@
                 after_s=round(now_s() - began_s, 4),
             ).info("call made for another node")
 
+    async def _pass_back(self, channel: NodeChannel, response: BackendResponse) -> None:
+        """Send an answer to the other node as it arrives; a short one as a whole."""
+        head = ProxyHead(status=response.head.status, headers=tuple(response.head.headers))
+        if _is_short(response.head):
+            parts = []
+            while part := await response.read():
+                parts.append(part)
+            await channel.send(attrs.evolve(head, body=b"".join(parts)))
+            return
+        await channel.send(head)
+        while part := await response.read():
+            await channel.send(part)
+        await channel.send(ProxyEnd())
+
     async def _forward(self, running: "_RunningCall") -> ProxyFailure | None:
         """Pass a call on to its server and the answer back; return the failure if there is none.
 
@@ -132,10 +151,7 @@
                 instance, call.head, body, request_id=call.request_id, on_sent=running.record_sent
             ) as response:
                 running.status = response.head.status
-                headers = tuple(response.head.headers)
-                await running.channel.send(ProxyHead(status=response.head.status, headers=headers))
-                while part := await response.read():
-                    await running.channel.send(part)
+                await self._pass_back(running.channel, response)
         except WrongInstanceError as error:
             return ProxyFailure(kind=ProxyFailureKind.WRONG_INSTANCE, text=error.message)
         except ServerPausedError as error:
@@ -156,6 +172,12 @@
         return None
 
 
+def _is_short(head: ResponseHead) -> bool:
+    """Return whether an answer states that its body is short."""
+    length = head.headers.get("Content-Length") or ""
+    return length.isascii() and length.isdigit() and len(length) <= _MAX_SHORT_DIGITS
+
+
 class _RunningCall:
     """A call that is being made for another node.
 
--- a/flamingoshelf/gateway/_proxied_calls.py
+++ b/flamingoshelf/gateway/_proxied_calls.py
@@ -154,6 +154,9 @@
                 self._body.append(received)
             case ProxyHead():
                 self._head = received.head
+                if received.body is not None:
+                    self._body.extend([received.body] if received.body else [])
+                    self._is_complete = self._has_ended = True
             case ProxyEnd():
                 self._is_complete = self._has_ended = True
             case RunConfirmed():
--- a/flamingoshelf/gateway/_proxy_messages.py
+++ b/flamingoshelf/gateway/_proxy_messages.py
@@ -1,8 +1,8 @@
 """Messages on a channel over which one node makes calls to backend servers for another.
 
 The calling node sends a `ProxyCall`, and the body as bytes. It gets a `ProxyHead`, the body as
-bytes, and a `ProxyEnd`; or a `ProxyFailure` in place of the rest. It closes the channel to cancel
-the call.
+bytes, and a `ProxyEnd`; or a `ProxyFailure` in place of the rest. A short answer is one message.
+The calling node closes the channel to cancel the call.
 """
 
 from enum import StrEnum
@@ -86,10 +86,21 @@
 @message
 @attrs.frozen(kw_only=True)
 class ProxyHead:
-    """Head of the server's answer, whose body follows."""
+    """Head of the server's answer, with the whole body of a short one.
+
+    Parameters
+    ----------
+    status : int
+        Status of the answer.
+    headers : tuple of (str, str)
+        Header fields.
+    body : bytes or None
+        The whole body; None if it follows as bytes and a `ProxyEnd`.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
+    body: bytes | None = None
 
     @property
     def head(self) -> ResponseHead:
