Ask again for nodes that reach a server after the last one was lost

What callers saw: while several nodes were cut off and the only node that reached the servers was killed or stopped, they were refused until the end of the cut, though that node was back seconds later.

Cause: a path that was found cut began a check when its last node failed. Without an answer of any node, and with no call that could take a node, nothing began another one: only paths that had counted as lost before were asked about again.

--- a/flamingoshelf/gateway/_backend_client.py
+++ b/flamingoshelf/gateway/_backend_client.py
@@ -230,6 +230,8 @@
             except PeerUnreachableError:  # nothing was sent
                 if not await self._is_found_cut(instance):
                     raise
+        elif self._path_table.state(instance.key) is PathState.CUT:
+            await self._is_found_cut(instance)  # no wait while a node is known that reaches it
         failure: PeerUnreachableError | None = None
         for peer in self._choose_peers(instance.key):
             head = encode()
--- a/flamingoshelf/paths/_service.py
+++ b/flamingoshelf/paths/_service.py
@@ -32,7 +32,7 @@
 _LOST_AFTER_S = 2.0  # sound servers may be silent for a second or so
 _WATCH_INTERVAL_S = 0.25  # calls are direct again within a second of the end of a cut
 _PROBES_PER_ROUND = 4  # bounds the probes of a node that reaches no server
-_LOST_CHECK_INTERVAL_S = 1.0
+_ASK_AGAIN_INTERVAL_S = 0.5  # while no node that was asked reaches a server
 _MAX_CONCURRENT_CHECKS = 64
 _PEERS_KEPT = 4  # nodes to share the calls to one server among
 
@@ -102,7 +102,7 @@
         self._checks: dict[str, _Checks] = {}
         self._peer_probes: dict[str, asyncio.Task[ProbeResult]] = {}
         self._slots = asyncio.Semaphore(_MAX_CONCURRENT_CHECKS)
-        self._lost_checked_s = 0.0
+        self._asked_again_s = 0.0
         self._is_leaving = False
         self._tasks = TaskGroup(owner="paths")
 
@@ -396,7 +396,7 @@
             )
             if any(results):  # the others are probably reached, too
                 await asyncio.gather(*map(self._probe_unreached, unreached[_PROBES_PER_ROUND:]))
-            self._check_lost()
+            self._ask_again()
 
     async def _probe_unreached(self, instance: BackendInstance) -> bool:
         """Return whether a server answers a probe, which restores its path."""
@@ -407,13 +407,13 @@
             self._table.restore(instance.key)
         return result is ProbeResult.ANSWERED
 
-    def _check_lost(self) -> None:
-        """Ask again whether other nodes reach the servers that none reached."""
-        if now_s() < self._lost_checked_s + _LOST_CHECK_INTERVAL_S:
+    def _ask_again(self) -> None:
+        """Ask again whether other nodes reach the servers that none is known to reach."""
+        if now_s() < self._asked_again_s + _ASK_AGAIN_INTERVAL_S:
             return
-        self._lost_checked_s = now_s()
+        self._asked_again_s = now_s()
         for instance in self._table.unreached():
-            if self._table.state(instance.key) is PathState.LOST:
+            if not self._table.peers(instance.key):
                 self._check_soon(instance, since_s=now_s())
 
     def _log_check(
--- a/flamingoshelf/paths/tests/test_paths.py
+++ b/flamingoshelf/paths/tests/test_paths.py
@@ -290,6 +290,23 @@
     assert node.table.peers("s0") == ("n3",)
 
 
+# Once the only node that reached the servers had been lost, nobody was asked again.
+async def test_node_that_reaches_the_servers_again_is_used_again(new_fleet):
+    fleet = await new_fleet()
+    node, helper = fleet.nodes["n0"], fleet.nodes["n1"]
+    for other in fleet.nodes.values():
+        if other is not helper:
+            other.cut(REFUSED)
+    assert await node.service.is_cut(server("s0"))
+    helper.is_down = True
+    node.service.record_peer_failure(server("s0"), "n1")
+    await asyncio.sleep(1.5)
+    assert not node.table.peers("s0")
+    helper.is_down = False
+    await asyncio.sleep(CONTACT_S / 2)
+    assert node.table.peers("s0") == ("n1",)
+
+
 async def test_node_that_is_silent_itself_is_replaced(new_fleet):
     fleet = await new_fleet()
     node = fleet.nodes["n0"]
