Questions about servers between nodes: a module of their own

No change of behaviour: PathService judged paths and also spoke with the other nodes, 435 lines. PeerChecks asks and answers now; 46 tests of paths pass before and after.

--- a/flamingoshelf/paths/_service.py
+++ b/flamingoshelf/paths/_service.py
@@ -7,8 +7,7 @@
 from loguru import logger
 
 from flamingoshelf.base import NodeLink
-from flamingoshelf.exceptions import FlamingoshelfError
-from flamingoshelf.paths._messages import CheckServer, ServerChecked
+from flamingoshelf.paths._peer_checks import PeerChecks
 from flamingoshelf.paths._table import PathState, PathTable
 from flamingoshelf.paths._types import ProbeResult
 from flamingoshelf.routing import BackendInstance
@@ -18,8 +17,6 @@
 
 # Time for a probe of a silent server before other nodes are asked; most take milliseconds.
 _HEAD_START_S = 0.1
-_REPLY_TIMEOUT_S = 0.4  # a node that has to probe the server itself replies within 0.3 s
-_STRAGGLER_WAIT_S = 0.03  # for other nodes' replies, after one that reaches the server
 # Nodes that are asked at once. Doubles with each check in which none of them reaches the server, as
 # most nodes may be cut off.
 _MIN_ASKED = 3
@@ -97,19 +94,17 @@
         self._servers = servers
         self._has_open_connection = has_open_connection
         self._close_connections = close_connections
-        self._link: NodeLink | None = None
+        self._peer_checks = PeerChecks(table=table, probe=probe)
         self._peers: Callable[[], Sequence[str]] = tuple
         self._checks: dict[str, _Checks] = {}
-        self._peer_probes: dict[str, asyncio.Task[ProbeResult]] = {}
         self._slots = asyncio.Semaphore(_MAX_CONCURRENT_CHECKS)
         self._asked_again_s = 0.0
-        self._is_leaving = False
         self._tasks = TaskGroup(owner="paths")
 
     def connect(self, link: NodeLink, peers: Callable[[], Sequence[str]]) -> None:
         """Ask other nodes from now on; `peers` returns their names, the best to ask first."""
-        link.register(CheckServer, self._on_check)
-        self._link, self._peers = link, peers
+        self._peer_checks.connect(link)
+        self._peers = peers
 
     async def start(self) -> None:
         """Start watching paths that are cut."""
@@ -118,10 +113,11 @@
     async def stop(self) -> None:
         """Cancel all checks."""
         await self._tasks.stop()
+        await self._peer_checks.stop()
 
     def leave(self) -> None:
         """Tell other nodes that this one reaches no server any more, as it is about to stop."""
-        self._is_leaving = True
+        self._peer_checks.leave()
 
     def retain(self, keys: Collection[str]) -> None:
         """Drop what is known of all servers except `keys`."""
@@ -182,7 +178,7 @@
         checks = self._checks.setdefault(instance.key, _Checks())
         if checks.running is not None:
             return checks.running
-        if now_s() < checks.not_before_s or self._link is None:
+        if now_s() < checks.not_before_s or not self._peer_checks.is_connected:
             return None
         checks.running = self._tasks.start(
             self._check(instance, checks, head_start_s=head_start_s), name=f"check.{instance.key}"
@@ -276,11 +272,13 @@
         """Return nodes that reach a server."""
         asked = self._candidates()[: checks.asked]
         silent_s = now_s() - self._table.failed_since_s(instance.key)
-        reached, hints = await self._ask(instance, asked, silent_s=silent_s)
+        reached, hints = await self._peer_checks.ask(instance, asked, silent_s=silent_s)
         if not reached:
             known = set(self._peers())
             others = [name for name in hints if name in known and name not in asked]
-            reached, _ = await self._ask(instance, others[:_MIN_ASKED], silent_s=silent_s)
+            reached, _ = await self._peer_checks.ask(
+                instance, others[:_MIN_ASKED], silent_s=silent_s
+            )
         return reached[:_PEERS_KEPT]
 
     def _candidates(self) -> list[str]:
@@ -288,79 +286,6 @@
         reaching = self._table.all_peers()
         return sorted(self._peers(), key=lambda name: name not in reaching)
 
-    async def _ask(
-        self, instance: BackendInstance, peers: Sequence[str], *, silent_s: float
-    ) -> tuple[list[str], list[str]]:
-        """Ask some nodes at once; return those that reach the server, and others they name."""
-        question = CheckServer(
-            server=instance.instance_id,
-            address=instance.address,
-            service=instance.service,
-            started_ms=instance.started_ms,
-            silent_s=round(silent_s, 3),
-        )
-        waiting = {asyncio.ensure_future(self._ask_peer(peer, question)): peer for peer in peers}
-        reached: list[str] = []
-        hints: list[str] = []
-        timeout_s: float | None = None
-        try:
-            while waiting:
-                done, _ = await asyncio.wait(
-                    waiting, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
-                )
-                if not done:
-                    break
-                for task in done:
-                    peer, reply = waiting.pop(task), task.result()
-                    if reply is not None and reply.is_answered:
-                        reached.append(peer)
-                        timeout_s = _STRAGGLER_WAIT_S
-                    elif reply is not None:
-                        hints += reply.peers
-        finally:
-            for task in waiting:
-                task.cancel()
-        return reached, list(dict.fromkeys(hints))
-
-    async def _ask_peer(self, peer: str, question: CheckServer) -> ServerChecked | None:
-        assert self._link is not None
-        try:
-            reply = await self._link.request(peer, question, timeout_s=_REPLY_TIMEOUT_S)
-        except FlamingoshelfError as error:
-            logger.bind(step="path", peer=peer, server=question.server).debug(
-                "node not asked about a server: {}", error.message
-            )
-            return None
-        return reply if isinstance(reply, ServerChecked) else None
-
-    async def _on_check(self, peer: str, question: CheckServer) -> ServerChecked:
-        key = question.server
-        if self._is_leaving:
-            return ServerChecked(is_answered=False)
-        if self._table.state(key) is not PathState.DIRECT:
-            return ServerChecked(is_answered=False, peers=self._table.peers(key))
-        if self._table.answered_s(key) > now_s() - question.silent_s:
-            return ServerChecked(is_answered=True)
-        probe = self._peer_probes.get(key)
-        if probe is None:
-            instance = BackendInstance(
-                instance_id=question.server,
-                service=question.service,
-                address=question.address,
-                data_centre="",
-                started_ms=question.started_ms,
-            )
-            probe = self._tasks.start(self._probe_for_peers(instance), name=f"probe.{key}")
-            self._peer_probes[key] = probe
-        result = await asyncio.shield(probe)
-        return ServerChecked(is_answered=result is ProbeResult.ANSWERED)
-
-    async def _probe_for_peers(self, instance: BackendInstance) -> ProbeResult:
-        try:
-            return await self._probe(instance, False)
-        finally:
-            self._peer_probes.pop(instance.key, None)
-
     def _recheck_peers(self, instance: BackendInstance, peers: Sequence[str]) -> None:
         """Ask the nodes that pass calls on whether they still reach the server."""
         checks = self._checks.setdefault(instance.key, _Checks())
@@ -369,7 +294,7 @@
             self._tasks.start(self._drop_failed_peers(instance, peers), name="peers")
 
     async def _drop_failed_peers(self, instance: BackendInstance, peers: Sequence[str]) -> None:
-        reached, _ = await self._ask(instance, peers, silent_s=0.0)
+        reached, _ = await self._peer_checks.ask(instance, peers, silent_s=0.0)
         for peer in set(peers) - set(reached):
             self.record_peer_failure(instance, peer)
 
