Test: explain puts together a call that another node made

The lines of both nodes name the request; of the lines on paths only those of the servers that it was sent to are shown. No fault: it passed at once. It was missing.

--- a/flamingoshelf/diagnosis/tests/test_explain.py
+++ b/flamingoshelf/diagnosis/tests/test_explain.py
@@ -135,3 +135,27 @@
 
 def test_unknown_request_has_no_trail():
     assert collect_trail(read_records([line(0, "placed")]), "other") is None
+
+
+def test_call_through_another_node_is_explained_by_the_lines_of_both_nodes():
+    trail = collect_trail(
+        read_records(
+            [
+                line(-1, "path to a backend server is cut; calling it through other nodes",
+                     step="path", peer="s-1", request_id="", peers=["vm-2"]),
+                line(-1, "path to a backend server restored", step="path", peer="s-9",
+                     request_id=""),
+                line(0, "calling through another node", step="proxy", peer="s-1"),
+                line(0.1, "call made for another node", node="vm-2", step="proxy", peer="s-1",
+                     outcome="unknown: closed"),
+                line(0.2, "outcome unknown: closed at vm-2", step="forward", peer="s-1", sent=0),
+                line(0.2, "refused", step="forward", reason="backend_failed", status=502,
+                     not_run=False, after_s=0.2),
+            ]
+        ),
+        _REQUEST_ID,
+    )  # fmt: skip
+    assert trail is not None
+    assert {record.node for record in trail.records} == {"vm-1", "vm-2"}
+    assert [record.peer for record in trail.context] == ["s-1"]  # the one that it was sent to
+    assert "s-1" in explain(trail).cause and "vm-2" in explain(trail).cause
