--- a/flamingoshelf/paths/tests/test_paths.py
+++ b/flamingoshelf/paths/tests/test_paths.py
@@ -208,6 +208,41 @@
             assert node.table.peers(key) and set(node.table.peers(key)) <= reaching
 
 
+async def test_only_node_that_reaches_the_server_is_found_by_asking_more_and_more(new_fleet):
+    fleet = await new_fleet(nodes=40, servers=1)
+    for name, node in fleet.nodes.items():
+        if name != "n39":
+            node.cut(REFUSED)
+    node = fleet.nodes["n0"]
+    until_s = now_s() + CONTACT_S / 2
+    while now_s() < until_s:
+        suspect(node, "s0", REFUSED)
+        await asyncio.sleep(0.1)
+    assert node.table.peers("s0") == ("n39",)
+
+
+async def test_nodes_that_are_cut_off_too_name_the_one_that_they_use(new_fleet):
+    fleet = await new_fleet(nodes=40, servers=1)
+    for name, node in fleet.nodes.items():
+        if name != "n39":
+            node.cut(REFUSED)
+            if name != "n0":
+                node.table.mark_cut(
+                    server("s0"), ["n39"], checked_s=now_s(), keeps_connections=False
+                )
+    assert await fleet.nodes["n0"].service.is_cut(server("s0"))
+    assert fleet.nodes["n0"].table.peers("s0") == ("n39",)
+
+
+async def test_node_that_is_about_to_stop_is_not_used(new_fleet):
+    fleet = await new_fleet()
+    node = fleet.nodes["n0"]
+    fleet.nodes["n1"].service.leave()
+    node.cut(REFUSED)
+    assert await node.service.is_cut(server("s0"))
+    assert set(node.table.peers("s0")) == {"n2", "n3"}
+
+
 # Probes of a node that reaches none of many servers must not become a load of their own.
 async def test_end_of_a_cut_is_noticed_within_a_second_with_few_probes(new_fleet):
     fleet = await new_fleet(servers=40)
