A node passes no call on to a server that it knows to leave

Cause: of what a node knows of a server, only the pause was looked at before a call for another node. That a server leaves was left to the choice of the calling node: again a belief of one node in the place of another one's.

The change: beyond the half of the drain time in which a leaving server may be the last resort, the node turns the call down as not sent, and says why; the calling node takes the notice over, doesn't offer the call to a second node, and chooses another server. Calls that a node makes on its own account (reports, the release of handles) still pass, as they do directly.

The new test failed before: the call was made. The reason why a call wasn't made now has a name in place of a flag for one of three.

--- a/flamingoshelf/gateway/_backend_client.py
+++ b/flamingoshelf/gateway/_backend_client.py
@@ -13,6 +13,7 @@
 from flamingoshelf.gateway._backend_response import BackendResponse, NotRunError, read_all
 from flamingoshelf.gateway._direct_calls import DirectCalls
 from flamingoshelf.gateway._proxied_calls import PeerPassedError, ProxiedCall, ProxiedCalls
+from flamingoshelf.gateway._proxy_messages import ProxyFailureKind
 from flamingoshelf.gateway._wire import BackendCall, KvHandle, WireFormat
 from flamingoshelf.http1 import BackendConnection, NoFreeConnectionError, RequestHead
 from flamingoshelf.paths import PathService, PathState, PathTable
@@ -249,6 +250,8 @@
                     "call not made by another node: {}", error.message
                 )
                 failure = self._record_passed(instance, error)
+                if error.reason is ProxyFailureKind.LEAVING:
+                    break
         raise failure or PeerUnreachableError(
             "no node reaches the server", step="proxy", peer=instance.key
         )
@@ -278,7 +281,7 @@
         self, instance: BackendInstance, error: PeerPassedError
     ) -> PeerUnreachableError:
         """Record that a node has not sent a call; return the error for the caller."""
-        if error.is_busy:
+        if error.reason is not ProxyFailureKind.UNREACHABLE:
             return NoFreeConnectionError(error.message, step="proxy", peer=instance.key)
         self._paths.record_peer_failure(instance, error.peer)
         return PeerUnreachableError(error.message, step="proxy", peer=instance.key)
--- a/flamingoshelf/gateway/_call_proxy.py
+++ b/flamingoshelf/gateway/_call_proxy.py
@@ -27,6 +27,7 @@
 from flamingoshelf.http1 import BackendConnection, NoFreeConnectionError, ResponseHead
 from flamingoshelf.nodes import NodeChannel
 from flamingoshelf.paths import PathState, PathTable
+from flamingoshelf.routing import ServerNotices
 from flamingoshelf.utils import TaskGroup, now_s
 
 __all__ = ["CallProxy"]
@@ -47,6 +48,8 @@
         Confirms the runs of engines.
     paths : PathTable
         State of this node's paths.
+    notices : ServerNotices
+        Servers that leave, as far as this node knows.
     has_room : callable
         ``has_room(key)`` returns whether a server may be called for another node.
     """
@@ -57,11 +60,13 @@
         direct: DirectCalls,
         runs: EngineRuns,
         paths: PathTable,
+        notices: ServerNotices,
         has_room: Callable[[str], bool],
     ) -> None:
         self._direct = direct
         self._runs = runs
         self._paths = paths
+        self._notices = notices
         self._has_room = has_room
         self._running = 0
 
@@ -144,6 +149,8 @@
         body = await running.read_body()
         if self._paths.state(instance.key) is not PathState.DIRECT:
             return ProxyFailure(kind=ProxyFailureKind.UNREACHABLE, text="no path to the server")
+        if call.request_id is not None and self._notices.has_left(instance):
+            return ProxyFailure(kind=ProxyFailureKind.LEAVING, text="the server leaves")
         if not self._has_room(instance.key):
             return ProxyFailure(kind=ProxyFailureKind.BUSY, text="no room for calls of others")
         try:
--- a/flamingoshelf/gateway/_proxied_calls.py
+++ b/flamingoshelf/gateway/_proxied_calls.py
@@ -59,13 +59,20 @@
     ----------
     message, step, peer : str
         As in `FlamingoshelfError`; `peer` is the node.
-    is_busy : bool
-        Whether that node reaches the server, but has no room for the call.
+    reason : ProxyFailureKind
+        ``UNREACHABLE``; or ``BUSY`` or ``LEAVING`` if that node reaches the server.
     """
 
-    def __init__(self, message: str, *, step: str, peer: str, is_busy: bool = False) -> None:
+    def __init__(
+        self,
+        message: str,
+        *,
+        step: str,
+        peer: str,
+        reason: ProxyFailureKind = ProxyFailureKind.UNREACHABLE,
+    ) -> None:
         super().__init__(message, step=step, peer=peer)
-        self.is_busy = is_busy
+        self.reason = reason
 
 
 class ProxiedCall:
@@ -233,6 +240,10 @@
             if request_id is not None or answer.limit_per_s is not None:
                 self._limits.record_answer(instance.run, answer.limit_per_s, sent_s=sent_s)
             yield BackendResponse(head=answer_head, is_signed=answer.is_signed, connection=call)
+        except PeerPassedError as error:
+            if error.reason is ProxyFailureKind.LEAVING:
+                self._notices.record_leaving(instance.run, source=peer)
+            raise
         finally:
             self._running[peer] -= 1
             if not self._running[peer]:
@@ -284,9 +295,8 @@
     """Return the error that a call ends with here, as it ended at another node."""
     text = f"{failure.text} at {peer}"
     match failure.kind:
-        case ProxyFailureKind.UNREACHABLE | ProxyFailureKind.BUSY:
-            is_busy = failure.kind is ProxyFailureKind.BUSY
-            return PeerPassedError(text, step="proxy", peer=peer, is_busy=is_busy)
+        case ProxyFailureKind.UNREACHABLE | ProxyFailureKind.BUSY | ProxyFailureKind.LEAVING:
+            return PeerPassedError(text, step="proxy", peer=peer, reason=failure.kind)
         case ProxyFailureKind.PAUSED:
             return ServerPausedError(
                 text,
--- a/flamingoshelf/gateway/_proxy_messages.py
+++ b/flamingoshelf/gateway/_proxy_messages.py
@@ -29,6 +29,7 @@
 
     UNREACHABLE = "unreachable"  # nothing was sent: the server can't be connected
     BUSY = "busy"  # nothing was sent: the node has no room for the call
+    LEAVING = "leaving"  # nothing was sent: the node knows that the server leaves
     PAUSED = "paused"  # not run: the server asked that node for a pause
     NOT_RUN = "not_run"
     WRONG_INSTANCE = "wrong_instance"
--- a/flamingoshelf/gateway/_server_access.py
+++ b/flamingoshelf/gateway/_server_access.py
@@ -66,6 +66,7 @@
         self._engine_wire = engine_wire
         self._configuration = configuration
         self._directory = directory
+        self._notices = notices
         self._limits = limits
         self._pool = ConnectionPool(max_connections=max_connections)
         self._table = PathTable()
@@ -126,7 +127,11 @@
         self._paths.connect(link, peers)
         self._proxied.connect(link)
         self._proxy = CallProxy(
-            direct=self._direct, runs=runs, paths=self._table, has_room=self._has_room
+            direct=self._direct,
+            runs=runs,
+            paths=self._table,
+            notices=self._notices,
+            has_room=self._has_room,
         )
         link.serve_channels(self._proxy.serve)
 
--- a/flamingoshelf/gateway/tests/test_proxied_calls.py
+++ b/flamingoshelf/gateway/tests/test_proxied_calls.py
@@ -18,6 +18,7 @@
 from flamingoshelf.gateway._direct_calls import DirectCalls
 from flamingoshelf.gateway._engine_runs import EngineRuns
 from flamingoshelf.gateway._proxied_calls import PeerPassedError, ProxiedCalls
+from flamingoshelf.gateway._proxy_messages import ProxyFailureKind
 from flamingoshelf.gateway.tests.conftest import server
 from flamingoshelf.gateway.tests.fake_origins import may_ask
 from flamingoshelf.gateway.tests.test_backend_client import Wire, response
@@ -29,6 +30,7 @@
 from flamingoshelf.server_limits import StatedLimits
 
 STATED_START_MS = 100
+DRAIN_S = 0.4
 SIGNED = ("Answers: q1", "Seal: s")
 
 
@@ -80,7 +82,7 @@
 
     def __init__(self, address):
         self.instance = attrs.evolve(server("x"), address=address, started_ms=STATED_START_MS)
-        self.notices = {name: ServerNotices(drain_s=lambda: 2.0) for name in "ab"}
+        self.notices = {name: ServerNotices(drain_s=lambda: DRAIN_S) for name in "ab"}
         self.limits = {name: StatedLimits() for name in "ab"}
         self.table = PathTable()
         self.has_room = True
@@ -108,7 +110,11 @@
         )
         self.runs = EngineRuns(report=self._report, may_ask=may_ask)
         proxy = CallProxy(
-            direct=direct, runs=self.runs, paths=self.table, has_room=lambda key: self.has_room
+            direct=direct,
+            runs=self.runs,
+            paths=self.table,
+            notices=self.notices["b"],
+            has_room=lambda key: self.has_room,
         )
         second.serve_channels(proxy.serve)
         self.second = second
@@ -278,14 +284,28 @@
     pair.table.mark_cut(pair.instance, ["a"], checked_s=0.0, keeps_connections=False)
     with pytest.raises(PeerPassedError) as caught:
         await pair.ask()
-    assert not caught.value.is_busy and not served.requests
+    assert caught.value.reason is ProxyFailureKind.UNREACHABLE and not served.requests
 
 
 async def test_node_without_room_passes_a_call_back(pair, served):
     pair.has_room = False
     with pytest.raises(PeerPassedError) as caught:
         await pair.ask()
-    assert caught.value.is_busy and not served.requests
+    assert caught.value.reason is ProxyFailureKind.BUSY and not served.requests
+
+
+# A node that knew that a server leaves passed requests on to it for nodes that didn't.
+async def test_call_to_a_server_that_the_other_node_knows_to_leave_is_not_made(pair, served):
+    served.answers = [[response(*SIGNED)], [response()]]
+    pair.notices["b"].record_leaving(pair.instance.run, source="server")
+    await pair.ask()  # it may be the only server for half of the drain time
+    await asyncio.sleep(DRAIN_S / 2)
+    with pytest.raises(PeerPassedError) as caught:
+        await pair.ask()
+    assert caught.value.reason is ProxyFailureKind.LEAVING
+    assert pair.notices["a"].is_leaving(pair.instance)
+    await pair.ask(request_id=None)  # such as the release of a handle
+    assert len(served.requests) == 2
 
 
 async def test_server_that_the_other_node_does_not_reach_gets_nothing(pair, served):
--- a/flamingoshelf/gateway/tests/test_server_access.py
+++ b/flamingoshelf/gateway/tests/test_server_access.py
@@ -11,6 +11,7 @@
 from flamingoshelf.gateway._active_configuration import ActiveConfiguration
 from flamingoshelf.gateway._engine_runs import EngineRuns
 from flamingoshelf.gateway._proxied_calls import PeerPassedError
+from flamingoshelf.gateway._proxy_messages import ProxyFailureKind
 from flamingoshelf.gateway._server_access import ServerAccess
 from flamingoshelf.gateway.tests.fake_origins import may_ask
 from flamingoshelf.gateway.tests.test_backend_client import Wire
@@ -70,7 +71,10 @@
         assert pair.access.calls_of_others() == MAX_CONNECTIONS - 1
         with pytest.raises(PeerPassedError) as caught:
             await pair.ask()
-        assert caught.value.is_busy and len(served.requests) == MAX_CONNECTIONS - 1
+        assert (
+            caught.value.reason is ProxyFailureKind.BUSY
+            and len(served.requests) == MAX_CONNECTIONS - 1
+        )
     async with asyncio.timeout(2.0):  # calls that were left make room again
         while pair.access.calls_of_others():
             await asyncio.sleep(0.01)
@@ -82,4 +86,4 @@
     pair.access.leave()
     with pytest.raises(PeerPassedError) as caught:
         await pair.ask()
-    assert caught.value.is_busy and len(served.requests) == 1
+    assert caught.value.reason is ProxyFailureKind.BUSY and len(served.requests) == 1
--- a/flamingoshelf/gateway/tests/test_server_paths.py
+++ b/flamingoshelf/gateway/tests/test_server_paths.py
@@ -13,6 +13,7 @@
 from flamingoshelf.gateway._backend_response import BackendResponse, NotRunError
 from flamingoshelf.gateway._engine_failures import EngineFailures
 from flamingoshelf.gateway._proxied_calls import PeerPassedError
+from flamingoshelf.gateway._proxy_messages import ProxyFailureKind
 from flamingoshelf.gateway.tests.conftest import server
 from flamingoshelf.gateway.tests.fake_paths import FakePaths
 from flamingoshelf.gateway.tests.fake_placer import FakePlacer
@@ -211,16 +212,21 @@
 
 
 @pytest.mark.parametrize(
-    ("is_busy", "error"), [(True, NoFreeConnectionError), (False, PeerUnreachableError)]
+    ("reason", "error", "tries"),
+    [
+        (ProxyFailureKind.BUSY, NoFreeConnectionError, 2),
+        (ProxyFailureKind.UNREACHABLE, PeerUnreachableError, 2),
+        (ProxyFailureKind.LEAVING, NoFreeConnectionError, 1),
+    ],
 )
-async def test_call_that_no_node_can_make_was_not_sent(send, ways, table, is_busy, error):
+async def test_call_that_no_node_can_make_was_not_sent(send, ways, table, reason, error, tries):
     cut(table, "b", "c", "d")
     for peer in "bcd":
-        ways.errors[peer] = PeerPassedError("no", step="proxy", peer=peer, is_busy=is_busy)
+        ways.errors[peer] = PeerPassedError("no", step="proxy", peer=peer, reason=reason)
     with pytest.raises(error) as caught:
         await send()
     assert type(caught.value) is error
-    assert len(ways.sent) == 2
+    assert len(ways.sent) == tries
 
 
 # Each call to a server that nobody reached waited for its timeouts.
--- a/flamingoshelf/routing/_notices.py
+++ b/flamingoshelf/routing/_notices.py
@@ -64,6 +64,10 @@
         known = self._leaving.get(instance.instance_id)
         return known is not None and now_s() < known.since_s + _LAST_RESORT_SHARE * self._drain_s()
 
+    def has_left(self, instance: BackendInstance) -> bool:
+        """Return whether this run of a server must get no more requests from this node."""
+        return self.is_leaving(instance) and not self.is_last_resort(instance)
+
     def leaving(self) -> list[ServerRun]:
         """Return the servers that leave."""
         return [entry.server for entry in self._leaving.values()]
