Nodes that reach no server ask about one server at a time, and less and less often

What would be seen: while no node reaches the servers, every node asked 24 others about every server each half second.

Cause: the search for a node that reaches a server was bounded for one server, not for one node.

The change: each half second a node asks about one of the servers that no node is known to reach, about each of them after 0.5 s, 1 s, 2 s and 4 s at most. What made frequent questions needful stays fast: once any of them is found again, all others are asked about at once, first of the nodes just found; and a node that is new, or back, is asked at once.

--- a/flamingoshelf/paths/_service.py
+++ b/flamingoshelf/paths/_service.py
@@ -29,7 +29,10 @@
 _LOST_AFTER_S = 2.0  # sound servers may be silent for a second or so
 _WATCH_INTERVAL_S = 0.25  # calls are direct again within a second of the end of a cut
 _PROBES_PER_ROUND = 4  # bounds the probes of a node that reaches no server
-_ASK_AGAIN_INTERVAL_S = 0.5  # while no node that was asked reaches a server
+# While no node is known to reach some servers, nodes are asked about one of these after another,
+# and about each less and less often, as most of them are down.
+_ASK_AGAIN_INTERVAL_S = 0.5
+_MAX_ASK_AGAIN_INTERVAL_S = 4.0
 _MAX_CONCURRENT_CHECKS = 64
 _PEERS_KEPT = 4  # nodes to share the calls to one server among
 
@@ -50,6 +53,10 @@
         Number of nodes to ask next.
     unreached_since_s : float or None
         Begin of the first of the checks in which no node reached the server.
+    ask_again_s : float
+        Time at which nodes are asked again about a server that none is known to reach.
+    ask_interval_s : float
+        Time from then until they are asked once more.
     """
 
     running: asyncio.Task[bool] | None = None
@@ -57,6 +64,17 @@
     lifetime_s: float = _VERDICT_LIFETIME_S
     asked: int = _MIN_ASKED
     unreached_since_s: float | None = None
+    ask_again_s: float = 0.0
+    ask_interval_s: float = _ASK_AGAIN_INTERVAL_S
+
+    def ask_soon(self) -> None:
+        """Ask again at the next opportunity."""
+        self.ask_again_s, self.ask_interval_s = 0.0, _ASK_AGAIN_INTERVAL_S
+
+    def delay_asking(self) -> None:
+        """Ask again after the interval, which doubles."""
+        self.ask_again_s = now_s() + self.ask_interval_s
+        self.ask_interval_s = min(2 * self.ask_interval_s, _MAX_ASK_AGAIN_INTERVAL_S)
 
 
 class PathService:
@@ -99,6 +117,7 @@
         self._checks: dict[str, _Checks] = {}
         self._slots = asyncio.Semaphore(_MAX_CONCURRENT_CHECKS)
         self._asked_again_s = 0.0
+        self._known_peers: frozenset[str] = frozenset()
         self._tasks = TaskGroup(owner="paths")
 
     def connect(self, link: NodeLink, peers: Callable[[], Sequence[str]]) -> None:
@@ -224,6 +243,7 @@
         checks.lifetime_s = _VERDICT_LIFETIME_S
         checks.asked = _MIN_ASKED
         checks.unreached_since_s = None
+        checks.ask_soon()
         if not keeps:
             self._close_connections(instance.key)
         self._table.mark_cut(instance, peers, checked_s=began_s, keeps_connections=keeps)
@@ -303,7 +323,7 @@
         for instance in self._servers():
             key = instance.key
             checks = self._checks.get(key)
-            is_known = self._table.state(key) is not PathState.DIRECT
+            is_known = bool(self._table.peers(key))
             is_checked = checks is not None and (
                 checks.running is not None or now_s() < checks.not_before_s
             )
@@ -333,13 +353,25 @@
         return result is ProbeResult.ANSWERED
 
     def _ask_again(self) -> None:
-        """Ask again whether other nodes reach the servers that none is known to reach."""
+        """Ask again whether other nodes reach a server that none is known to reach."""
+        peers = frozenset(self._peers())
+        if peers - self._known_peers:  # a node that is back may reach the servers
+            for checks in self._checks.values():
+                checks.ask_soon()
+        self._known_peers = peers
         if now_s() < self._asked_again_s + _ASK_AGAIN_INTERVAL_S:
             return
-        self._asked_again_s = now_s()
-        for instance in self._table.unreached():
-            if not self._table.peers(instance.key):
-                self._check_soon(instance, since_s=now_s())
+        due = [
+            (checks.ask_again_s, instance.key, instance)
+            for instance in self._table.unreached()
+            if not self._table.peers(instance.key)
+            and (checks := self._checks.setdefault(instance.key, _Checks())).ask_again_s <= now_s()
+        ]
+        if due:
+            self._asked_again_s = now_s()
+            _, key, instance = min(due)
+            self._checks[key].delay_asking()
+            self._check_soon(instance, since_s=now_s())
 
     def _log_check(
         self,
--- a/flamingoshelf/paths/tests/test_paths.py
+++ b/flamingoshelf/paths/tests/test_paths.py
@@ -14,6 +14,7 @@
 pytestmark = pytest.mark.looptime
 
 CONTACT_S = 3.0  # time after which nodes are to have adapted to a cut
+MAX_QUESTIONS_PER_S = 50  # of one node, however many servers it doesn't reach
 SILENT, REFUSED, STALLED = "silent", "refused", "stalled"  # what is wrong with a path
 PROBE_S, PROBE_TIMEOUT_S = 0.005, 0.3
 
@@ -312,6 +313,55 @@
     assert node.table.peers("s0") == ("n2",)
 
 
+# Nodes that reached none of many servers asked each other about each server all the time.
+async def test_nodes_that_reach_no_server_ask_few_questions_and_find_the_first_that_does(new_fleet):
+    fleet = await new_fleet(nodes=20, servers=30)
+    for node in fleet.nodes.values():
+        node.cut(REFUSED)
+        for key in fleet.servers:
+            node.table.record_failure(server(key), since_s=now_s())
+            node.table.mark_lost(server(key))
+    await asyncio.sleep(5.0)
+    began = len(fleet.asked)
+    await asyncio.sleep(10.0)
+    assert len(fleet.asked) - began <= MAX_QUESTIONS_PER_S * 10 * len(fleet.nodes)
+    fleet.nodes["n0"].faults.clear()
+    await asyncio.sleep(CONTACT_S)
+    for node in fleet.nodes.values():
+        is_healed = node.name == "n0"
+        state = PathState.DIRECT if is_healed else PathState.CUT
+        assert set(node.states().values()) == {state}
+        assert is_healed or all(node.table.peers(key) == ("n0",) for key in fleet.servers)
+
+
+async def test_server_that_is_down_for_long_is_asked_about_less_and_less_often(new_fleet):
+    fleet = await new_fleet(nodes=4)
+    node = fleet.nodes["n0"]
+    fleet.servers["s0"] = STALLED
+    while node.table.state("s0") is not PathState.LOST:
+        suspect(node, "s0", STALLED)
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(8.0)
+    began = len(fleet.asked)
+    await asyncio.sleep(20.0)
+    assert len(fleet.asked) - began <= 3 * 20 / 4
+
+
+# A node that had stopped or been killed is asked as soon as it is back.
+async def test_node_that_is_back_is_asked_about_servers_that_have_been_lost_for_long(new_fleet):
+    fleet = await new_fleet(nodes=4)
+    node, helper = fleet.nodes["n0"], fleet.nodes.pop("n3")
+    for other in fleet.nodes.values():
+        other.cut(REFUSED)
+    while node.table.state("s0") is not PathState.LOST:
+        suspect(node, "s0", REFUSED)
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(20.0)
+    fleet.nodes["n3"] = helper
+    await asyncio.sleep(1.0)
+    assert node.table.peers("s0") == ("n3",)
+
+
 async def test_node_that_no_longer_reaches_the_server_is_replaced(new_fleet):
     fleet = await new_fleet()
     node = fleet.nodes["n0"]
