Test of a planned stop: the stop comes once all streams have begun

Traced by the logs of both nodes: the sixth was no answer that was passed on. Its first prefill had been reset by the cut; it was placed again 0.46 s later, 0.12 s after the only other node had begun to stop, and was refused as not run (503, 0.4 s), as a stopping node makes no further calls for others. The test took 0.5 s for enough to begin six streams in.

The test was wrong there, and is as strict otherwise: it waits until the paths are known to be cut and all six streams run at their engines, then stops the node; each stream must be whole.

--- a/lab/tests/test_cut_nodes.py
+++ b/lab/tests/test_cut_nodes.py
@@ -21,6 +21,7 @@
 LOST_S = 5.0  # time after which servers that no node reaches are to be known as such
 AT_ONCE_S = 0.3
 STOP_EVENTS = 65  # 3.3 s; the grace period is 4 s
+BEGIN_S = 5.0  # in which streams begin, also on a busy machine
 MIN_SERVED = 0.98  # at nodes that reach all servers, and at all in calm times
 
 
@@ -122,17 +123,20 @@
     for engine in site.engines:
         engine.s_per_event = 0.05  # so that a stream takes longer than the notice of the stop
     cut = coordinator_of(site)
+    address = site.node_addresses[cut]
     site.cut([cut], CutForm.RESET)
+    async with asyncio.timeout(BEGIN_S):  # until the paths are known to be cut
+        while not is_served(await site.caller.call(address, NOTES, tokens=(100, 8))):
+            await asyncio.sleep(0.05)
+    begun = len(site.log.runs)
     calls = []
     for number in range(6):
-        calls.append(
-            asyncio.ensure_future(
-                site.caller.call(
-                    site.node_addresses[cut], f"{NOTES}{number}", tokens=(100, 8 * STOP_EVENTS)
-                )
-            )
-        )
-    await asyncio.sleep(0.5)
+        tokens = (100, 8 * STOP_EVENTS)
+        call = site.caller.call(address, f"{NOTES}{number}", tokens=tokens)
+        calls.append(asyncio.ensure_future(call))
+    async with asyncio.timeout(BEGIN_S):
+        while len(site.log.runs) < begun + len(calls):
+            await asyncio.sleep(0.01)
     stopped = site.nodes[1 - cut]
     assert await stopped.stop(timeout_s=6.0) == 0
     answers = await asyncio.gather(*calls)
