A node that is about to stop leaves the nodes that calls are made through

What was seen: in the traced run of the planned stop, a cut node offered a call to the stopping node each 0.3 s until that had ended, 12 times, and each was passed back. It has no calls of the cut node any more, so it is the first choice of every call; a call is offered to two nodes, so while two nodes stop at once, calls are refused though others reach the server.

Cause: a stopping node answered that it has no room, which says that it will have some soon. The test that expected that answer was wrong in this.

The change: it answers that it can't make the call, and the calling node drops it, as it does a node that has lost the path itself, and asks others if it was the last one. The test failed before with the reason "busy".

--- a/flamingoshelf/gateway/_call_proxy.py
+++ b/flamingoshelf/gateway/_call_proxy.py
@@ -68,6 +68,7 @@
         self._paths = paths
         self._notices = notices
         self._has_room = has_room
+        self._is_leaving = False
         self._running = 0
 
     @property
@@ -75,6 +76,10 @@
         """Number of running calls."""
         return self._running
 
+    def leave(self) -> None:
+        """Make no further calls, as this node is about to stop."""
+        self._is_leaving = True
+
     async def serve(self, channel: NodeChannel) -> None:
         """Make the calls that arrive on a channel, one after another, until it closes."""
         tasks = TaskGroup(owner="proxy")
@@ -147,6 +152,8 @@
         """
         call, instance = running.call, running.call.instance
         body = await running.read_body()
+        if self._is_leaving:
+            return ProxyFailure(kind=ProxyFailureKind.UNREACHABLE, text="about to stop")
         if self._paths.state(instance.key) is not PathState.DIRECT:
             return ProxyFailure(kind=ProxyFailureKind.UNREACHABLE, text="no path to the server")
         if call.request_id is not None and self._notices.has_left(instance):
--- a/flamingoshelf/gateway/_server_access.py
+++ b/flamingoshelf/gateway/_server_access.py
@@ -82,7 +82,6 @@
         )
         probe = ServerProbe(direct=self._direct, encode=self._encode_probe, may_call=self.may_call)
         self._proxy: CallProxy | None = None
-        self._is_leaving = False
         self._proxied = ProxiedCalls(wire=wire, notices=notices, limits=limits.stated)
         self._client = BackendClient(
             direct=self._direct,
@@ -137,8 +136,9 @@
 
     def leave(self) -> None:
         """Make no further calls for other nodes, as this one is about to stop."""
-        self._is_leaving = True
         self._paths.leave()
+        if self._proxy is not None:
+            self._proxy.leave()
 
     def calls_of_others(self) -> int:
         """Return the number of running calls that this node makes for others."""
@@ -161,8 +161,6 @@
         self._paths.retain(listed)
 
     def _has_room(self, key: str) -> bool:
-        if self._is_leaving:
-            return False
         return self._pool.in_use(key) < _PEERS_SHARE * self._max_connections(key)
 
     def _listed_servers(self) -> list[BackendInstance]:
--- a/flamingoshelf/gateway/tests/test_server_access.py
+++ b/flamingoshelf/gateway/tests/test_server_access.py
@@ -86,4 +86,4 @@
     pair.access.leave()
     with pytest.raises(PeerPassedError) as caught:
         await pair.ask()
-    assert caught.value.reason is ProxyFailureKind.BUSY and len(served.requests) == 1
+    assert caught.value.reason is ProxyFailureKind.UNREACHABLE and len(served.requests) == 1
