--- a/flamingoshelf/paths/_service.py
+++ b/flamingoshelf/paths/_service.py
@@ -354,6 +354,11 @@
 
     def _ask_again(self) -> None:
         """Ask again whether other nodes reach a server that none is known to reach."""
+        unknown = [
+            instance for instance in self._table.unreached() if not self._table.peers(instance.key)
+        ]
+        if not unknown:
+            return
         peers = frozenset(self._peers())
         if peers - self._known_peers:  # a node that is back may reach the servers
             for checks in self._checks.values():
@@ -363,9 +368,8 @@
             return
         due = [
             (checks.ask_again_s, instance.key, instance)
-            for instance in self._table.unreached()
-            if not self._table.peers(instance.key)
-            and (checks := self._checks.setdefault(instance.key, _Checks())).ask_again_s <= now_s()
+            for instance in unknown
+            if (checks := self._checks.setdefault(instance.key, _Checks())).ask_again_s <= now_s()
         ]
         if due:
             self._asked_again_s = now_s()
