A connection carries no request id twice; orders go over new connections

Cause: an answer was taken for that to the call under way if it named its request id. An engine that had refused a request got it again, over the same kept connection, when all others had refused it, too. A second copy of the earlier refusal names the same id and comes before the real answer. So the id alone doesn't tell the answers to two sends of one request apart; the connection does: what arrives on it answers something that was sent on it.

Now a connection remembers the ids that it carried and takes none twice; the pool uses another idle one or opens one. That holds for every path that sends a request again, as it lies in the pool: turns at an engine that refused, a prefill and a run of one request at one engine, and calls that a node makes for another one, of an earlier version, too. After 1,000 ids a connection is closed, which bounds the memory.

The same question on related paths: - Calls of a node itself (reports, probes, releases, orders) have no id. An answer that names a request that the connection has carried is now skipped; before, a late refusal of a caller's request was taken for a report. Answers that name none can't be told apart, so orders, where it matters, go over new connections; a report or a probe that is answered by an earlier copy of one is some hundred milliseconds older. - Bytes that had arrived before a request was sent, and were not read yet, were taken for its answer; a connection with unread bytes now carries no request.

Ruled out: retries and hedges of plain calls (never at a server that was tried); channels between nodes (given back only after the last message of a call); the product's own interface (an id for each attempt, one connection for each plain call and each stream).

Three tests sent one id twice over one connection, which no longer happens; their requests now have ids of their own and they ask for the same as before.

--- a/flamingoshelf/gateway/_backend_client.py
+++ b/flamingoshelf/gateway/_backend_client.py
@@ -144,11 +144,12 @@
         *,
         step: str,
         timeout_s: float,
-        direct_only: bool = False,
+        is_order: bool = False,
     ) -> tuple[int, bytes]:
         """Send a call that originates at this node; return status and body of the response.
 
-        With `direct_only`, it isn't sent through another node.
+        With `is_order`, it isn't sent through another node, and over a new connection only: a
+        response names no call of a node, so on a used one it may be that to an earlier order.
 
         Raises
         ------
@@ -160,10 +161,12 @@
         sent_s = now_s()
         try:
             async with asyncio.timeout(timeout_s), AsyncExitStack() as stack:
-                if direct_only:
+                if is_order:
                     if not self._uses_own_path(instance.key):
                         raise PeerUnreachableError("no path", step=step, peer=instance.key)
-                    exchange = self._direct.exchange(instance, head, body, request_id=None)
+                    exchange = self._direct.exchange(
+                        instance, head, body, request_id=None, fresh=True
+                    )
                     response = await stack.enter_async_context(exchange)
                 else:
                     response = await self._open(
--- a/flamingoshelf/gateway/_direct_calls.py
+++ b/flamingoshelf/gateway/_direct_calls.py
@@ -114,7 +114,9 @@
         self._check_pause(instance)
         sent_s = now_s()
         self._limits.count_request(instance.run)
-        pooled_call = await self._send(instance, head, body, fresh=fresh, is_probe=is_probe)
+        pooled_call = await self._send(
+            instance, head, body, request_id=request_id, fresh=fresh, is_probe=is_probe
+        )
         async with pooled_call as pooled:
             connection = pooled.connection
             is_fresh = connection.calls == 1
@@ -139,11 +141,14 @@
         head: RequestHead,
         body: bytes,
         *,
+        request_id: str | None,
         fresh: bool,
         is_probe: bool,
     ) -> PooledCall:
         try:
-            return await self._pool.call(instance.key, instance.address, head, body, fresh=fresh)
+            return await self._pool.call(
+                instance.key, instance.address, head, body, request_id=request_id, fresh=fresh
+            )
         except NoFreeConnectionError:  # says nothing about the path
             raise
         except PeerUnreachableError:
@@ -154,10 +159,13 @@
     async def _read_own(
         self, instance: BackendInstance, connection: BackendConnection, *, sent_s: float
     ) -> BackendResponse:
-        """Return the response to a call that originates at a node."""
-        head = await connection.read_head()
-        answer = self._wire.decode_response_head(head)
-        self._record_notices(instance, answer)
+        """Return the response to a call that originates at a node; such a call has no id."""
+        head, answer = await self._read_answer(
+            instance,
+            connection,
+            request_id=None,
+            is_meant=lambda named: named is None or not connection.has_carried(named),
+        )
         if answer.limit_per_s is not None:  # a report need not repeat the limit
             self._record_limit(instance, answer, sent_s=sent_s)
         return BackendResponse(head=head, is_signed=answer.is_signed, connection=connection)
@@ -170,25 +178,49 @@
         *,
         sent_s: float,
     ) -> BackendResponse:
-        """Return the response to a request; skip late responses to other requests.
+        """Return the response to a request.
+
+        A response that names no request may be a late one if the connection carried another before.
+        """
+        head, answer = await self._read_answer(
+            instance,
+            connection,
+            request_id=request_id,
+            is_meant=lambda named: named == request_id or (named is None and connection.calls == 1),
+        )
+        self._record_limit(instance, answer, sent_s=sent_s)
+        if answer.has_not_run:
+            await _discard_body(connection)
+        self._check_answer(answer, head, instance)
+        return BackendResponse(head=head, is_signed=answer.is_signed, connection=connection)
 
-        A response that names no request is late as well if the connection carried another one
-        before.
+    async def _read_answer(
+        self,
+        instance: BackendInstance,
+        connection: BackendConnection,
+        *,
+        request_id: str | None,
+        is_meant: Callable[[str | None], bool],
+    ) -> tuple[ResponseHead, BackendResponseHead]:
+        """Return the head of the first response that names a meant request; skip late ones.
+
+        ``is_meant(named)`` returns whether a response that names that request, or none, is the
+        answer to the call under way.
         """
         for _ in range(_MAX_STALE_ANSWERS + 1):
             head = await connection.read_head()
             answer = self._wire.decode_response_head(head)
             self._record_notices(instance, answer)
-            names_none = answer.request_id is None
-            if answer.request_id == request_id or (names_none and connection.calls == 1):
-                self._record_limit(instance, answer, sent_s=sent_s)
-                if answer.has_not_run:
-                    await _discard_body(connection)
-                self._check_answer(answer, head, instance)
-                return BackendResponse(head=head, is_signed=answer.is_signed, connection=connection)
-            logger.bind(request_id=request_id, step="answer", peer=instance.key).warning(
-                "skipped a late response to request {}", answer.request_id or "(no id)"
-            )
+            if is_meant(answer.request_id):
+                return head, answer
+            logger.bind(
+                request_id=request_id,
+                step="answer",
+                peer=instance.key,
+                status=head.status,
+                named=answer.request_id,
+                calls=connection.calls,
+            ).warning("skipped a late response to request {}", answer.request_id or "(no id)")
             await connection.skip_response()
         raise OutcomeUnknownError(ResponseFault.OTHER_REQUEST, step="answer", peer=instance.key)
 
--- a/flamingoshelf/gateway/_engine_control.py
+++ b/flamingoshelf/gateway/_engine_control.py
@@ -173,6 +173,6 @@
         """
         head, body = self._wire.encode_order(instance, order)
         status, _ = await self._client.call(
-            instance, head, body, step="order", timeout_s=_ORDER_TIMEOUT_S, direct_only=True
+            instance, head, body, step="order", timeout_s=_ORDER_TIMEOUT_S, is_order=True
         )
         return self._wire.decode_outcome(status)
--- a/flamingoshelf/gateway/tests/test_backend_client.py
+++ b/flamingoshelf/gateway/tests/test_backend_client.py
@@ -1,13 +1,14 @@
 """Which responses count as a backend server's answer to a request, over real connections."""
 
 import asyncio
-from contextlib import asynccontextmanager
+import itertools
+from contextlib import asynccontextmanager, suppress
 
 import attrs
 import pytest
 
 from flamingoshelf.exceptions import OutcomeUnknownError
-from flamingoshelf.gateway import BackendCall, BackendResponseHead
+from flamingoshelf.gateway import BackendCall, BackendResponseHead, CallerRequest
 from flamingoshelf.gateway._backend_response import (
     NotRunError,
     ServerPausedError,
@@ -57,7 +58,7 @@
 
 @pytest.fixture
 async def ask_in_turn(new_request, notices, limits):
-    """Return a function that sends requests on one connection, each answered with other bytes."""
+    """Return a function that sends q1, q2 and so on over one connection, with an answer each."""
     pool = ConnectionPool(max_connections=lambda key: 4)
     client = new_client(pool=pool, wire=Wire(), notices=notices, limits=limits)
 
@@ -74,8 +75,9 @@
         )
         call = BackendCall(instance=instance, workspace="w", remaining_s=1.0)
         bodies = []
-        for _ in answers:
-            async with client.send(new_request(), call) as answer:
+        for number in range(1, len(answers) + 1):
+            request = new_request(caller=CallerRequest(request_id=f"q{number}"))
+            async with client.send(request, call) as answer:
                 bodies.append(await answer.read_all(limit=100))
         listener.close()
         return bodies
@@ -89,7 +91,8 @@
 async def ask(new_request, notices, limits):
     """Return a function that sends requests to a server that answers each with the given bytes.
 
-    With `endless`, the server goes on sending these bytes until the connection is closed.
+    The requests are q1, q2 and so on; an answer to q1 becomes one to each of them. With `endless`,
+    the server goes on sending these bytes until the connection is closed.
     """
     pool = ConnectionPool(max_connections=lambda key: 4)
     client = new_client(pool=pool, wire=Wire(), notices=notices, limits=limits)
@@ -97,11 +100,13 @@
 
     @asynccontextmanager
     async def serve(sent, endless):
+        numbers = itertools.count(1)
+
         async def answer(reader, writer):
             connections.append(writer)
             while await reader.readuntil(b"\r\n\r\n"):
                 await reader.readexactly(len(b"body"))
-                writer.write(sent)
+                writer.write(sent.replace(b"Answers: q1", b"Answers: q%d" % next(numbers)))
                 while endless:
                     writer.write(endless)
                     await writer.drain()
@@ -122,8 +127,9 @@
                 return await client.call(instance, head, b"body", step="report", timeout_s=5.0)
             backend_call = BackendCall(instance=instance, workspace="w", remaining_s=1.0)
             bodies = []
-            for _ in range(times):
-                async with client.send(new_request(), backend_call) as answer:
+            for number in range(1, times + 1):
+                request = new_request(caller=CallerRequest(request_id=f"q{number}"))
+                async with client.send(request, backend_call) as answer:
                     bodies.append(await answer.read_all(limit=read_limit))
             return bodies, len(connections)
 
@@ -140,10 +146,93 @@
 # An earlier refusal, written once more, was taken for the answer to a request that ran.
 @pytest.mark.parametrize("stray", ["Refused: 1", "Other: 1", "Seal: s"])
 async def test_answer_without_an_id_proves_nothing_on_a_used_connection(ask_in_turn, stray):
-    first, second = response("Answers: q1", "Seal: s"), response("Answers: q1", "Seal: s")
+    first, second = response("Answers: q1", "Seal: s"), response("Answers: q2", "Seal: s")
     assert await ask_in_turn(first, response(stray, status=503) + second) == [b"ok", b"ok"]
 
 
+@pytest.fixture
+async def repeating_server():
+    """Return a server that gives its answers in turn, each once more when another call arrives.
+
+    The second copy comes on the connection of the first, in front of the answer to the next call.
+    """
+    answers: list[bytes] = []
+
+    async def serve(reader, writer):
+        late = b""
+        with suppress(asyncio.IncompleteReadError):
+            while await reader.readuntil(b"\r\n\r\n"):
+                await reader.readexactly(len(b"body"))
+                answer = answers.pop(0)
+                writer.write(late + answer)
+                late = answer
+
+    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = "{}:{}".format(*listener.sockets[0].getsockname())
+    yield attrs.evolve(server("x"), address=address), answers
+    listener.close()
+
+
+@pytest.fixture
+async def repeating_client(notices, limits):
+    pool = ConnectionPool(max_connections=lambda key: 4)
+    client = new_client(pool=pool, wire=Wire(), notices=notices, limits=limits)
+    yield client
+    await client.stop()
+    await pool.stop()
+
+
+# A second copy of a refusal was taken for the answer to the next send: the request ran twice, or
+# its caller was told that it had not run.
+@pytest.mark.parametrize(
+    "first",
+    [
+        pytest.param(response("Answers: q1", "Refused: 1", status=503), id="refusal"),
+        pytest.param(response("Answers: q1", "Other: 1", status=421), id="another server"),
+        pytest.param(response("Answers: q1", "Seal: s", body=b"old"), id="answer"),
+    ],
+)
+async def test_copy_of_an_earlier_answer_is_not_that_to_a_request_sent_again(
+    repeating_server, repeating_client, new_request, first
+):
+    instance, answers = repeating_server
+    answers += [first, response("Answers: q1", "Seal: s", body=b"new")]
+    call = BackendCall(instance=instance, workspace="w", remaining_s=1.0)
+    with suppress(NotRunError):
+        async with repeating_client.send(new_request(), call) as answer:
+            await answer.read_all(limit=100)
+    async with repeating_client.send(new_request(), call) as answer:
+        assert await answer.read_all(limit=100) == b"new"
+
+
+# The late answer to a caller's request was taken for a report of the engine.
+async def test_copy_of_an_answer_to_a_caller_is_not_that_to_a_call_of_a_node(
+    repeating_server, repeating_client, new_request
+):
+    instance, answers = repeating_server
+    answers += [response("Answers: q1", "Refused: 1", status=503), response(body=b"report")]
+    call = BackendCall(instance=instance, workspace="w", remaining_s=1.0)
+    with pytest.raises(NotRunError):
+        async with repeating_client.send(new_request(), call):
+            pass
+    head = Wire().encode_request(None, call, body_bytes=4)
+    status, body = await repeating_client.call(instance, head, b"body", step="r", timeout_s=1.0)
+    assert (status, body) == (200, b"report")
+
+
+# An order that was carried out counted as refused, as an earlier one had been.
+async def test_copy_of_an_answer_to_an_order_is_not_that_to_the_next_one(
+    repeating_server, repeating_client
+):
+    instance, answers = repeating_server
+    answers += [response(status=409), response(status=202)]
+    call = BackendCall(instance=instance, workspace="w", remaining_s=1.0)
+    head = Wire().encode_request(None, call, body_bytes=4)
+    options = {"step": "order", "timeout_s": 1.0, "is_order": True}
+    statuses = [(await repeating_client.call(instance, head, b"body", **options))[0] for _ in "ab"]
+    assert statuses == [409, 202]
+
+
 async def test_refusal_without_an_id_counts_on_a_new_connection(ask):
     with pytest.raises(NotRunError):
         await ask(response("Refused: 1", status=503))
--- a/flamingoshelf/gateway/tests/test_proxied_calls.py
+++ b/flamingoshelf/gateway/tests/test_proxied_calls.py
@@ -167,15 +167,28 @@
 
 
 async def test_answer_arrives_as_the_server_gave_it(pair, served):
-    served.answers = [[response(*SIGNED, "Extra: 1", status=404)], [response(*SIGNED)]]
+    second = response("Answers: q2", "Seal: s")
+    served.answers = [[response(*SIGNED, "Extra: 1", status=404)], [second]]
     answer, body = await pair.ask()
     assert (answer.head.status, answer.is_signed, body) == (404, True, b"ok")
     assert answer.head.headers.get("Extra") == "1"
-    await pair.ask()
+    await pair.ask(request_id="q2")
     assert served.requests == [b"body", b"body"]
     assert served.connections == 1 and pair.second.counters.strangers == 0
 
 
+# The other node took a second copy of a refusal for the answer to the request sent again.
+async def test_request_that_is_sent_again_goes_over_another_connection_of_the_other_node(
+    pair, served
+):
+    refusal = response("Answers: q1", "Refused: 1", status=503)
+    served.answers = [[refusal], [response(*SIGNED)]]
+    with pytest.raises(NotRunError):
+        await pair.ask()
+    await pair.ask()
+    assert served.connections == 2
+
+
 async def test_large_bodies_pass_in_both_directions(pair, served):
     sent, received = random.Random(1).randbytes(3_000_000), random.Random(2).randbytes(3_000_000)
     served.answers = [[response(*SIGNED, body=received)]]
--- a/flamingoshelf/gateway/tests/test_server_paths.py
+++ b/flamingoshelf/gateway/tests/test_server_paths.py
@@ -246,10 +246,10 @@
     status, _ = await backend_client.call(*arguments, step="report", timeout_s=1.0)
     assert status == 200 and ways.sent[-1][0] == "b"
     with pytest.raises(PeerUnreachableError):
-        await backend_client.call(*arguments, step="order", timeout_s=1.0, direct_only=True)
+        await backend_client.call(*arguments, step="order", timeout_s=1.0, is_order=True)
     assert len(ways.sent) == 1
     table.restore("x")
-    await backend_client.call(*arguments, step="order", timeout_s=1.0, direct_only=True)
+    await backend_client.call(*arguments, step="order", timeout_s=1.0, is_order=True)
     assert ways.sent[-1][0] is None
 
 
--- a/flamingoshelf/http1/_client.py
+++ b/flamingoshelf/http1/_client.py
@@ -9,6 +9,7 @@
 
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
 from flamingoshelf.http1._heads import Headers, RequestHead, ResponseHead
+from flamingoshelf.http1._linger import has_unread_bytes
 from flamingoshelf.utils import now_s
 
 __all__ = ["BackendConnection"]
@@ -16,6 +17,7 @@
 _MAX_HEAD_BYTES = 64 * 1024  # twice the largest limit that is common among servers
 _MAX_INFORMATIONAL = 16  # servers send one or two
 _MAX_BUFFERED_BYTES = 256 * 1024  # reading pauses above it if the server outpaces the caller
+_MAX_CARRIED_IDS = 1000  # per connection, which is closed then; some 100 KB
 # Keepalive probes detect a peer that vanished without a reset within about two seconds.
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1  # the shortest that the operating system offers
@@ -27,7 +29,8 @@
     """Connection to a backend server that carries one request at a time.
 
     A connection is reusable only after its response is complete and its request is written
-    completely, and if no byte beyond the response has arrived.
+    completely, and if no byte beyond the response has arrived. It carries no request id twice: a
+    server may send a response once more, late, and only the id tells which request it answers.
 
     Parameters
     ----------
@@ -53,6 +56,7 @@
         self._idle_since_s = 0.0
         self._keep_alive_s: float | None = None
         self._calls = 0
+        self._carried_ids: set[str] = set()
 
     @classmethod
     async def open(cls, address: str, *, timeout_s: float) -> "BackendConnection":
@@ -83,6 +87,7 @@
             and self._failure is None
             and not self._is_write_paused
             and self._parser.our_state is h11.IDLE
+            and len(self._carried_ids) < _MAX_CARRIED_IDS
             and (self._keep_alive_s is None or self.idle_s < self._keep_alive_s)
         )
 
@@ -101,8 +106,17 @@
         """Number of requests that were sent."""
         return self._calls
 
-    def send(self, head: RequestHead, body: bytes) -> None:
-        """Write a request whose headers state its length.
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes, or the end of the stream, have arrived that were not read yet."""
+        return has_unread_bytes(self._transport)
+
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a request with an id was sent over this connection."""
+        return request_id in self._carried_ids
+
+    def send(self, head: RequestHead, body: bytes, *, request_id: str | None = None) -> None:
+        """Write a request whose headers state its length, and the id that its response names.
 
         Raises
         ------
@@ -112,6 +126,10 @@
         if self._transport is None or not self.is_reusable:
             reason = self._failure or "not reusable"
             raise PeerUnreachableError(reason, step="send", peer=self._address)
+        if request_id is not None:
+            if self.has_carried(request_id):
+                raise PeerUnreachableError("carried before", step="send", peer=self._address)
+            self._carried_ids.add(request_id)
         self._is_busy = True
         self._calls += 1
         self._request = h11.Request(
--- a/flamingoshelf/http1/_pool.py
+++ b/flamingoshelf/http1/_pool.py
@@ -96,9 +96,16 @@
         return any(connection.is_reusable for connection in self._idle.get(key, ()))
 
     async def call(
-        self, key: str, address: str, head: RequestHead, body: bytes, *, fresh: bool = False
+        self,
+        key: str,
+        address: str,
+        head: RequestHead,
+        body: bytes,
+        *,
+        request_id: str | None = None,
+        fresh: bool = False,
     ) -> PooledCall:
-        """Write a request to a server.
+        """Write a request to a server, over a connection that has not carried its id before.
 
         Parameters
         ----------
@@ -110,6 +117,8 @@
             Head of the request, with its length.
         body : bytes
             Body of the request.
+        request_id : str or None
+            Id that the response names, None if it names none.
         fresh : bool
             Whether to open a new connection even if there are idle ones.
 
@@ -122,11 +131,11 @@
             raise NoFreeConnectionError("all connections are in use", step="connect", peer=address)
         self._in_use[key] = self.in_use(key) + 1
         try:
-            connection = None if fresh else self._pop_idle(key)
+            connection = None if fresh else self._pop_idle(key, request_id)
             if connection is None:
                 connection = await BackendConnection.open(address, timeout_s=_CONNECT_TIMEOUT_S)
                 self._opened += 1
-            connection.send(head, body)
+            connection.send(head, body, request_id=request_id)
         except BaseException:
             self._decrement_in_use(key)
             raise
@@ -151,15 +160,18 @@
         for key in self._idle.keys() - keys:
             self.close_idle(key)
 
-    def _pop_idle(self, key: str) -> BackendConnection | None:
+    def _pop_idle(self, key: str, request_id: str | None) -> BackendConnection | None:
         """Return the idle connection that was used last, or None if there is none.
 
-        The server may be about to close those that have been idle for longer.
+        The server may be about to close those that have been idle for longer. One that has carried
+        the request before may yet bring a second copy of an earlier answer to it.
         """
         idle = self._idle.get(key, [])
-        while idle:
-            connection = idle.pop()
-            if connection.is_reusable:
+        for connection in reversed(idle):
+            if request_id is not None and connection.has_carried(request_id):
+                continue
+            idle.remove(connection)
+            if connection.is_reusable and not connection.has_unread_bytes:
                 return connection
             connection.close()
         return None
--- a/flamingoshelf/http1/tests/test_client.py
+++ b/flamingoshelf/http1/tests/test_client.py
@@ -5,7 +5,7 @@
 import pytest
 
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
-from flamingoshelf.http1 import BackendConnection, Headers, RequestHead
+from flamingoshelf.http1 import BackendConnection, Headers, RequestHead, _client
 from flamingoshelf.http1.tests.conftest import FakeTransport, run_pending_callbacks
 
 pytestmark = pytest.mark.looptime
@@ -204,3 +204,28 @@
     connection.connection_lost(None)
     with pytest.raises(OutcomeUnknownError):
         await reader
+
+
+# A connection that carries an id twice can't tell the answers to the two requests apart.
+async def test_connection_carries_no_request_twice(connection):
+    connection.send(GET, b"", request_id="1")
+    connection.data_received(ANSWER)
+    await connection.read_head()
+    assert await read_all(connection) == b"ok"
+    connection.finish()
+    assert connection.has_carried("1") and not connection.has_carried("2")
+    with pytest.raises(PeerUnreachableError):
+        connection.send(GET, b"", request_id="1")
+    assert connection.is_reusable and connection.transport.pop_written().count(b"GET") == 1
+
+
+async def test_ids_that_a_connection_remembers_are_bounded(connection, monkeypatch):
+    monkeypatch.setattr(_client, "_MAX_CARRIED_IDS", 3)
+    for number in range(3):
+        assert connection.is_reusable
+        connection.send(GET, b"", request_id=str(number))
+        connection.data_received(ANSWER)
+        await connection.read_head()
+        await read_all(connection)
+        connection.finish()
+    assert not connection.is_reusable
--- /dev/null
+++ b/flamingoshelf/http1/tests/test_pool.py
@@ -0,0 +1,71 @@
+"""Which connection of a pool carries a request, over real connections."""
+
+import asyncio
+import socket
+
+import pytest
+
+from flamingoshelf.http1 import ConnectionPool, Headers, RequestHead
+
+GET = RequestHead(method="GET", target="/a", headers=Headers([("Host", "h")]))
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class Server:
+    """Accepts connections, and answers when the test says so."""
+
+    def __init__(self):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.connections = []
+
+    @property
+    def address(self):
+        return "{}:{}".format(*self.listener.getsockname())
+
+    async def answer(self, *, is_new):
+        if is_new:
+            self.connections.append(self.listener.accept()[0])
+        await asyncio.to_thread(self.connections[-1].recv, 4096)
+        self.connections[-1].sendall(ANSWER)
+
+
+@pytest.fixture
+def server():
+    server = Server()
+    yield server
+    for connection in (*server.connections, server.listener):
+        connection.close()
+
+
+@pytest.fixture
+async def ask(server):
+    pool = ConnectionPool(max_connections=lambda key: 4)
+
+    async def run(*, request_id=None, is_new=False):
+        sent = await pool.call("x", server.address, GET, b"", request_id=request_id)
+        async with sent as call:
+            await server.answer(is_new=is_new)
+            return (await call.connection.read_head()).status, await call.connection.read()
+
+    yield run
+    await pool.stop()
+
+
+async def test_connections_are_reused(ask, server):
+    await ask(request_id="1", is_new=True)
+    await ask(request_id="2")
+    assert len(server.connections) == 1
+
+
+async def test_request_with_a_known_id_takes_another_idle_connection(ask, server):
+    await ask(request_id="1", is_new=True)
+    await ask(request_id="1", is_new=True)
+    await ask(request_id="2")
+    assert len(server.connections) == 2
+
+
+# Bytes that had arrived before a request was sent were taken for its answer.
+async def test_connection_with_unread_bytes_carries_no_request(ask, server):
+    await ask(is_new=True)
+    server.connections[-1].sendall(ANSWER.replace(b"ok", b"no"))
+    assert await ask(is_new=True) == (200, b"ok")
--- a/lab/gateway/_records.py
+++ b/lab/gateway/_records.py
@@ -67,6 +67,10 @@
     stray_refusals : float
         Fraction of requests on used connections that are preceded by an earlier refusal, written
         once more without the id of its request.
+    refuse_next : int
+        Number of requests that are refused next as if the server were full.
+    repeated_refusals : float
+        Fraction of refusals that are sent once more, in front of the next answer on the connection.
     pause_s : float
         Seconds for which a server that is full wants no more requests, 0 if it doesn't say.
     """
@@ -79,6 +83,8 @@
     silent: bool = False
     errors: float = 0.0
     stray_refusals: float = 0.0
+    refuse_next: int = 0
+    repeated_refusals: float = 0.0
     pause_s: float = 0.0
 
 
--- a/lab/gateway/_server_base.py
+++ b/lab/gateway/_server_base.py
@@ -3,13 +3,15 @@
 import asyncio
 import itertools
 import random
-from typing import cast
+import weakref
+from collections.abc import Sequence
+from typing import Any, cast
 
 from flamingoshelf.http1 import Exchange, Headers, HttpServer, ResponseHead
 from flamingoshelf.utils import TaskGroup, now_s
 from lab.gateway._records import LimitSpan, Run, RunLog, ServerFaults, Silence
 
-__all__ = ["ServerStandIn", "id_numbers"]
+__all__ = ["ServerStandIn", "id_numbers", "transport_of"]
 
 _MAX_BODY_BYTES = 8 * 1024 * 1024
 id_numbers = itertools.count(1)  # of servers and of handles
@@ -35,6 +37,7 @@
         self.started_ms = 1_700_000_000_000
         self.version = "v1"  # of its software
         self.tasks = TaskGroup(owner="server")
+        self._late_copies: weakref.WeakKeyDictionary[Any, bytes] = weakref.WeakKeyDictionary()
         self._server = HttpServer(address=address, handle=self._handle)
 
     async def start(self) -> None:
@@ -89,6 +92,8 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         body = await exchange.read_body(limit=_MAX_BODY_BYTES)
+        transport = transport_of(exchange)
+        transport.write(self._late_copies.pop(transport, b""))
         if self.faults.silent:
             await asyncio.sleep(3600)
         try:
@@ -124,11 +129,14 @@
             at_s=now_s(),
         )
         self.log.arrivals.append(run)
-        if self.faults.full:
+        if self.faults.full or self.faults.refuse_next:
+            self.faults.refuse_next = max(0, self.faults.refuse_next - 1)
             headers = [("Not-Run", "1"), ("Request-Id", request_id)]
             if self.faults.pause_s:
                 headers.append(("Retry-After", str(self.faults.pause_s)))
             self._respond(exchange, 503, b"", *headers)
+            if self._draw_fault(self.faults.repeated_refusals):
+                self._late_copies[transport_of(exchange)] = _encode_refusal(headers)
             return None
         return run
 
@@ -152,3 +160,13 @@
     def _draw_fault(self, share: float) -> bool:
         """Return True with probability `share`."""
         return share > 0 and self.random.random() < share
+
+
+def transport_of(exchange: Exchange) -> Any:
+    """Return the transport of an exchange, to write what its framing would refuse."""
+    return cast(Any, exchange)._output._transport
+
+
+def _encode_refusal(headers: Sequence[tuple[str, str]]) -> bytes:
+    fields = [f"{name}: {value}" for name, value in headers]
+    return "\r\n".join(["HTTP/1.1 503 X", *fields, "Content-Length: 0", "", ""]).encode()
--- a/lab/gateway/_servers.py
+++ b/lab/gateway/_servers.py
@@ -5,12 +5,12 @@
 import random
 import weakref
 from collections.abc import Callable, Sequence
-from typing import Any, cast
+from typing import Any
 
 from flamingoshelf.http1 import Exchange, Headers, ResponseHead
 from flamingoshelf.utils import now_s
 from lab.gateway._records import Run, RunLog
-from lab.gateway._server_base import ServerStandIn, id_numbers
+from lab.gateway._server_base import ServerStandIn, id_numbers, transport_of
 
 __all__ = ["EngineStandIn", "PlainStandIn", "prompt_parts"]
 
@@ -69,7 +69,7 @@
 
     def _write_stray_refusal(self, exchange: Exchange) -> None:
         """Write an earlier refusal once more, if the connection carried a request before."""
-        transport = cast(Any, exchange)._output._transport
+        transport = transport_of(exchange)
         is_used = transport in self._used_transports
         self._used_transports.add(transport)
         if is_used and self._draw_fault(self.faults.stray_refusals):
@@ -88,8 +88,7 @@
             f"Content-Length: {len(content)}",
             *(f"{n}: {v}" for n, v in headers),
         ]
-        output = cast(Any, exchange)._output  # below the framing, which would refuse it
-        output._transport.write("\r\n".join([*lines, "", ""]).encode() + content)
+        transport_of(exchange).write("\r\n".join([*lines, "", ""]).encode() + content)
 
 
 class EngineStandIn(ServerStandIn):
