Bytes that take long to parse are parsed in several turns of the event loop

Cause: bytes were bounded, work was not. A connection read up to 256 KiB at once and parsed all of it in one turn of the event loop: 43,690 chunks, some 10 us each on this machine, and then as many small parts to pass on. The same held for the chunks of callers' requests, each byte of which was kept as an object of its own.

What is left waits for its turn in a queue that all connections share (`Pacer`), reading pauses meanwhile, and the event loop handles what is ready before each turn. So the work of one turn doesn't depend on what peers send, nor on how many do. Small parts of a body are joined.

The test of whole nodes fails before (calls without an answer for 2.5 s).

--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -48,7 +48,7 @@
 from flamingoshelf.store import KindStore, StoreEras
 from flamingoshelf.stream_origins import OriginService
 from flamingoshelf.telemetry import Metrics
-from flamingoshelf.utils import TaskGroup, boot_time_s, new_incarnation
+from flamingoshelf.utils import Pacer, TaskGroup, boot_time_s, new_incarnation
 
 __all__ = ["GatewayNode"]
 
@@ -97,6 +97,7 @@
         self._dropped_log_lines = dropped_log_lines
         self._reported_log_drops = 0
         self._random = random.Random()
+        self._pacer = Pacer()
         self._metrics = Metrics(node_name=settings.node_name)
         self._configuration = ActiveConfiguration()
         self._eras = eras
@@ -137,6 +138,7 @@
             directory=self._directory,
             notices=self._notices,
             limits=self._server_limits,
+            pacer=self._pacer,
             random_source=self._random,
         )
         self._budgets = RetryBudgets(
@@ -272,6 +274,7 @@
                 answer_by_s=lambda: self._answer_by_s,
             ).handle,
             limits=lambda: self._configuration.limits,
+            pacer=self._pacer,
         )
         self._status_server = StatusServer(
             readiness_address=settings.readiness_address,
--- a/flamingoshelf/gateway/_server_access.py
+++ b/flamingoshelf/gateway/_server_access.py
@@ -17,6 +17,7 @@
 from flamingoshelf.paths import PathService, PathTable
 from flamingoshelf.routing import BackendInstance, InstanceDirectory, ServerNotices
 from flamingoshelf.server_limits import LimitService
+from flamingoshelf.utils import Pacer
 
 __all__ = ["ServerAccess"]
 
@@ -45,6 +46,8 @@
         Servers that leave, and pauses that they ask for.
     limits : LimitService
         Limits that servers state, and permits for requests to them.
+    pacer : Pacer
+        Shares the event loop among all connections whose bytes take long to parse.
     random_source : random.Random
         Source of the random choice among equally busy nodes.
     """
@@ -59,6 +62,7 @@
         directory: InstanceDirectory,
         notices: ServerNotices,
         limits: LimitService,
+        pacer: Pacer,
         random_source: random.Random,
     ) -> None:
         self._max_connections = max_connections
@@ -68,7 +72,7 @@
         self._directory = directory
         self._notices = notices
         self._limits = limits
-        self._pool = ConnectionPool(max_connections=max_connections)
+        self._pool = ConnectionPool(max_connections=max_connections, pacer=pacer)
         self._table = PathTable()
         self._paths = PathService(
             table=self._table,
--- a/flamingoshelf/gateway/tests/test_server_access.py
+++ b/flamingoshelf/gateway/tests/test_server_access.py
@@ -18,6 +18,7 @@
 from flamingoshelf.gateway.tests.test_proxied_calls import Pair, Served, chunked
 from flamingoshelf.routing import InstanceDirectory, ServerNotices
 from flamingoshelf.server_limits import LimitService
+from flamingoshelf.utils import Pacer
 
 MAX_CONNECTIONS = 4
 
@@ -44,6 +45,7 @@
             directory=InstanceDirectory(silent_entry_s=10.0, notices=notices),
             notices=notices,
             limits=LimitService(node_name="b", incarnation="1", members=MemberList()),
+            pacer=Pacer(),
             random_source=random.Random(1),
         )
         runs = EngineRuns(report=self._report, may_ask=may_ask)
--- a/flamingoshelf/http1/_client.py
+++ b/flamingoshelf/http1/_client.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-from collections import deque
 from typing import cast
 
 import h11
@@ -10,11 +9,18 @@
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
 from flamingoshelf.http1._heads import Headers, RequestHead, ResponseHead
 from flamingoshelf.http1._linger import has_unread_bytes
-from flamingoshelf.utils import now_s
+from flamingoshelf.http1._reading import (
+    MAX_EVENTS_PER_TURN,
+    BoundedReader,
+    append_part,
+    check_incomplete,
+)
+from flamingoshelf.utils import Pacer, now_s
 
 __all__ = ["BackendConnection"]
 
 _MAX_HEAD_BYTES = 64 * 1024  # twice the largest limit that is common among servers
+_MAX_FRAMING_BYTES = 8 * 1024  # the head of a chunk or the trailers, which nobody reads
 _MAX_INFORMATIONAL = 16  # servers send one or two
 _MAX_BUFFERED_BYTES = 256 * 1024  # reading pauses above it if the server outpaces the caller
 _MAX_CARRIED_IDS = 1000  # per connection, which is closed then; some 100 KB
@@ -25,7 +31,7 @@
 _TCP_USER_TIMEOUT_MS = 2500  # about the time that all probes take together
 
 
-class BackendConnection(asyncio.Protocol):
+class BackendConnection(BoundedReader):
     """Connection to a backend server that carries one request at a time.
 
     A connection is reusable only after its response is complete and its request is written
@@ -36,17 +42,22 @@
     ----------
     address : str
         ``ip:port`` of the server.
+    pacer : Pacer, optional
+        Shares the event loop among all connections whose bytes take long to parse.
     """
 
-    def __init__(self, *, address: str) -> None:
+    def __init__(self, *, address: str, pacer: Pacer | None = None) -> None:
         self._address = address
+        self._pacer = pacer or Pacer()
         self._transport: asyncio.Transport | None = None
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
         self._request: h11.Request | None = None
-        self._body: deque[bytes] = deque()
+        self._body: list[bytes] = []
         self._buffered_bytes = 0
         self._head: ResponseHead | None = None
         self._is_complete = False
+        self._is_parse_queued = False  # whether received bytes wait for a turn to be parsed
+        self._has_eof = False
         self._informational = 0  # interim responses before the head
         self._failure: str | None = None
         self._is_busy = False
@@ -59,7 +70,9 @@
         self._carried_ids: set[str] = set()
 
     @classmethod
-    async def open(cls, address: str, *, timeout_s: float) -> "BackendConnection":
+    async def open(
+        cls, address: str, *, timeout_s: float, pacer: Pacer | None = None
+    ) -> "BackendConnection":
         """Connect to `address`.
 
         Raises
@@ -72,7 +85,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, protocol = await loop.create_connection(
-                    lambda: cls(address=address), host, int(port)
+                    lambda: cls(address=address, pacer=pacer), host, int(port)
                 )
         except (OSError, TimeoutError) as error:
             raise PeerUnreachableError(repr(error), step="connect", peer=address) from error
@@ -161,9 +174,9 @@
             if self._is_complete:
                 return b""
             await self._wait_for_data(step="body")
-        chunk = self._body.popleft()
+        chunk = self._body.pop(0)
         self._buffered_bytes -= len(chunk)
-        self._resume_reading_if_drained()
+        self._update_reading()
         return chunk
 
     async def skip_response(self) -> None:
@@ -231,21 +244,13 @@
             return
         if self._is_complete:
             self._has_surplus = True
-        try:
-            self._parser.receive_data(data)
-            self._parse()
-        except h11.RemoteProtocolError as error:
-            self._fail(f"not HTTP: {error}")
+        self._receive(data)
 
     def eof_received(self) -> bool:
         """Treat the end of the connection as the end of a response without a length."""
+        self._has_eof = True
         if self._is_busy and not self._is_complete and self._failure is None:
-            try:
-                self._parser.receive_data(b"")
-                self._parse()
-            except h11.RemoteProtocolError:
-                missing = "its answer" if self._head is None else "the end of its answer"
-                self._fail(f"the server closed the connection before {missing}")
+            self._receive(b"")
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -269,27 +274,64 @@
         parts.append(self._parser.send(h11.EndOfMessage()))
         return b"".join(part for part in parts if part)
 
+    def _receive(self, data: bytes) -> None:
+        try:
+            self._parser.receive_data(data)
+        except h11.RemoteProtocolError as error:  # bytes after the end of the stream
+            self._fail(f"not HTTP: {error}")
+            return
+        if not self._is_parse_queued:
+            self._parse()
+
     def _parse(self) -> None:
-        while True:
+        """Parse received bytes; what takes longer than a turn goes on later."""
+        try:
+            has_more = self._take_events()
+        except h11.RemoteProtocolError as error:
+            missing = "its answer" if self._head is None else "the end of its answer"
+            self._fail(
+                f"the server closed the connection before {missing}"
+                if self._has_eof
+                else f"not HTTP: {error}"
+            )
+            return
+        if has_more and self._failure is None:
+            self._is_parse_queued = True
+            self._pacer.schedule(self._parse_queued)
+        self._update_reading()
+        self._wakeup.set()
+
+    def _parse_queued(self) -> None:
+        self._is_parse_queued = False
+        if self._failure is None and self._is_busy:
+            self._parse()
+
+    def _take_events(self) -> bool:
+        """Take a number of events from the parser; return whether there may be more."""
+        for _ in range(MAX_EVENTS_PER_TURN):
             event = self._parser.next_event()
             match event:
                 case h11.InformationalResponse():
                     self._informational += 1
                     if self._informational > _MAX_INFORMATIONAL:
                         self._fail("too many interim responses")
-                        return
-                    continue
+                        return False
                 case h11.Response():
                     self._on_response_head(event)
                 case h11.Data():
-                    self._body.append(bytes(event.data))
+                    append_part(self._body, bytes(event.data))
                     self._buffered_bytes += len(event.data)
                 case h11.EndOfMessage():
                     self._is_complete = True
-                case _:  # NEED_DATA, PAUSED or ConnectionClosed
-                    break
-        self._pause_reading_if_full()
-        self._wakeup.set()
+                    self._parser.next_event()  # the end of the connection, or more than is due
+                    return False
+                case h11.NEED_DATA:
+                    max_bytes = _MAX_HEAD_BYTES if self._head is None else _MAX_FRAMING_BYTES
+                    check_incomplete(self._parser, max_bytes=max_bytes)
+                    return False
+                case _:  # PAUSED or ConnectionClosed
+                    return False
+        return True
 
     def _on_response_head(self, event: h11.Response) -> None:
         raw = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in event.headers.raw_items()]
@@ -315,12 +357,13 @@
         self._wakeup.clear()
         await self._wakeup.wait()
 
-    def _pause_reading_if_full(self) -> None:
-        if self._buffered_bytes > _MAX_BUFFERED_BYTES and self._transport is not None:
+    def _update_reading(self) -> None:
+        """Read only what can be parsed soon, and no more than the caller takes."""
+        if self._transport is None:
+            return
+        if self._is_parse_queued or self._buffered_bytes > _MAX_BUFFERED_BYTES:
             self._transport.pause_reading()
-
-    def _resume_reading_if_drained(self) -> None:
-        if self._buffered_bytes <= _MAX_BUFFERED_BYTES and self._transport is not None:
+        else:
             self._transport.resume_reading()
 
 
--- a/flamingoshelf/http1/_exchange.py
+++ b/flamingoshelf/http1/_exchange.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from flamingoshelf.http1._heads import Headers, RequestHead, ResponseHead
+from flamingoshelf.http1._reading import append_part
 
 __all__ = ["BodyTooLargeError", "Exchange", "ExchangeOutput"]
 
@@ -151,7 +152,7 @@
         """Add received bytes to the request's body; bytes beyond the limit are dropped."""
         self._body_size += len(data)
         if self._body_limit is None or self._body_size <= self._body_limit:
-            self._body.append(data)
+            append_part(self._body, data)
         self._body_changed.set()
 
     def feed_end(self) -> None:
--- a/flamingoshelf/http1/_pool.py
+++ b/flamingoshelf/http1/_pool.py
@@ -10,7 +10,7 @@
 from flamingoshelf.exceptions import PeerUnreachableError
 from flamingoshelf.http1._client import BackendConnection
 from flamingoshelf.http1._heads import RequestHead
-from flamingoshelf.utils import TaskGroup
+from flamingoshelf.utils import Pacer, TaskGroup
 
 __all__ = ["ConnectionPool", "NoFreeConnectionError", "PooledCall"]
 
@@ -58,6 +58,8 @@
     ----------
     max_connections : callable
         ``max_connections(key)`` returns how many connections to a server this node may hold.
+    pacer : Pacer, optional
+        Shares the event loop among all connections whose bytes take long to parse.
 
     Notes
     -----
@@ -65,8 +67,11 @@
     reassigned to another server.
     """
 
-    def __init__(self, *, max_connections: Callable[[str], int]) -> None:
+    def __init__(
+        self, *, max_connections: Callable[[str], int], pacer: Pacer | None = None
+    ) -> None:
         self._max_connections = max_connections
+        self._pacer = pacer or Pacer()
         self._idle: dict[str, list[BackendConnection]] = {}
         self._in_use: dict[str, int] = {}
         self._opened = 0
@@ -133,7 +138,9 @@
         try:
             connection = None if fresh else self._pop_idle(key, request_id)
             if connection is None:
-                connection = await BackendConnection.open(address, timeout_s=_CONNECT_TIMEOUT_S)
+                connection = await BackendConnection.open(
+                    address, timeout_s=_CONNECT_TIMEOUT_S, pacer=self._pacer
+                )
                 self._opened += 1
             connection.send(head, body, request_id=request_id)
         except BaseException:
--- a/flamingoshelf/http1/_server.py
+++ b/flamingoshelf/http1/_server.py
@@ -8,6 +8,7 @@
 from flamingoshelf.http1._connection_log import CloseReason
 from flamingoshelf.http1._exchange import Exchange
 from flamingoshelf.http1._server_connection import ServerConnection
+from flamingoshelf.utils import Pacer
 
 __all__ = ["ConnectionLimits", "HttpServer"]
 
@@ -46,6 +47,8 @@
         ``await handle(exchange)`` answers a request. It is cancelled when the caller disconnects.
     limits : callable
         Returns the limits in force.
+    pacer : Pacer, optional
+        Shares the event loop among all connections whose bytes take long to parse.
     """
 
     def __init__(
@@ -54,7 +57,9 @@
         address: str,
         handle: Callable[[Exchange], Awaitable[None]],
         limits: Callable[[], ConnectionLimits] = ConnectionLimits,
+        pacer: Pacer | None = None,
     ) -> None:
+        self._pacer = pacer or Pacer()
         self._address = address
         self._handle = handle
         self._limits = limits
@@ -120,7 +125,10 @@
 
     def _new_connection(self) -> ServerConnection:
         connection = ServerConnection(
-            handle=self._handle, limits=self._limits, on_lost=self._connections.discard
+            handle=self._handle,
+            limits=self._limits,
+            on_lost=self._connections.discard,
+            pacer=self._pacer,
         )
         self._connections.add(connection)
         if self._is_draining:
--- a/flamingoshelf/http1/_server_connection.py
+++ b/flamingoshelf/http1/_server_connection.py
@@ -21,7 +21,8 @@
 from flamingoshelf.http1._heads import ResponseHead
 from flamingoshelf.http1._limit_timer import LimitTimer
 from flamingoshelf.http1._linger import Linger, has_unread_bytes, unsent_bytes
-from flamingoshelf.utils import now_s
+from flamingoshelf.http1._reading import MAX_EVENTS_PER_TURN, BoundedReader, check_incomplete
+from flamingoshelf.utils import Pacer, now_s
 
 if TYPE_CHECKING:
     from flamingoshelf.http1._server import ConnectionLimits
@@ -36,7 +37,7 @@
 _MAX_PIPELINED_BYTES = 64 * 1024  # behind a request that is being answered
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(BoundedReader):
     """Connection of a caller; reads requests and has them answered one at a time.
 
     If the caller closes its side of the connection, its request is cancelled.
@@ -49,6 +50,8 @@
         Returns the limits in force.
     on_lost : callable
         ``on_lost(connection)`` is called when the connection has ended.
+    pacer : Pacer
+        Shares the event loop among all connections whose bytes take long to parse.
     """
 
     def __init__(
@@ -57,7 +60,9 @@
         handle: Callable[[Exchange], Awaitable[None]],
         limits: "Callable[[], ConnectionLimits]",
         on_lost: "Callable[[ServerConnection], None]",
+        pacer: Pacer,
     ) -> None:
+        self._pacer = pacer
         self._handle = handle
         self._limits = limits
         self._on_lost = on_lost
@@ -66,6 +71,7 @@
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
         self._task: asyncio.Task[None] | None = None
+        self._is_parse_queued = False  # whether received bytes wait for a turn to be parsed
         self._timer = LimitTimer()
         self._announced_idle_s = 0.0  # what the caller was told last
         self._can_write = asyncio.Event()
@@ -80,6 +86,7 @@
         self._close_reason: CloseReason | None = None
         self._last_request_id: str | None = None
         self._discarded_bytes = 0
+        self._ignores_input = False  # once a refused body has grown too large
         self._unread_bytes = 0  # discarded because the connection is closing
 
     @property
@@ -138,8 +145,6 @@
             self._timer.start(self._header_limit_s, self._on_header_timeout)
         self._parser.receive_data(data)
         self._parse()
-        if not self._may_parse and len(self._parser.trailing_data[0]) > _MAX_PIPELINED_BYTES:
-            cast(asyncio.Transport, self._transport).pause_reading()
 
     def eof_received(self) -> bool:
         """Close the connection when the caller closes its side."""
@@ -247,15 +252,30 @@
         return state is not h11.IDLE or self._can_write.is_set()
 
     def _parse(self) -> None:
-        while self._may_parse:
-            try:
-                event = self._parser.next_event()
-                if event is h11.NEED_DATA:
-                    self._check_incomplete_size()
-                    cast(asyncio.Transport, self._transport).resume_reading()
-            except h11.RemoteProtocolError as error:
-                self._reject_input(error)
-                return
+        """Parse received bytes; what takes longer than a turn goes on later."""
+        if self._is_parse_queued:
+            return
+        try:
+            has_more = self._take_events()
+        except h11.RemoteProtocolError as error:
+            self._reject_input(error)
+            return
+        if has_more:
+            self._is_parse_queued = True
+            self._pacer.schedule(self._parse_queued)
+        self._update_reading()
+
+    def _parse_queued(self) -> None:
+        self._is_parse_queued = False
+        if self._transport is not None and not self._transport.is_closing():
+            self._parse()
+
+    def _take_events(self) -> bool:
+        """Take a number of events from the parser; return whether there may be more."""
+        for _ in range(MAX_EVENTS_PER_TURN):
+            if not self._may_parse:
+                return False
+            event = self._parser.next_event()
             match event:
                 case h11.Request():
                     self._begin_request(event)
@@ -263,13 +283,21 @@
                     self._on_body_data(bytes(event.data))
                 case h11.EndOfMessage():
                     self._on_message_end()
-                case _:
-                    return
-
-    def _check_incomplete_size(self) -> None:
-        """Raise `h11.RemoteProtocolError` if a head is too large before it is complete."""
-        if len(self._parser.trailing_data[0]) > self._limits().max_header_bytes:
-            raise h11.RemoteProtocolError("head too large", error_status_hint=431)
+                case h11.NEED_DATA:
+                    check_incomplete(self._parser, max_bytes=self._limits().max_header_bytes)
+                    return False
+                case _:  # PAUSED or ConnectionClosed
+                    return False
+        return self._may_parse
+
+    def _update_reading(self) -> None:
+        """Read only what can be parsed soon, and the end of the connection."""
+        transport = cast(asyncio.Transport, self._transport)
+        is_full = len(self._parser.trailing_data[0]) > _MAX_PIPELINED_BYTES
+        if self._is_parse_queued or self._ignores_input or (is_full and not self._may_parse):
+            transport.pause_reading()
+        else:
+            transport.resume_reading()
 
     def _begin_request(self, event: h11.Request) -> None:
         self._timer.cancel()
@@ -389,6 +417,7 @@
         self._discarded_bytes += size
         if self._discarded_bytes > max(_MIN_DISCARDED_BYTES, self._limits().max_body_bytes):
             self._close(CloseReason.REFUSED_BODY)
+            self._ignores_input = True
             if self._transport is not None:
                 self._transport.pause_reading()
 
--- a/flamingoshelf/http1/tests/conftest.py
+++ b/flamingoshelf/http1/tests/conftest.py
@@ -6,6 +6,7 @@
 
 from flamingoshelf.http1 import ConnectionLimits, ResponseHead
 from flamingoshelf.http1._server_connection import ServerConnection
+from flamingoshelf.utils import Pacer
 
 
 class FakeTransport(asyncio.Transport):
@@ -73,6 +74,7 @@
             handle=lambda exchange: self.handle(exchange),
             limits=lambda: self.limits,
             on_lost=self.lost_connections.append,
+            pacer=Pacer(),
         )
         self.transport = FakeTransport(self.connection)
 
--- a/lab/gateway/_records.py
+++ b/lab/gateway/_records.py
@@ -71,6 +71,10 @@
         Number of requests that are refused next as if the server were full.
     repeated_refusals : float
         Fraction of refusals that are sent once more, in front of the next answer on the connection.
+    endless_next : int
+        Number of answers that don't end from now on.
+    endless_chunk : bytes
+        Chunk of the body of such an answer, which is repeated until the caller closes.
     pause_s : float
         Seconds for which a server that is full wants no more requests, 0 if it doesn't say.
     """
@@ -85,6 +89,8 @@
     stray_refusals: float = 0.0
     refuse_next: int = 0
     repeated_refusals: float = 0.0
+    endless_next: int = 0
+    endless_chunk: bytes = b"x"
     pause_s: float = 0.0
 
 
--- a/lab/gateway/_server_base.py
+++ b/lab/gateway/_server_base.py
@@ -14,6 +14,9 @@
 __all__ = ["ServerStandIn", "id_numbers", "transport_of"]
 
 _MAX_BODY_BYTES = 8 * 1024 * 1024
+_ENDLESS_PIECE_BYTES = 16 * 1024
+_MAX_ENDLESS_UNSENT_BYTES = 256 * 1024
+_ENDLESS_INTERVAL_S = 0.001
 id_numbers = itertools.count(1)  # of servers and of handles
 
 
@@ -150,6 +153,27 @@
         head = ResponseHead(status=status, headers=Headers([*items, *self._notices()]))
         exchange.respond(head, body)
 
+    async def _send_endless(self, exchange: Exchange, *items: tuple[str, str]) -> None:
+        """Send an answer in chunks until the caller closes the connection."""
+        transport = transport_of(exchange)
+        fields = [f"{name}: {value}" for name, value in items]
+        head = ["HTTP/1.1 200 OK", *fields, "Transfer-Encoding: chunked", "", ""]
+        transport.write("\r\n".join(head).encode())
+        chunk = self.faults.endless_chunk
+        framed = b"%x\r\n%s\r\n" % (len(chunk), chunk)
+        piece = framed * (1 + _ENDLESS_PIECE_BYTES // len(framed))
+        while not transport.is_closing():
+            if transport.get_write_buffer_size() < _MAX_ENDLESS_UNSENT_BYTES:
+                transport.write(piece)
+            await asyncio.sleep(_ENDLESS_INTERVAL_S)
+
+    def _draws_endless(self) -> bool:
+        """Return whether the next answer doesn't end."""
+        if self.faults.endless_next <= 0:
+            return False
+        self.faults.endless_next -= 1
+        return True
+
     def _notices(self) -> list[tuple[str, str]]:
         """Return the headers that state something about the server in all its answers."""
         notices = [("Server-Leaving", "1")] if self.is_leaving else []
--- a/lab/gateway/_servers.py
+++ b/lab/gateway/_servers.py
@@ -55,6 +55,10 @@
         status = 500 if self._draw_fault(self.faults.errors) else 200
         content = f"{run.server} {run.request_id} ".encode() + body
         headers = (("Request-Id", run.request_id), ("Server-Seal", f"seal-{run.server}"))
+        if self._draws_endless():
+            run.ended = "endless"
+            await self._send_endless(exchange, *headers)
+            return
         if self._draw_fault(self.faults.cut):
             head = ResponseHead(
                 status=200, headers=Headers([*headers, ("Content-Length", str(len(content)))])
@@ -285,6 +289,10 @@
             ("Server-Seal", f"seal-{run.server}"),
             *self._notices(),
         ]
+        if self._draws_endless():
+            run.ended = "endless"
+            await self._send_endless(exchange, *headers)
+            return
         exchange.start_response(ResponseHead(status=200, headers=Headers(headers)))
         if self.crashing_part and self.crashing_part in prompt_parts(run.headers):
             run.ended = "crashed"
--- /dev/null
+++ b/lab/tests/test_endless_answers.py
@@ -0,0 +1,66 @@
+"""Whole nodes, one of whose servers sends an answer without end."""
+
+import asyncio
+
+import pytest
+
+from flamingoshelf.utils import now_s
+from lab.gateway._records import ServerFaults
+from lab.gateway._site import BOOKINGS, STOCK
+
+pytestmark = [pytest.mark.processes, pytest.mark.timeout(60)]
+
+TIMEOUT_S, DEADLINE_MS = 0.8, 1500
+SLACK_S = 0.5  # after a route's time limit, by which callers have an answer
+GOAL_S = 0.2
+INTERVAL_S = 0.02
+CALLS = 250
+ENDLESS = 4
+MIN_SERVED = 0.9
+
+
+def with_short_timeouts(routes):
+    plain = [route for route in routes if route["kind"] != "streaming"]
+    for route in plain:
+        route["timeoutMs"] = int(1000 * TIMEOUT_S)
+    return routes
+
+
+async def send_calls(site):
+    """Return for each call the server that ran it, its status and the seconds until its answer."""
+
+    async def send(number):
+        method, path = (("POST", BOOKINGS), ("GET", STOCK))[number % 2]
+        sent_s = now_s()
+        answer = await site.caller.call(
+            site.node_addresses[0], f"{path}{number}", method=method, deadline_ms=DEADLINE_MS
+        )
+        runs = site.log.runs_of(answer.request_id)
+        is_sound = all(run.ended == "whole" for run in runs)
+        return is_sound, answer.status, (answer.head_s or now_s()) - sent_s
+
+    calls = []
+    for number in range(CALLS):
+        calls.append(asyncio.ensure_future(send(number)))
+        await asyncio.sleep(INTERVAL_S)
+    return await asyncio.gather(*calls)
+
+
+def check_calls(calls):
+    assert not [seconds for _, _, seconds in calls if seconds > TIMEOUT_S + SLACK_S]
+    sound = [(status, seconds) for is_sound, status, seconds in calls if is_sound]
+    in_time = [seconds for status, seconds in sound if status == 200 and seconds <= GOAL_S]
+    assert len(in_time) >= MIN_SERVED * len(sound), sorted(s for _, s in sound)[-20:]
+
+
+# While one server sent a body without end in chunks of one byte, its node answered nobody for more
+# than a second: neither calls to sound servers nor those whose time was over.
+async def test_small_chunks_without_end_hold_up_no_other_call(new_site):
+    site = await new_site(node_count=1, plain_count=3)
+    site.configure(routes=with_short_timeouts(site.configuration()["routes"]))
+    await asyncio.sleep(0.5)
+    calls = asyncio.ensure_future(send_calls(site))
+    for _ in range(ENDLESS):
+        await asyncio.sleep(CALLS * INTERVAL_S / (ENDLESS + 1))
+        site.plain[0].faults = ServerFaults(endless_next=1)
+    check_calls(await calls)
