Own interface: many small parts of an answer are read in several turns

A line without end was kept whole, and copied with each chunk.

Now the readers of engines' streams and of plain replies wait for their turn after each 32 parts, and a line of more than 256 KiB is an error. The tests fail before (no turn is waited for, and no error comes).

Not covered: `aiosonic` reads a chunk as a whole, however large its server says that it is.

--- a/flamingoshelf/backends/_engine.py
+++ b/flamingoshelf/backends/_engine.py
@@ -6,8 +6,9 @@
 """
 
 import asyncio
+import itertools
 import json
-from collections.abc import AsyncGenerator, AsyncIterator, Mapping, Sequence
+from collections.abc import AsyncGenerator, AsyncIterator, Iterator, Mapping, Sequence
 from typing import Any, Protocol
 
 import aiosonic
@@ -18,6 +19,7 @@
 
 from flamingoshelf.exceptions import EngineError, ProtocolError
 from flamingoshelf.http_client import new_http_client
+from flamingoshelf.utils import Pacer
 
 __all__ = [
     "DecodeEnd",
@@ -32,6 +34,8 @@
 _CONNECT_TIMEOUT_S = 1.0
 _CANCEL_TIMEOUT_S = 2.0
 _LOAD_TIMEOUT_S = 2.0
+_MAX_LINE_BYTES = 256 * 1024  # an event carries one token
+_MAX_PARTS_PER_TURN = 32  # chunks or events, each of which takes some 10 us
 _CONNECTION_ERRORS = (AiosonicError, OSError, asyncio.IncompleteReadError, ValueError)
 
 
@@ -185,6 +189,7 @@
     def __init__(self) -> None:
         self._client = new_http_client()
         self._converter = cattrs.Converter()
+        self._pacer = Pacer()
 
     async def prefill(self, address: str, task: PrefillTask, *, timeout_s: float) -> PrefillResult:
         """Process a prompt and keep its KV cache for a short time."""
@@ -227,7 +232,7 @@
             )
             if response.status_code != 200:
                 raise _status_error(response.status_code, step="decode", address=address)
-            async for event in _events(response, stall_timeout_s):
+            async for event in _events(response, stall_timeout_s, self._pacer):
                 yield _parse_event(event, request_id=request_id, address=address)
         except (BaseTimeout, TimeoutError) as error:
             raise EngineError("stream stalled", step="decode", peer=address) from error
@@ -293,7 +298,7 @@
 
 
 async def _events(
-    response: aiosonic.HttpResponse, stall_timeout_s: float
+    response: aiosonic.HttpResponse, stall_timeout_s: float, pacer: Pacer
 ) -> AsyncIterator[Mapping[str, Any]]:
     """Yield the JSON document of every server-sent event.
 
@@ -301,18 +306,34 @@
     ------
     TimeoutError
         No data arrived for `stall_timeout_s` seconds.
+    ProtocolError
+        A line has no end.
     """
-    pending = b""
+    pending = bytearray()
+    parts = itertools.count(1)
     chunks = response.read_chunks()
     while True:
         async with asyncio.timeout(stall_timeout_s):
             chunk = await anext(chunks, None)
         if chunk is None:
             return
-        *lines, pending = (pending + chunk).split(b"\n")
+        await _pause_after_many(pacer, parts)
+        pending += chunk
+        if b"\n" not in chunk:
+            if len(pending) > _MAX_LINE_BYTES:
+                raise ProtocolError("an event has no end", step="decode")
+            continue
+        *lines, pending = pending.split(b"\n")
         for line in lines:
             if line.startswith(b"data: "):
                 yield json.loads(line[6:])
+                await _pause_after_many(pacer, parts)
+
+
+async def _pause_after_many(pacer: Pacer, parts: Iterator[int]) -> None:
+    """Let other work run after a number of parts; those that have arrived are read at once."""
+    if next(parts) % _MAX_PARTS_PER_TURN == 0:
+        await pacer.turn()
 
 
 def _parse_event(
--- a/flamingoshelf/backends/_plain.py
+++ b/flamingoshelf/backends/_plain.py
@@ -13,6 +13,7 @@
 from aiosonic.timeout import Timeouts
 
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
+from flamingoshelf.utils import Pacer
 
 __all__ = ["PlainCall", "PlainReply", "PlainServiceClient"]
 
@@ -20,6 +21,7 @@
 _POOL_TIMEOUT_S = 1.0
 _MAX_CONNECTIONS = 1024
 _MAX_REPLY_BYTES = 8 * 1024 * 1024
+_MAX_CHUNKS_PER_TURN = 32  # each takes some 10 us
 _BODILESS_STATUSES = frozenset({204, 304})
 _CALL_ERRORS = (AiosonicError, OSError, asyncio.IncompleteReadError, ValueError, TimeoutError)
 
@@ -88,6 +90,7 @@
 
     def __init__(self, *, max_reply_bytes: int = _MAX_REPLY_BYTES) -> None:
         self._max_reply_bytes = max_reply_bytes
+        self._pacer = Pacer()
         connector = TCPConnector(
             pool_configs={":default": PoolConfig(size=_MAX_CONNECTIONS)},
             timeouts=Timeouts(pool_acquire=_POOL_TIMEOUT_S),
@@ -148,11 +151,13 @@
             raise ValueError("reply has neither Content-Length nor chunked encoding")
         if not response.chunked and int(length) == 0:
             return b""
-        chunks: list[bytes] = []
-        size = 0
+        body = bytearray()
+        number = 0
         async for chunk in response.read_chunks():
-            size += len(chunk)
-            if size > self._max_reply_bytes:
+            body += chunk
+            if len(body) > self._max_reply_bytes:
                 raise ValueError(f"reply exceeds {self._max_reply_bytes} bytes")
-            chunks.append(chunk)
-        return b"".join(chunks)
+            number += 1
+            if number % _MAX_CHUNKS_PER_TURN == 0:  # those that have arrived are read at once
+                await self._pacer.turn()
+        return bytes(body)
--- a/flamingoshelf/backends/tests/test_engine.py
+++ b/flamingoshelf/backends/tests/test_engine.py
@@ -6,6 +6,7 @@
 
 from flamingoshelf.backends import DecodedToken, DecodeEnd, HttpEngineClient, PrefillTask
 from flamingoshelf.exceptions import EngineError, ProtocolError
+from flamingoshelf.utils import Pacer
 from lab.processes import AddressPool
 
 ID = "i.1.0"
@@ -127,3 +128,34 @@
     assert caught.value.peer == engine.address
     if crashed is not None:
         assert caught.value.crashed is crashed
+
+
+class CountingPacer(Pacer):
+    """Counts the turns that were waited for."""
+
+    def __init__(self):
+        super().__init__()
+        self.turns = 0
+
+    async def turn(self):
+        self.turns += 1
+        await super().turn()
+
+
+# Events and chunks that had arrived were read at once, and nothing else was done meanwhile.
+@pytest.mark.parametrize("is_chunked", [True, False], ids=["a chunk each", "one chunk"])
+async def test_many_events_are_read_in_several_turns(engine, is_chunked):
+    engine.client._pacer = pacer = CountingPacer()
+    tokens = [TOKEN.replace(b'"index": 0', b'"index": %d' % number) for number in range(320)]
+    parts = [*tokens, END] if is_chunked else [b"".join(tokens) + END]
+    head, end = b"HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n", b"0\r\n\r\n"
+    engine.script = head + b"".join(b"%x\r\n%s\r\n" % (len(p), p) for p in parts) + end
+    assert len(await decode(engine)) == 321
+    assert pacer.turns >= 10
+
+
+async def test_event_without_end_is_given_up(engine):
+    engine.script = stream(b"data: " + b"x" * 300_000, is_finished=False)
+    engine.stalls = True
+    with pytest.raises(ProtocolError, match="no end"):
+        await decode(engine)
--- a/flamingoshelf/backends/tests/test_plain.py
+++ b/flamingoshelf/backends/tests/test_plain.py
@@ -6,6 +6,7 @@
 
 from flamingoshelf.backends import PlainCall, PlainServiceClient
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
+from flamingoshelf.utils import Pacer
 
 REPLY = b"HTTP/1.1 201 Created\r\nContent-Length: 2\r\nConnection: keep-alive\r\n\r\nok"
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
@@ -137,3 +138,19 @@
         reply = await client.call(address, call_of("POST"), timeout_s=5)
         assert (reply.status, reply.body) == (201, b"ok")
     assert server.connections == 3
+
+
+# Chunks that had arrived were read at once, and nothing else was done meanwhile.
+async def test_small_chunks_are_read_in_several_turns(client, start_server):
+    turns = []
+
+    class CountingPacer(Pacer):
+        async def turn(self):
+            turns.append(1)
+            await super().turn()
+
+    client._pacer = CountingPacer()
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    _, address = await start_server("answer", head + b"1\r\nx\r\n" * 96 + b"0\r\n\r\n")
+    reply = await client.call(address, call_of("GET"), timeout_s=2.0)
+    assert reply.body == b"x" * 96 and len(turns) == 3
