Connections that are slow to open are bounded, and patient probes wait for them

Cause: a connection that was given up still takes its turn where connections are slow, and what nodes did about slow ones was to open more. Nodes that were cut off sent 16 probes a second each, gave each up after 0.3 s and sent the next; each call without an idle connection opened one; a sound node whose call was late probed as well, and asked others, which probed, too. From some tens of connections a second on the demand was above what was taken, no new connection was answered in time anywhere, probes that timed out counted like refused ones, and after 2 s nodes that reached every server believed that nobody did, and used their open connections no more. The probes kept the queue full after the end of the cut.

What changes: - A probe over a new connection waits on after it counts as silent (5 s, then 10 s, 20 s), a late answer restores the path, and no other one is opened for that server meanwhile. So the rate of probes follows what is taken. - While such a probe is silent, calls use open connections, or one that comes back within 0.1 s, or go through another node; the first answers allow one new connection at a time, then twice as many each. - What isn't reached is probed by one server each 0.25 s (up to 16 a second before, now 4 for up to eight servers), with backoff and jitter. - That nobody reaches a server is believed after 3.5 s rather than 2 s if connections aren't refused, and any answer over any connection begins the time anew. The pool keeps its state by server in one object now, as it needs more of it.

Ruled out: a lower timeout of probes, a fixed bound on connections (docs/design/paths.md); the case's own load: with its look-up at no cost and the queue outside the case's process, the same happens (the new test of whole nodes).

--- a/flamingoshelf/gateway/_backend_client.py
+++ b/flamingoshelf/gateway/_backend_client.py
@@ -15,7 +15,12 @@
 from flamingoshelf.gateway._proxied_calls import PeerPassedError, ProxiedCall, ProxiedCalls
 from flamingoshelf.gateway._proxy_messages import ProxyFailureKind
 from flamingoshelf.gateway._wire import BackendCall, KvHandle, WireFormat
-from flamingoshelf.http1 import BackendConnection, NoFreeConnectionError, RequestHead
+from flamingoshelf.http1 import (
+    BackendConnection,
+    NoFreeConnectionError,
+    RequestHead,
+    SlowConnectionError,
+)
 from flamingoshelf.paths import PathService, PathState, PathTable
 from flamingoshelf.routing import BackendInstance
 from flamingoshelf.server_limits import StatedLimits
@@ -229,6 +234,9 @@
                         on_sent=on_sent,
                     )
                 )
+            except SlowConnectionError:  # others may have open connections
+                if not await self._is_found_cut(instance):
+                    raise
             except (NotRunError, NoFreeConnectionError):
                 raise
             except PeerUnreachableError:  # nothing was sent
--- a/flamingoshelf/gateway/_direct_calls.py
+++ b/flamingoshelf/gateway/_direct_calls.py
@@ -1,6 +1,7 @@
 """Calls to backend servers over this node's own connections."""
 
 import asyncio
+import math
 from collections.abc import AsyncGenerator, Callable
 from contextlib import asynccontextmanager
 
@@ -128,7 +129,7 @@
                     response = await self._read_response(
                         request_id, instance, connection, sent_s=sent_s
                     )
-                self._paths.record_answer(instance.key, is_fresh=is_fresh)
+                self._paths.record_answer(instance.key, is_fresh=is_fresh, seconds=now_s() - sent_s)
                 yield response
             except OutcomeUnknownError:
                 if connection.is_closed and not is_probe:
@@ -147,7 +148,13 @@
     ) -> PooledCall:
         try:
             return await self._pool.call(
-                instance.key, instance.address, head, body, request_id=request_id, fresh=fresh
+                instance.key,
+                instance.address,
+                head,
+                body,
+                request_id=request_id,
+                fresh=fresh,
+                max_opening=math.inf if fresh else self._paths.max_opening(instance.key),
             )
         except NoFreeConnectionError:  # says nothing about the path
             raise
--- a/flamingoshelf/gateway/_server_access.py
+++ b/flamingoshelf/gateway/_server_access.py
@@ -76,15 +76,18 @@
         self._table = PathTable()
         self._paths = PathService(
             table=self._table,
-            probe=lambda instance, is_fresh: probe.run(instance, is_fresh),
+            probe=lambda instance, is_fresh: self._probe.run(instance, is_fresh),
             servers=self._listed_servers,
             has_open_connection=self._pool.has_idle,
             close_connections=self._pool.close_idle,
+            random_source=random_source,
         )
         self._direct = DirectCalls(
             pool=self._pool, wire=wire, notices=notices, limits=limits.stated, paths=self._paths
         )
-        probe = ServerProbe(direct=self._direct, encode=self._encode_probe, may_call=self.may_call)
+        self._probe = ServerProbe(
+            direct=self._direct, encode=self._encode_probe, may_call=self.may_call
+        )
         self._proxy: CallProxy | None = None
         self._proxied = ProxiedCalls(wire=wire, notices=notices, limits=limits.stated)
         self._client = BackendClient(
@@ -121,6 +124,7 @@
         """Cancel background calls and close all connections."""
         await self._client.stop()
         await self._paths.stop()
+        await self._probe.stop()
         await self._pool.stop()
 
     def connect(
@@ -163,6 +167,7 @@
         listed = self._directory.ids()
         self._pool.close_idle_except(listed)
         self._paths.retain(listed)
+        self._probe.retain(listed)
 
     def _has_room(self, key: str) -> bool:
         return self._pool.in_use(key) < _PEERS_SHARE * self._max_connections(key)
--- a/flamingoshelf/gateway/tests/fake_paths.py
+++ b/flamingoshelf/gateway/tests/fake_paths.py
@@ -45,6 +45,7 @@
         servers=tuple,
         has_open_connection=lambda key: False,
         close_connections=lambda key: None,
+        random_source=random.Random(1),
     )
     return BackendClient(
         direct=DirectCalls(pool=pool, wire=wire, notices=notices, limits=limits, paths=paths),
--- a/flamingoshelf/gateway/tests/test_proxied_calls.py
+++ b/flamingoshelf/gateway/tests/test_proxied_calls.py
@@ -100,6 +100,7 @@
             servers=tuple,
             has_open_connection=self.pool.has_idle,
             close_connections=self.pool.close_idle,
+            random_source=random.Random(1),
         )
         direct = DirectCalls(
             pool=self.pool,
--- a/flamingoshelf/gateway/tests/test_server_paths.py
+++ b/flamingoshelf/gateway/tests/test_server_paths.py
@@ -17,7 +17,13 @@
 from flamingoshelf.gateway.tests.conftest import server
 from flamingoshelf.gateway.tests.fake_paths import FakePaths
 from flamingoshelf.gateway.tests.fake_placer import FakePlacer
-from flamingoshelf.http1 import Headers, NoFreeConnectionError, RequestHead, ResponseHead
+from flamingoshelf.http1 import (
+    Headers,
+    NoFreeConnectionError,
+    RequestHead,
+    ResponseHead,
+    SlowConnectionError,
+)
 from flamingoshelf.paths import PathTable
 from flamingoshelf.placement import FailureKind, Turn
 from flamingoshelf.routing import EjectionRule, EngineRole, ServerSelector
@@ -229,6 +235,22 @@
     assert len(ways.sent) == tries
 
 
+# New connections were slow here, while other nodes had open ones.
+@pytest.mark.parametrize("verdict", [True, False])
+async def test_call_without_an_open_connection_goes_through_another_node(
+    send, ways, checks, verdict
+):
+    ways.errors[None] = SlowConnectionError("slow", step="connect")
+    checks.verdict = verdict
+    if verdict:
+        assert await send() == 200
+        assert ways.sent[-1][0] in ("b", "c")
+    else:
+        with pytest.raises(SlowConnectionError):
+            await send()
+    assert checks.asked == 1
+
+
 # Each call to a server that nobody reached waited for its timeouts.
 async def test_server_that_no_node_reaches_is_not_called(send, ways, table):
     table.record_failure(server("x"), since_s=now_s())
--- a/flamingoshelf/http1/__init__.py
+++ b/flamingoshelf/http1/__init__.py
@@ -8,7 +8,12 @@
 from flamingoshelf.http1._client import BackendConnection
 from flamingoshelf.http1._exchange import BodyTooLargeError, Exchange
 from flamingoshelf.http1._heads import Headers, RequestHead, ResponseHead
-from flamingoshelf.http1._pool import ConnectionPool, NoFreeConnectionError, PooledCall
+from flamingoshelf.http1._pool import (
+    ConnectionPool,
+    NoFreeConnectionError,
+    PooledCall,
+    SlowConnectionError,
+)
 from flamingoshelf.http1._server import ConnectionLimits, HttpServer
 
 __all__ = [
@@ -23,4 +28,5 @@
     "PooledCall",
     "RequestHead",
     "ResponseHead",
+    "SlowConnectionError",
 ]
--- a/flamingoshelf/http1/_client.py
+++ b/flamingoshelf/http1/_client.py
@@ -67,6 +67,7 @@
         self._idle_since_s = 0.0
         self._keep_alive_s: float | None = None
         self._calls = 0
+        self._has_answered = False
         self._carried_ids: set[str] = set()
 
     @classmethod
@@ -119,6 +120,11 @@
         """Number of requests that were sent."""
         return self._calls
 
+    @property
+    def has_answered(self) -> bool:
+        """Whether the head of any response has arrived."""
+        return self._has_answered
+
     @property
     def has_unread_bytes(self) -> bool:
         """Whether bytes, or the end of the stream, have arrived that were not read yet."""
@@ -335,6 +341,7 @@
 
     def _on_response_head(self, event: h11.Response) -> None:
         raw = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in event.headers.raw_items()]
+        self._has_answered = True
         self._head = ResponseHead(status=event.status_code, headers=Headers(raw))
         self._keep_alive_s = _keep_alive_s(self._head.headers)
 
--- a/flamingoshelf/http1/_pool.py
+++ b/flamingoshelf/http1/_pool.py
@@ -1,21 +1,25 @@
 """Pool of connections to backend servers."""
 
 import asyncio
+import math
+from collections import deque
 from collections.abc import Callable
 from types import TracebackType
 from typing import Self
 
+import attrs
 from loguru import logger
 
 from flamingoshelf.exceptions import PeerUnreachableError
 from flamingoshelf.http1._client import BackendConnection
 from flamingoshelf.http1._heads import RequestHead
-from flamingoshelf.utils import Pacer, TaskGroup
+from flamingoshelf.utils import Pacer, TaskGroup, now_s
 
-__all__ = ["ConnectionPool", "NoFreeConnectionError", "PooledCall"]
+__all__ = ["ConnectionPool", "NoFreeConnectionError", "PooledCall", "SlowConnectionError"]
 
 _CONNECT_TIMEOUT_S = 0.4  # connecting within a region takes a few milliseconds
 _SWEEP_INTERVAL_S = 1.0  # idle connections are closed at most this long after they expire
+_IDLE_WAIT_S = 0.1  # for an open connection; a plain call takes some 20 ms
 _MAX_IDLE_S = 30.0  # well below the minutes after which servers usually close idle connections
 _MAX_IDLE_CONNECTIONS_PER_SERVER = 16  # more than a node uses at one server at a time
 
@@ -24,6 +28,10 @@
     """This node holds as many connections to the server as it may; nothing was sent."""
 
 
+class SlowConnectionError(NoFreeConnectionError):
+    """New connections to the server are slow, and all open ones are in use; nothing was sent."""
+
+
 class PooledCall:
     """One request on a connection of a pool, for use with ``async with``.
 
@@ -51,6 +59,49 @@
         self._pool.return_connection(self._key, self.connection)
 
 
+@attrs.define(kw_only=True, eq=False)
+class _ServerConnections:
+    """Connections to one server.
+
+    Attributes
+    ----------
+    calls : int
+        Calls that run, or that wait for a connection.
+    connecting : int
+        Connections that are being established.
+    lent : list of BackendConnection
+        Connections that carry a call.
+    idle : list of BackendConnection
+        Connections that wait for a call; that used last is the last one.
+    waiting : deque of Future
+        Calls that wait for a connection that is lent, in the order in which they began to.
+    """
+
+    calls: int = 0
+    connecting: int = 0
+    lent: list[BackendConnection] = attrs.field(factory=list)
+    idle: list[BackendConnection] = attrs.field(factory=list)
+    waiting: deque[asyncio.Future[None]] = attrs.field(factory=deque)
+
+    @property
+    def opening(self) -> int:
+        """Number of connections that have not brought any answer yet."""
+        return self.connecting + sum(not connection.has_answered for connection in self.lent)
+
+    @property
+    def may_be_returned(self) -> bool:
+        """Whether a connection is lent that has brought answers before."""
+        return any(connection.has_answered for connection in self.lent)
+
+    def wake_next(self) -> None:
+        """Wake the call that has waited longest."""
+        while self.waiting:
+            returned = self.waiting.popleft()
+            if not returned.done():
+                returned.set_result(None)
+                return
+
+
 class ConnectionPool:
     """Connections to backend servers, kept between requests.
 
@@ -72,8 +123,7 @@
     ) -> None:
         self._max_connections = max_connections
         self._pacer = pacer or Pacer()
-        self._idle: dict[str, list[BackendConnection]] = {}
-        self._in_use: dict[str, int] = {}
+        self._servers: dict[str, _ServerConnections] = {}
         self._opened = 0
         self._tasks = TaskGroup(owner="pool")
 
@@ -89,16 +139,18 @@
     async def stop(self) -> None:
         """Close all idle connections."""
         await self._tasks.stop()
-        for key in list(self._idle):
+        for key in list(self._servers):
             self.close_idle(key)
 
     def in_use(self, key: str) -> int:
         """Return the number of running requests at a server."""
-        return self._in_use.get(key, 0)
+        server = self._servers.get(key)
+        return 0 if server is None else server.calls
 
     def has_idle(self, key: str) -> bool:
         """Return whether a connection to a server is open and idle."""
-        return any(connection.is_reusable for connection in self._idle.get(key, ()))
+        server = self._servers.get(key)
+        return server is not None and any(connection.is_reusable for connection in server.idle)
 
     async def call(
         self,
@@ -109,6 +161,7 @@
         *,
         request_id: str | None = None,
         fresh: bool = False,
+        max_opening: float = math.inf,
     ) -> PooledCall:
         """Write a request to a server, over a connection that has not carried its id before.
 
@@ -126,6 +179,9 @@
             Id that the response names, None if it names none.
         fresh : bool
             Whether to open a new connection even if there are idle ones.
+        max_opening : float
+            Number of new connections to the server that may wait for their first answers at a time.
+            Beyond it, the call waits for one that is in use.
 
         Raises
         ------
@@ -134,72 +190,110 @@
         """
         if self.in_use(key) >= self._max_connections(key):
             raise NoFreeConnectionError("all connections are in use", step="connect", peer=address)
-        self._in_use[key] = self.in_use(key) + 1
+        server = self._servers.setdefault(key, _ServerConnections())
+        server.calls += 1
         try:
-            connection = None if fresh else self._pop_idle(key, request_id)
+            connection = None if fresh else self._pop_idle(server, request_id)
+            if connection is None and server.opening >= max_opening:
+                connection = await self._wait_for_idle(server, request_id, peer=address)
             if connection is None:
-                connection = await BackendConnection.open(
-                    address, timeout_s=_CONNECT_TIMEOUT_S, pacer=self._pacer
-                )
-                self._opened += 1
+                connection = await self._open(server, address)
             connection.send(head, body, request_id=request_id)
         except BaseException:
-            self._decrement_in_use(key)
+            self._end_call(key, server)
             raise
+        server.lent.append(connection)
         return PooledCall(pool=self, key=key, connection=connection)
 
     def return_connection(self, key: str, connection: BackendConnection) -> None:
         """Keep a connection for other requests if it is reusable, or close it."""
-        self._decrement_in_use(key)
-        idle = self._idle.setdefault(key, [])
-        if connection.is_reusable and len(idle) < _MAX_IDLE_CONNECTIONS_PER_SERVER:
-            idle.append(connection)
+        server = self._servers[key]
+        server.lent.remove(connection)
+        if connection.is_reusable and len(server.idle) < _MAX_IDLE_CONNECTIONS_PER_SERVER:
+            server.idle.append(connection)
+            server.wake_next()
         else:
             connection.close()
+        self._end_call(key, server)
 
     def close_idle(self, key: str) -> None:
         """Close the idle connections to a server."""
-        for connection in self._idle.pop(key, []):
+        server = self._servers.get(key)
+        if server is None:
+            return
+        for connection in server.idle:
             connection.close()
+        server.idle.clear()
+        self._drop_if_unused(key, server)
 
     def close_idle_except(self, keys: set[str]) -> None:
         """Close the idle connections to all servers except `keys`."""
-        for key in self._idle.keys() - keys:
+        for key in self._servers.keys() - keys:
             self.close_idle(key)
 
-    def _pop_idle(self, key: str, request_id: str | None) -> BackendConnection | None:
+    async def _open(self, server: _ServerConnections, address: str) -> BackendConnection:
+        server.connecting += 1
+        try:
+            connection = await BackendConnection.open(
+                address, timeout_s=_CONNECT_TIMEOUT_S, pacer=self._pacer
+            )
+        finally:
+            server.connecting -= 1
+        self._opened += 1
+        return connection
+
+    async def _wait_for_idle(
+        self, server: _ServerConnections, request_id: str | None, *, peer: str
+    ) -> BackendConnection:
+        """Return the next connection that is idle; raise `SlowConnectionError` if none comes."""
+        until_s = now_s() + _IDLE_WAIT_S
+        while server.may_be_returned and (wait_s := until_s - now_s()) > 0:
+            returned = asyncio.get_running_loop().create_future()
+            server.waiting.append(returned)
+            try:
+                await asyncio.wait({returned}, timeout=wait_s)
+            finally:
+                returned.cancel()
+            connection = self._pop_idle(server, request_id)
+            if connection is not None:
+                return connection
+        raise SlowConnectionError(
+            "new connections are slow, and all open ones are in use", step="connect", peer=peer
+        )
+
+    def _pop_idle(
+        self, server: _ServerConnections, request_id: str | None
+    ) -> BackendConnection | None:
         """Return the idle connection that was used last, or None if there is none.
 
         The server may be about to close those that have been idle for longer. One that has carried
         the request before may yet bring a second copy of an earlier answer to it.
         """
-        idle = self._idle.get(key, [])
-        for connection in reversed(idle):
+        for connection in reversed(server.idle):
             if request_id is not None and connection.has_carried(request_id):
                 continue
-            idle.remove(connection)
+            server.idle.remove(connection)
             if connection.is_reusable and not connection.has_unread_bytes:
                 return connection
             connection.close()
         return None
 
-    def _decrement_in_use(self, key: str) -> None:
-        count = self._in_use.get(key, 0) - 1
-        if count > 0:
-            self._in_use[key] = count
-        else:
-            self._in_use.pop(key, None)
+    def _end_call(self, key: str, server: _ServerConnections) -> None:
+        server.calls -= 1
+        self._drop_if_unused(key, server)
+
+    def _drop_if_unused(self, key: str, server: _ServerConnections) -> None:
+        if not server.calls and not server.idle and self._servers.get(key) is server:
+            del self._servers[key]
 
     async def _close_expired(self) -> None:
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_S)
-            for key, idle in list(self._idle.items()):
-                kept = [c for c in idle if c.is_reusable and c.idle_s < _MAX_IDLE_S]
-                for connection in idle:
+            for key, server in list(self._servers.items()):
+                kept = [c for c in server.idle if c.is_reusable and c.idle_s < _MAX_IDLE_S]
+                for connection in server.idle:
                     if connection not in kept:
                         logger.bind(peer=key, step="pool").debug("idle connection closed")
                         connection.close()
-                if kept:
-                    self._idle[key] = kept
-                else:
-                    del self._idle[key]
+                server.idle = kept
+                self._drop_if_unused(key, server)
--- a/flamingoshelf/http1/tests/test_pool.py
+++ b/flamingoshelf/http1/tests/test_pool.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from flamingoshelf.http1 import ConnectionPool, Headers, RequestHead
+from flamingoshelf.http1 import ConnectionPool, Headers, RequestHead, SlowConnectionError
 
 GET = RequestHead(method="GET", target="/a", headers=Headers([("Host", "h")]))
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -38,17 +38,21 @@
 
 
 @pytest.fixture
-async def ask(server):
+async def pool():
     pool = ConnectionPool(max_connections=lambda key: 4)
+    yield pool
+    await pool.stop()
+
 
+@pytest.fixture
+def ask(server, pool):
     async def run(*, request_id=None, is_new=False):
         sent = await pool.call("x", server.address, GET, b"", request_id=request_id)
         async with sent as call:
             await server.answer(is_new=is_new)
             return (await call.connection.read_head()).status, await call.connection.read()
 
-    yield run
-    await pool.stop()
+    return run
 
 
 async def test_connections_are_reused(ask, server):
@@ -69,3 +73,46 @@
     await ask(is_new=True)
     server.connections[-1].sendall(ANSWER.replace(b"ok", b"no"))
     assert await ask(is_new=True) == (200, b"ok")
+
+
+# Each call opened a connection of its own while those before it waited for their first answers.
+async def test_call_beyond_the_bound_of_new_connections_is_not_sent(pool, server):
+    first = await pool.call("x", server.address, GET, b"", max_opening=1)
+    with pytest.raises(SlowConnectionError):
+        await pool.call("x", server.address, GET, b"", max_opening=1)
+    assert pool.opened == 1 and pool.in_use("x") == 1
+    async with first:
+        pass
+    assert pool.in_use("x") == 0
+
+
+async def test_call_beyond_the_bound_uses_a_connection_that_comes_back(pool, ask, server):
+    await ask(is_new=True)
+    first = await pool.call("x", server.address, GET, b"")
+    second = asyncio.ensure_future(pool.call("x", server.address, GET, b"", max_opening=0))
+    await asyncio.sleep(0.02)
+    assert not second.done()
+    async with first as call:
+        await server.answer(is_new=False)
+        while await call.connection.read():
+            pass
+    assert (await second).connection is first.connection and pool.opened == 1
+    async with await second:
+        pass
+
+
+async def test_call_beyond_the_bound_waits_a_short_time_only(pool, ask, server):
+    await ask(is_new=True)
+    first = await pool.call("x", server.address, GET, b"")
+    began_s = asyncio.get_running_loop().time()
+    with pytest.raises(SlowConnectionError):
+        await pool.call("x", server.address, GET, b"", max_opening=0)
+    assert 0.09 <= asyncio.get_running_loop().time() - began_s < 1.0
+    async with first:
+        pass
+
+
+async def test_nothing_is_kept_of_a_server_without_connections(pool, server):
+    async with await pool.call("x", server.address, GET, b""):
+        pass
+    assert not pool._servers
--- a/flamingoshelf/paths/_service.py
+++ b/flamingoshelf/paths/_service.py
@@ -1,13 +1,16 @@
 """Tells a lost path from a lost server, and finds nodes that reach a server in this one's place."""
 
 import asyncio
+import math
+import random
 from collections.abc import Awaitable, Callable, Collection, Iterable, Sequence
 
-import attrs
 from loguru import logger
 
 from flamingoshelf.base import NodeLink
+from flamingoshelf.paths._checks import ASK_AGAIN_INTERVAL_S, VERDICT_LIFETIME_S, ServerChecks
 from flamingoshelf.paths._peer_checks import PeerChecks
+from flamingoshelf.paths._slow_start import SlowStart
 from flamingoshelf.paths._table import PathState, PathTable
 from flamingoshelf.paths._types import ProbeResult
 from flamingoshelf.routing import BackendInstance
@@ -15,68 +18,23 @@
 
 __all__ = ["PathService"]
 
+_PROMPT_S = 0.3  # for an answer on a new connection, as long as a probe is waited for
 # Time for a probe of a silent server before other nodes are asked; most take milliseconds.
 _HEAD_START_S = 0.1
-# Nodes that are asked at once. Doubles with each check in which none of them reaches the server, as
-# most nodes may be cut off.
-_MIN_ASKED = 3
-_MAX_ASKED = 24
 # A server that is connected but silent may be busy; so are few that other nodes reach at the same
 # time. One silent server alone is taken for cut off only after as many checks in a row.
 _SILENT_CHECKS = 2
-_VERDICT_LIFETIME_S = 0.3  # no new check for as long after one that found no cut
-_MAX_VERDICT_LIFETIME_S = 2.0  # it doubles while the server answers probes but not its calls
-_LOST_AFTER_S = 2.0  # sound servers may be silent for a second or so
-_WATCH_INTERVAL_S = 0.25  # calls are direct again within a second of the end of a cut
-_PROBES_PER_ROUND = 4  # bounds the probes of a node that reaches no server
-# While no node is known to reach some servers, nodes are asked about one of these after another,
-# and about each less and less often, as most of them are down.
-_ASK_AGAIN_INTERVAL_S = 0.5
-_MAX_ASK_AGAIN_INTERVAL_S = 4.0
+# Calls are direct again within about a second of the end of a cut. Each new connection is a load
+# where it ends, so probes are few, and those of one server become rarer.
+_WATCH_INTERVAL_S = 0.25
+_MAX_PROBES_PER_ROUND = 4
+_ALL_PROBED_S = 2.0  # time in which all servers are probed that are not reached, if these are few
+_WATCH_JITTER = 0.25  # share of the interval, so that nodes that are cut off don't probe together
 _MAX_CONCURRENT_CHECKS = 64
+_MAX_HINTS = 3  # nodes that others name, of those that are asked
 _PEERS_KEPT = 4  # nodes to share the calls to one server among
 
 
-@attrs.define(kw_only=True)
-class _Checks:
-    """Checks of one server.
-
-    Attributes
-    ----------
-    running : asyncio.Task or None
-        Check that is running; its result is whether the path is cut.
-    not_before_s : float
-        Time before which no new check begins.
-    lifetime_s : float
-        Time for which the last verdict holds.
-    asked : int
-        Number of nodes to ask next.
-    unreached_since_s : float or None
-        Begin of the first of the checks in which no node reached the server.
-    ask_again_s : float
-        Time at which nodes are asked again about a server that none is known to reach.
-    ask_interval_s : float
-        Time from then until they are asked once more.
-    """
-
-    running: asyncio.Task[bool] | None = None
-    not_before_s: float = 0.0
-    lifetime_s: float = _VERDICT_LIFETIME_S
-    asked: int = _MIN_ASKED
-    unreached_since_s: float | None = None
-    ask_again_s: float = 0.0
-    ask_interval_s: float = _ASK_AGAIN_INTERVAL_S
-
-    def ask_soon(self) -> None:
-        """Ask again at the next opportunity."""
-        self.ask_again_s, self.ask_interval_s = 0.0, _ASK_AGAIN_INTERVAL_S
-
-    def delay_asking(self) -> None:
-        """Ask again after the interval, which doubles."""
-        self.ask_again_s = now_s() + self.ask_interval_s
-        self.ask_interval_s = min(2 * self.ask_interval_s, _MAX_ASK_AGAIN_INTERVAL_S)
-
-
 class PathService:
     """Checks paths that have failed, and watches those that are cut until they are restored.
 
@@ -96,6 +54,8 @@
         ``has_open_connection(key)`` returns whether a connection to a server is open and idle.
     close_connections : callable
         ``close_connections(key)`` closes the idle connections to a server.
+    random_source : random.Random
+        Source of the jitter of the times of probes.
     """
 
     def __init__(
@@ -106,15 +66,18 @@
         servers: Callable[[], Iterable[BackendInstance]],
         has_open_connection: Callable[[str], bool],
         close_connections: Callable[[str], None],
+        random_source: random.Random,
     ) -> None:
+        self._random = random_source
         self._table = table
         self._probe = probe
         self._servers = servers
         self._has_open_connection = has_open_connection
         self._close_connections = close_connections
+        self._slow_start = SlowStart()
         self._peer_checks = PeerChecks(table=table, probe=probe)
         self._peers: Callable[[], Sequence[str]] = tuple
-        self._checks: dict[str, _Checks] = {}
+        self._checks: dict[str, ServerChecks] = {}
         self._slots = asyncio.Semaphore(_MAX_CONCURRENT_CHECKS)
         self._asked_again_s = 0.0
         self._known_peers: frozenset[str] = frozenset()
@@ -141,12 +104,16 @@
     def retain(self, keys: Collection[str]) -> None:
         """Drop what is known of all servers except `keys`."""
         self._table.retain(keys)
+        self._slow_start.retain(keys)
         for key in self._checks.keys() - set(keys):
             del self._checks[key]
 
-    def record_answer(self, key: str, *, is_fresh: bool) -> None:
-        """Record an answer over this node's own path, on a new connection if `is_fresh`."""
+    def record_answer(self, key: str, *, is_fresh: bool, seconds: float = 0.0) -> None:
+        """Record an answer after `seconds` over this node's own path, on a new connection if
+        `is_fresh`."""
         self._table.record_answer(key, is_fresh=is_fresh)
+        if is_fresh:
+            self._slow_start.record_answer(key, is_prompt=seconds <= _PROMPT_S)
 
     def record_refusal(self, instance: BackendInstance) -> None:
         """Record that a new connection to a server failed."""
@@ -178,6 +145,10 @@
         if self._table.drop_peer(instance.key, peer):
             self._check_soon(instance, since_s=now_s())
 
+    def max_opening(self, key: str) -> float:
+        """Return how many new connections to a server may wait for their first answers at once."""
+        return self._slow_start.bound(key)
+
     def is_known_cut(self, key: str) -> bool:
         """Return whether only this node's path to a server has failed, as known by now."""
         return bool(self._table.peers(key))
@@ -194,7 +165,7 @@
     ) -> asyncio.Task[bool] | None:
         """Begin a check of a server, unless one is running; None if the last verdict holds."""
         self._table.record_failure(instance, since_s=since_s)
-        checks = self._checks.setdefault(instance.key, _Checks())
+        checks = self._checks_of(instance)
         if checks.running is not None:
             return checks.running
         if now_s() < checks.not_before_s or not self._peer_checks.is_connected:
@@ -205,7 +176,7 @@
         return checks.running
 
     async def _check(
-        self, instance: BackendInstance, checks: _Checks, *, head_start_s: float
+        self, instance: BackendInstance, checks: ServerChecks, *, head_start_s: float
     ) -> bool:
         """Return whether the path to a server is cut."""
         is_cut = False
@@ -220,7 +191,7 @@
         return is_cut
 
     async def _judge(
-        self, instance: BackendInstance, checks: _Checks, *, head_start_s: float
+        self, instance: BackendInstance, checks: ServerChecks, *, head_start_s: float
     ) -> bool:
         began_s = now_s()
         for number in range(_SILENT_CHECKS):
@@ -229,32 +200,34 @@
             )
             self._log_check(instance, result, peers, began_s=began_s)
             if result is ProbeResult.ANSWERED:
-                checks.lifetime_s = min(2 * checks.lifetime_s, _MAX_VERDICT_LIFETIME_S)
-                checks.unreached_since_s = None
+                checks.record_answer()
                 return False
             if result is ProbeResult.HELD_BACK:
                 return False
             if not peers:
-                self._record_unreached(instance, checks, began_s=began_s)
+                is_lost = not keeps and checks.record_unreached(
+                    began_s=began_s,
+                    answered_s=self._table.answered_s(instance.key),
+                    is_refused=result is ProbeResult.FAILED,
+                )
+                if is_lost:
+                    self._table.mark_lost(instance)
                 return False
             is_alone = self._table.failed_count() == 1
-            if result is ProbeResult.FAILED or not is_alone or number == _SILENT_CHECKS - 1:
+            if result is not ProbeResult.SILENT or not is_alone or number == _SILENT_CHECKS - 1:
                 break
-        checks.lifetime_s = _VERDICT_LIFETIME_S
-        checks.asked = _MIN_ASKED
-        checks.unreached_since_s = None
-        checks.ask_soon()
+        checks.record_cut()
         if not keeps:
             self._close_connections(instance.key)
         self._table.mark_cut(instance, peers, checked_s=began_s, keeps_connections=keeps)
         return self._table.state(instance.key) is PathState.CUT
 
     async def _probe_and_ask(
-        self, instance: BackendInstance, checks: _Checks, *, head_start_s: float
+        self, instance: BackendInstance, checks: ServerChecks, *, head_start_s: float
     ) -> tuple[ProbeResult, list[str], bool]:
         """Return the result of a probe, the nodes that reach the server, and whether open
         connections to it carry calls."""
-        direct = asyncio.ensure_future(self._probe(instance, True))
+        direct = asyncio.ensure_future(self._probe_fresh(instance))
         kept = (
             asyncio.ensure_future(self._probe(instance, False))
             if self._has_open_connection(instance.key)
@@ -277,18 +250,7 @@
                 if task is not None:
                     task.cancel()
 
-    def _record_unreached(
-        self, instance: BackendInstance, checks: _Checks, *, began_s: float
-    ) -> None:
-        """Record that no node that was asked reaches a server."""
-        checks.asked = min(2 * checks.asked, _MAX_ASKED)
-        checks.lifetime_s = _VERDICT_LIFETIME_S
-        if checks.unreached_since_s is None:
-            checks.unreached_since_s = began_s
-        if now_s() - checks.unreached_since_s >= _LOST_AFTER_S:
-            self._table.mark_lost(instance)
-
-    async def _ask_peers(self, instance: BackendInstance, checks: _Checks) -> list[str]:
+    async def _ask_peers(self, instance: BackendInstance, checks: ServerChecks) -> list[str]:
         """Return nodes that reach a server."""
         asked = self._candidates()[: checks.asked]
         silent_s = now_s() - self._table.failed_since_s(instance.key)
@@ -297,7 +259,7 @@
             known = set(self._peers())
             others = [name for name in hints if name in known and name not in asked]
             reached, _ = await self._peer_checks.ask(
-                instance, others[:_MIN_ASKED], silent_s=silent_s
+                instance, others[:_MAX_HINTS], silent_s=silent_s
             )
         return reached[:_PEERS_KEPT]
 
@@ -308,9 +270,9 @@
 
     def _recheck_peers(self, instance: BackendInstance, peers: Sequence[str]) -> None:
         """Ask the nodes that pass calls on whether they still reach the server."""
-        checks = self._checks.setdefault(instance.key, _Checks())
+        checks = self._checks_of(instance)
         if now_s() >= checks.not_before_s:
-            checks.not_before_s = now_s() + _VERDICT_LIFETIME_S
+            checks.not_before_s = now_s() + VERDICT_LIFETIME_S
             self._tasks.start(self._drop_failed_peers(instance, peers), name="peers")
 
     async def _drop_failed_peers(self, instance: BackendInstance, peers: Sequence[str]) -> None:
@@ -327,31 +289,51 @@
             is_checked = checks is not None and (
                 checks.running is not None or now_s() < checks.not_before_s
             )
-            has_answered = self._table.answered_s(key) > now_s() - _VERDICT_LIFETIME_S
+            has_answered = self._table.answered_s(key) > now_s() - VERDICT_LIFETIME_S
             if not is_known and not is_checked and not has_answered:
                 self._check_soon(instance, since_s=now_s())
 
     async def _watch(self) -> None:
         """Probe servers that this node doesn't reach until they answer."""
         while True:
-            await asyncio.sleep(_WATCH_INTERVAL_S)
+            jitter = self._random.uniform(-_WATCH_JITTER, _WATCH_JITTER)
+            await asyncio.sleep(_WATCH_INTERVAL_S * (1 + jitter))
             unreached = self._table.unreached()
-            results = await asyncio.gather(
-                *(self._probe_unreached(instance) for instance in unreached[:_PROBES_PER_ROUND])
-            )
-            if any(results):  # the others are probably reached, too
-                await asyncio.gather(*map(self._probe_unreached, unreached[_PROBES_PER_ROUND:]))
+            share = len(unreached) * _WATCH_INTERVAL_S / _ALL_PROBED_S
+            count = min(math.ceil(share), _MAX_PROBES_PER_ROUND)
+            due = [i for i in unreached if self._checks_of(i).probe_again_s <= now_s()]
+            for instance in due[:count]:
+                self._checks_of(instance).delay_probe()
+                self._tasks.start(self._watch_one(instance), name=f"watch.{instance.key}")
             self._ask_again()
 
+    async def _watch_one(self, instance: BackendInstance) -> None:
+        """Probe a server; if it answers, all others are probably reached, too."""
+        if await self._probe_unreached(instance):
+            others = self._table.unreached()
+            for other in others:
+                self._checks_of(other).delay_probe()
+            await asyncio.gather(*map(self._probe_unreached, others))
+
+    def _checks_of(self, instance: BackendInstance) -> ServerChecks:
+        return self._checks.setdefault(instance.key, ServerChecks())
+
     async def _probe_unreached(self, instance: BackendInstance) -> bool:
         """Return whether a server answers a probe, which restores its path."""
         async with self._slots:
             self._table.record_probe(instance.key)
-            result = await self._probe(instance, True)
+            result = await self._probe_fresh(instance)
         if result is ProbeResult.ANSWERED:
             self._table.restore(instance.key)
+            self._checks_of(instance).probe_soon()
         return result is ProbeResult.ANSWERED
 
+    async def _probe_fresh(self, instance: BackendInstance) -> ProbeResult:
+        result = await self._probe(instance, True)
+        if result in (ProbeResult.SILENT, ProbeResult.UNCONNECTED):
+            self._slow_start.record_silence(instance.key)
+        return result
+
     def _ask_again(self) -> None:
         """Ask again whether other nodes reach a server that none is known to reach."""
         unknown = [
@@ -364,12 +346,12 @@
             for checks in self._checks.values():
                 checks.ask_soon()
         self._known_peers = peers
-        if now_s() < self._asked_again_s + _ASK_AGAIN_INTERVAL_S:
+        if now_s() < self._asked_again_s + ASK_AGAIN_INTERVAL_S:
             return
         due = [
             (checks.ask_again_s, instance.key, instance)
             for instance in unknown
-            if (checks := self._checks.setdefault(instance.key, _Checks())).ask_again_s <= now_s()
+            if (checks := self._checks_of(instance)).ask_again_s <= now_s()
         ]
         if due:
             self._asked_again_s = now_s()
--- a/flamingoshelf/paths/_types.py
+++ b/flamingoshelf/paths/_types.py
@@ -13,7 +13,8 @@
 
     ANSWERED = "answered"
     SILENT = "silent"  # connected, but no answer in time
-    FAILED = "failed"  # no connection, or it broke
+    UNCONNECTED = "unconnected"  # no connection in time, as packets are lost or a queue is full
+    FAILED = "failed"  # the connection was refused or broke
     HELD_BACK = "held_back"  # the server wants no request from this node now
 
 
--- a/flamingoshelf/paths/tests/fake_fleet.py
+++ b/flamingoshelf/paths/tests/fake_fleet.py
@@ -50,6 +50,7 @@
             servers=lambda: [server(name) for name in fleet.servers],
             has_open_connection=self.open.__contains__,
             close_connections=self.open.discard,
+            random_source=random.Random(1),
         )
         self.service.connect(cast(Any, self), self.peers)
 
@@ -79,7 +80,7 @@
         fault = fault or self.fleet.servers[key]
         if fault in (SILENT, STALLED):
             await asyncio.sleep(PROBE_TIMEOUT_S)
-            return ProbeResult.SILENT if fault is SILENT else ProbeResult.FAILED
+            return ProbeResult.SILENT if fault is SILENT else ProbeResult.UNCONNECTED
         await asyncio.sleep(PROBE_S)
         if fault is REFUSED:
             return ProbeResult.FAILED
--- a/lab/gateway/_paths.py
+++ b/lab/gateway/_paths.py
@@ -1,6 +1,7 @@
 """Paths from nodes to backend servers, each of which may be cut for some nodes."""
 
 import asyncio
+import math
 import re
 import socket
 from collections.abc import Callable, Collection
@@ -39,6 +40,38 @@
     at_s: float
 
 
+class AcceptQueue:
+    """New connections of all paths, which are taken one after another.
+
+    A connection that was given up while it waited takes as long as any other.
+
+    Attributes
+    ----------
+    per_s : float
+        Connections taken in a second.
+    waiting : int
+        Number of connections that wait.
+    """
+
+    def __init__(self) -> None:
+        self.per_s = math.inf
+        self.waiting = 0
+        self._free_s = 0.0
+
+    def take(self, on_taken: Callable[[], None]) -> None:
+        """Call `on_taken` when the turn of a new connection has come."""
+        if math.isinf(self.per_s):
+            on_taken()
+            return
+        self.waiting += 1
+        self._free_s = max(self._free_s, now_s()) + 1 / self.per_s
+        asyncio.get_running_loop().call_at(self._free_s, self._finish, on_taken)
+
+    def _finish(self, on_taken: Callable[[], None]) -> None:
+        self.waiting -= 1
+        on_taken()
+
+
 class ServerPath:
     """Forwards the connections of all nodes to one server.
 
@@ -51,16 +84,26 @@
     node_of : callable
         ``node_of(ip)`` returns the number of the node whose connections come from an IP address,
         None if there is none.
+    queue : AcceptQueue
+        Takes new connections.
 
     Attributes
     ----------
     arrivals : list of Arrival
         Requests that were passed on to the server.
     opened : list of tuple
-        Node and time of each connection that was accepted.
+        Node and time of each new connection, also if it was reset.
     """
 
-    def __init__(self, *, address: str, target: str, node_of: Callable[[str], int | None]) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        target: str,
+        node_of: Callable[[str], int | None],
+        queue: AcceptQueue,
+    ) -> None:
+        self.queue = queue
         self.address = address
         self.target = target
         self.arrivals: list[Arrival] = []
@@ -191,16 +234,20 @@
 
     def __init__(self, *, path: ServerPath) -> None:
         super().__init__(path=path)
+        self._is_taken = False
         self._connecting: asyncio.Task[None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         self.node = self._path.find_node(transport)
+        self._path.opened.append((self.node, now_s()))
+        self._path.queue.take(self._on_taken)
+
+    def _on_taken(self) -> None:
+        self._is_taken = True
         if self._path.is_refused(self.node):
             self.abort()
-            return
-        self._path.opened.append((self.node, now_s()))
-        if not self._path.is_held(self.node):
+        elif not self._path.is_held(self.node):
             self._connect()
 
     def eof_received(self) -> bool:
@@ -211,6 +258,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
+        self._is_taken = False
         if self._connecting is not None:
             self._connecting.cancel()
 
@@ -221,7 +269,8 @@
             super().flush()
 
     def _connect(self) -> None:
-        if self._connecting is None:
+        is_open = self._transport is not None and not self._transport.is_closing()
+        if self._is_taken and is_open and self._connecting is None:
             self._connecting = asyncio.ensure_future(self._open())
 
     async def _open(self) -> None:
@@ -246,11 +295,13 @@
 
     def __init__(self, **arguments: Any) -> None:
         super().__init__(**arguments)
+        self.accept_queue = AcceptQueue()
         self.paths = [
             ServerPath(
                 address=self._addresses.reserve()[0],
                 target=server.address,
                 node_of=self._find_node,
+                queue=self.accept_queue,
             )
             for server in self.servers
         ]
