A stopping node answers each request before its grace period ends

It happens here: with a grace period of 4 s, bookings that take 0.3 s were cut if their last byte came 3.5 s to 3.7 s after SIGTERM, those that take 1.5 s from 2.3 s on, notes and drafts from 2.3 s to 2.8 s.

Cause: the time by which a stopping node must have answered was taken over once, when the head of a request was admitted. A head that came before SIGTERM had no such bound, however late its body ended, and requests that ran already when SIGTERM came had none. And a request whose time was known to be too short was passed on all the same, to end in 504, which its caller may not repeat.

Now the limit belongs to the node, not to the request: when it is set, it ends what is under way (`AnswerLimit`), and every wait looks at it. What has no answer 0.35 s before the end of the grace period gets one: 504 or 502 if a server may have received the request, 503 if none has, which is told from whether it was written; a body that isn't complete by then, too. The node measures how long calls of a route take, streams by their size; at a stop it refuses at once what would probably end too late (503 `shutting_down`, not run, 0.05 s until the caller may come back, to another node). A stream that has begun is still broken off at the end, as nobody can finish it. The grace period counts from the signal, not from the end of a start that is under way.

Ruled out: a fixed reserve before the end (how long servers take differs by route and load, and is measured); refusing all that comes late (most of it is served in milliseconds).

A reload of the settings in the middle of a stop, and SIGTERM while a node starts, were right before.

--- a/flamingoshelf/gateway/_admission.py
+++ b/flamingoshelf/gateway/_admission.py
@@ -1,13 +1,13 @@
 """Admission of requests: finds route, workspace and deadline, or refuses the request."""
 
 import hashlib
-from collections.abc import Callable
 from functools import cached_property
 
 import attrs
 from result import Err, Ok, Result
 
 from flamingoshelf.gateway._active_configuration import ActiveConfiguration
+from flamingoshelf.gateway._answer_limit import AnswerLimit
 from flamingoshelf.gateway._refusals import NO_CONFIGURATION
 from flamingoshelf.gateway._wire import CallerRequest, WireFormat
 from flamingoshelf.http1 import RequestHead
@@ -37,12 +37,13 @@
     configuration : GatewayConfiguration
         Configuration in force at admission.
     deadline_s : float
-        Time by which the caller must have an answer, by the event loop's clock; not later than
-        this node ends if it stops.
+        Time until which the caller waits for an answer, by the event loop's clock.
     arrived_s : float
         Time at which the head was read, by the same clock.
     body : bytes
         Complete request body.
+    answer_limit : AnswerLimit
+        Time by which this node must have answered, if it stops.
     """
 
     head: RequestHead
@@ -53,6 +54,12 @@
     deadline_s: float
     arrived_s: float
     body: bytes = b""
+    answer_limit: AnswerLimit = attrs.field(factory=AnswerLimit, eq=False)
+
+    @property
+    def answer_by_s(self) -> float:
+        """Time by which the caller must have an answer; sooner if this node stops."""
+        return min(self.deadline_s, self.answer_limit.at_s)
 
     @property
     def request_id(self) -> str:
@@ -74,9 +81,9 @@
         """Time at which the caller disconnects if it has received nothing."""
         abandon_after_s = self.route.abandon_after_s
         return (
-            self.deadline_s
+            self.answer_by_s
             if abandon_after_s is None
-            else min(self.deadline_s, self.arrived_s + abandon_after_s)
+            else min(self.answer_by_s, self.arrived_s + abandon_after_s)
         )
 
     @property
@@ -132,9 +139,8 @@
         The configuration in force.
     wire : WireFormat
         Reads request heads.
-    answer_by_s : callable
-        Returns the time by which this node must have answered all requests; infinite unless it
-        stops.
+    answer_limit : AnswerLimit
+        Time by which this node must have answered all requests, if it stops.
     """
 
     def __init__(
@@ -142,11 +148,11 @@
         *,
         configuration: ActiveConfiguration,
         wire: WireFormat,
-        answer_by_s: Callable[[], float] = lambda: float("inf"),
+        answer_limit: AnswerLimit,
     ) -> None:
         self._configuration = configuration
         self._wire = wire
-        self._answer_by_s = answer_by_s
+        self._answer_limit = answer_limit
 
     def admit(self, head: RequestHead, *, arrived_s: float) -> Result[AdmittedRequest, Refusal]:
         """Return the request with its route and workspace, or its refusal."""
@@ -170,8 +176,9 @@
                 route=route,
                 workspace=workspace.ok_value,
                 configuration=self._configuration.current,
-                deadline_s=min(arrived_s + min(wait_s, route.timeout_s), self._answer_by_s()),
+                deadline_s=arrived_s + min(wait_s, route.timeout_s),
                 arrived_s=arrived_s,
+                answer_limit=self._answer_limit,
             )
         )
 
--- a/flamingoshelf/gateway/_app.py
+++ b/flamingoshelf/gateway/_app.py
@@ -8,8 +8,9 @@
 
 from flamingoshelf.gateway._active_configuration import ActiveConfiguration
 from flamingoshelf.gateway._admission import Admission, AdmittedRequest
+from flamingoshelf.gateway._answer_limit import AnswerLimitError
 from flamingoshelf.gateway._plain_forwarder import PlainForwarder
-from flamingoshelf.gateway._refusals import refusal_response
+from flamingoshelf.gateway._refusals import SHUTTING_DOWN, refusal_response
 from flamingoshelf.gateway._stream_forwarder import StreamForwarder
 from flamingoshelf.http1 import BodyTooLargeError, Exchange
 from flamingoshelf.refusals import Refusal, RefusalReason
@@ -61,10 +62,14 @@
         request = admitted.ok_value
         exchange.request_id = request.request_id
         try:
-            body = await exchange.read_body(limit=self._configuration.limits.max_body_bytes)
+            async with request.answer_limit.enforce():
+                body = await exchange.read_body(limit=self._configuration.limits.max_body_bytes)
         except BodyTooLargeError as error:
             self._refuse(exchange, _body_too_large_refusal(str(error)), request)
             return
+        except AnswerLimitError:
+            self._refuse(exchange, SHUTTING_DOWN, request)
+            return
         request = attrs.evolve(request, body=body)
         is_stream = request.route.kind is CallKind.STREAM
         forwarder = self._streams if is_stream else self._plain
--- a/flamingoshelf/gateway/_backend_client.py
+++ b/flamingoshelf/gateway/_backend_client.py
@@ -10,7 +10,12 @@
 
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
 from flamingoshelf.gateway._admission import AdmittedRequest
-from flamingoshelf.gateway._backend_response import BackendResponse, NotRunError, read_all
+from flamingoshelf.gateway._backend_response import (
+    BackendResponse,
+    NotRunError,
+    SendProgress,
+    read_all,
+)
 from flamingoshelf.gateway._direct_calls import DirectCalls
 from flamingoshelf.gateway._proxied_calls import PeerPassedError, ProxiedCall, ProxiedCalls
 from flamingoshelf.gateway._proxy_messages import ProxyFailureKind
@@ -94,11 +99,13 @@
         *,
         fresh: bool = False,
         on_sent: OnSent = lambda connection: None,
+        progress: SendProgress | None = None,
     ) -> AsyncGenerator[BackendResponse, None]:
         """Send a request; leaving the context before the end of the body cancels it at the server.
 
         With `fresh`, a new connection is opened even if there are idle ones. `on_sent` is called
-        with the connection that the request was written to.
+        with the connection that the request was written to. `progress` tells, also after a
+        cancellation, whether a server may have received the request.
 
         Raises
         ------
@@ -124,6 +131,7 @@
                 request_id=request.request_id,
                 fresh=fresh,
                 on_sent=on_sent,
+                progress=progress or SendProgress(),
             )
 
     async def prefill(self, request: AdmittedRequest, call: BackendCall) -> KvHandle:
@@ -175,7 +183,12 @@
                     response = await stack.enter_async_context(exchange)
                 else:
                     response = await self._open(
-                        stack, instance, lambda: head, body, request_id=None
+                        stack,
+                        instance,
+                        lambda: head,
+                        body,
+                        request_id=None,
+                        progress=SendProgress(),
                     )
                 content = await read_all(response.connection, limit=_MAX_CALL_BYTES)
                 if content is None:
@@ -220,8 +233,14 @@
         request_id: str | None,
         fresh: bool = False,
         on_sent: OnSent = lambda connection: None,
+        progress: SendProgress,
     ) -> BackendResponse:
         """Return the response to a request, which ends with the `stack`."""
+
+        def record_sent(connection: BackendConnection | ProxiedCall) -> None:
+            progress.may_have_arrived = True
+            on_sent(connection)
+
         if self._uses_own_path(instance.key):
             try:
                 return await stack.enter_async_context(
@@ -231,7 +250,7 @@
                         body,
                         request_id=request_id,
                         fresh=fresh,
-                        on_sent=on_sent,
+                        on_sent=record_sent,
                     )
                 )
             except SlowConnectionError:  # others may have open connections
@@ -250,6 +269,7 @@
             logger.bind(
                 request_id=request_id, step="proxy", peer=instance.key, node=peer, path=head.target
             ).info("calling through another node")
+            progress.may_have_arrived = True  # once the other node has begun to receive the call
             try:
                 return await stack.enter_async_context(
                     self._proxied.exchange(
@@ -257,6 +277,7 @@
                     )
                 )
             except PeerPassedError as error:
+                progress.may_have_arrived = False
                 logger.bind(request_id=request_id, step="proxy", peer=instance.key, node=peer).info(
                     "call not made by another node: {}", error.message
                 )
--- a/flamingoshelf/gateway/_backend_response.py
+++ b/flamingoshelf/gateway/_backend_response.py
@@ -13,6 +13,7 @@
     "BodySource",
     "NotRunError",
     "ResponseFault",
+    "SendProgress",
     "ServerPausedError",
     "WrongInstanceError",
     "read_all",
@@ -55,6 +56,19 @@
     ENCODED = "has an encoding that was not asked for"
 
 
+@attrs.define(kw_only=True)
+class SendProgress:
+    """How far the sending of a request has come.
+
+    Attributes
+    ----------
+    may_have_arrived : bool
+        Whether a server may have received it.
+    """
+
+    may_have_arrived: bool = False
+
+
 class BodySource(Protocol):
     """Source of a response's body."""
 
--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -9,6 +9,7 @@
 
 from flamingoshelf.cluster import Coordination, ExclusiveDuty, Member, MemberList, Registration
 from flamingoshelf.gateway._active_configuration import ActiveConfiguration
+from flamingoshelf.gateway._answer_limit import AnswerLimit
 from flamingoshelf.gateway._configuration_exchange import ConfigurationExchange
 from flamingoshelf.gateway._crash_protection import CrashProtection
 from flamingoshelf.gateway._engine_control import EngineControl, EngineWire
@@ -107,7 +108,7 @@
         )
         self._has_server_list = False
         self._is_leaving = False
-        self._answer_by_s = float("inf")
+        self._answer_limit = AnswerLimit()
         self._members = MemberList()
         self._fleet = FleetView(
             members=self._members,
@@ -272,7 +273,7 @@
                 metrics=self._metrics,
                 random_source=self._random,
                 pacer=self._pacer,
-                answer_by_s=lambda: self._answer_by_s,
+                answer_limit=self._answer_limit,
             ).handle,
             limits=lambda: self._configuration.limits,
             pacer=self._pacer,
@@ -323,16 +324,21 @@
             "settings applied"
         )
 
-    async def stop(self) -> None:
-        """Shut down gracefully, without cutting off requests if the grace period allows."""
+    async def stop(self, *, since_s: float | None = None) -> None:
+        """Shut down gracefully, without cutting off requests if the grace period allows.
+
+        `since_s` is the time of SIGTERM by the event loop's clock, now by default.
+        """
         self._is_leaving = True
         if self._coordination is not None:
             self._coordination.leave()
-        plan = ShutdownPlan(grace_s=self._settings.shutdown_grace_s)
-        self._answer_by_s = plan.answer_by_s
-        logger.bind(step="stop", running=self._caller_server.running_requests).info(
-            "shutdown started"
-        )
+        plan = ShutdownPlan(grace_s=self._settings.shutdown_grace_s, since_s=since_s)
+        self._answer_limit.set(plan.answer_by_s)
+        logger.bind(
+            step="stop",
+            running=self._caller_server.running_requests,
+            answer_within_s=round(self._answer_limit.left_s, 3),
+        ).info("shutdown started")
         self._access.leave()
         await plan.run(self._caller_server, calls_of_others=self._access.calls_of_others)
         await self._tasks.stop()
--- a/flamingoshelf/gateway/_plain_attempt.py
+++ b/flamingoshelf/gateway/_plain_attempt.py
@@ -8,7 +8,7 @@
 from flamingoshelf.exceptions import OutcomeUnknownError
 from flamingoshelf.gateway._admission import AdmittedRequest
 from flamingoshelf.gateway._backend_client import BackendClient
-from flamingoshelf.gateway._backend_response import BackendResponse
+from flamingoshelf.gateway._backend_response import BackendResponse, SendProgress
 from flamingoshelf.gateway._wire import BackendCall
 from flamingoshelf.http1 import Exchange, ResponseHead
 from flamingoshelf.routing import BackendInstance
@@ -84,6 +84,7 @@
         self._request = request
         self._call = call
         self._open_response = AsyncExitStack()
+        self._progress = SendProgress()
         self.started_s = now_s()
         self.overdue_s = self.started_s + overdue_after_s
         self.is_overdue = False
@@ -100,6 +101,11 @@
         """Identity of the server."""
         return self._call.instance.key
 
+    @property
+    def may_have_arrived(self) -> bool:
+        """Whether the server may have received the call."""
+        return self._progress.may_have_arrived
+
     async def relay(self, exchange: Exchange) -> None:
         """Pass the received answer on to the caller, and stream the rest of a large one.
 
@@ -133,7 +139,9 @@
     async def _receive(self) -> PlainAnswer:
         """Return the answer once it is complete or fills the buffer."""
         async with AsyncExitStack() as stack:
-            response = await stack.enter_async_context(self._client.send(self._request, self._call))
+            response = await stack.enter_async_context(
+                self._client.send(self._request, self._call, progress=self._progress)
+            )
             if response.head.is_success and not response.is_signed:
                 raise OutcomeUnknownError("no signature", step="answer", peer=self.key)
             parts: list[bytes] = []
--- a/flamingoshelf/gateway/_plain_forwarder.py
+++ b/flamingoshelf/gateway/_plain_forwarder.py
@@ -8,6 +8,7 @@
 
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
 from flamingoshelf.gateway._admission import AdmittedRequest
+from flamingoshelf.gateway._answer_limit import AnswerLimitError
 from flamingoshelf.gateway._backend_client import BackendClient
 from flamingoshelf.gateway._backend_response import (
     NotRunError,
@@ -15,9 +16,11 @@
     WrongInstanceError,
 )
 from flamingoshelf.gateway._crash_detector import BEGUN_EVENTS, CrashDetector
+from flamingoshelf.gateway._durations import CallDurations
 from flamingoshelf.gateway._plain_attempt import PlainAttempt
 from flamingoshelf.gateway._plain_server_chooser import PlainServerChooser
 from flamingoshelf.gateway._plain_state import PlainState, final_refusal
+from flamingoshelf.gateway._refusals import SHUTTING_DOWN
 from flamingoshelf.gateway._target_selector import TargetSelector
 from flamingoshelf.gateway._wire import BackendCall
 from flamingoshelf.http1 import Exchange, NoFreeConnectionError
@@ -89,6 +92,7 @@
         self._targets = targets
         self._selector = selector
         self._servers = PlainServerChooser(targets=targets, selector=selector, limits=limits)
+        self._durations = CallDurations()
         self._budget = budget
         self._metrics = metrics
 
@@ -97,6 +101,8 @@
         refusal = self._crash_detector.check(request)
         if refusal is not None:
             return refusal
+        if self._is_too_late(request):
+            return SHUTTING_DOWN
         if request.workspace is not None:
             tokens = request.workspace.default_call_tokens
             refusal = self._plain_calls.charge(request.workspace.name, tokens)
@@ -106,7 +112,10 @@
         self._budget(service).record_request()
         state = PlainState(exchange=exchange, request=request, service=service)
         try:
-            return await self._answer(state)
+            async with request.answer_limit.enforce():
+                return await self._answer(state)
+        except AnswerLimitError:
+            return await self._answer_at_limit(state)
         finally:
             for attempt in state.running:  # the caller has left
                 self._end(attempt, is_failure=None)
@@ -119,7 +128,7 @@
         """Start calls and wait for them until one has a good answer or none is left."""
         await self._start_attempt(state)
         while running := state.running:
-            until_s = state.request.deadline_s
+            until_s = state.request.answer_by_s
             pending = [a for a in running if not a.is_overdue and a.overdue_s < until_s]
             next_overdue = min(pending, key=lambda attempt: attempt.overdue_s, default=None)
             if next_overdue is not None:
@@ -145,6 +154,23 @@
             return None
         return final_refusal(state)
 
+    def _is_too_late(self, request: AdmittedRequest) -> bool:
+        """Return whether this node stops before a call that begins now would probably end."""
+        return request.answer_limit.left_s < self._durations.expected_s(request.route.name)
+
+    async def _answer_at_limit(self, state: PlainState) -> Refusal | None:
+        """Answer a request as far as it is known, as this node ends."""
+        state.is_out_of_time = True
+        for attempt in state.running:
+            self._end_unanswered(state, attempt)
+        if state.exchange.is_started:
+            state.exchange.abort()
+            return None
+        if state.failure is not None:
+            await self._relay(state, state.failure)
+            return None
+        return final_refusal(state)
+
     async def _start_attempt(self, state: PlainState) -> str:
         """Call another server; return the reason if that is not possible, else an empty string."""
         route = state.request.route
@@ -154,6 +180,9 @@
             return "no attempt is left"
         if state.was_sent and self._crash_detector.check(state.request) is not None:
             return "its content is quarantined"
+        if self._is_too_late(state.request):
+            state.is_too_late = True
+            return "this node stops before it would end"
         is_repeat = state.was_sent
         if is_repeat and not self._budget(state.service).try_spend():
             return "the retry budget is spent"
@@ -192,6 +221,7 @@
             if answer.rest is None:
                 self._crash_detector.record_success(state.request)
             if not answer.is_failure:
+                self._durations.record(state.request.route.name, now_s() - attempt.started_s)
                 return True
             state.sent += 1
             state.failure = attempt
@@ -249,9 +279,13 @@
         state.is_out_of_time = True
         for attempt in state.running:
             self._record_silence(attempt)
-            self._log_timeout(state, attempt)
-            state.sent += 1
-            self._end(attempt, is_failure=None)
+            self._end_unanswered(state, attempt)
+
+    def _end_unanswered(self, state: PlainState, attempt: PlainAttempt) -> None:
+        """Record that a call is given up; its server may have run it if it has received it."""
+        self._log_timeout(state, attempt)
+        state.sent += attempt.may_have_arrived
+        self._end(attempt, is_failure=None)
 
     async def _relay(self, state: PlainState, attempt: PlainAttempt) -> None:
         """Pass an answer on to the caller, and cancel the other calls."""
@@ -268,7 +302,7 @@
         state.exchange.backend_server = attempt.key
         is_failure: bool | None = None
         try:
-            async with asyncio.timeout_at(state.request.deadline_s):
+            async with asyncio.timeout_at(state.request.answer_by_s):
                 await attempt.relay(state.exchange)
             is_failure = False
         except OutcomeUnknownError as error:
--- a/flamingoshelf/gateway/_plain_state.py
+++ b/flamingoshelf/gateway/_plain_state.py
@@ -5,6 +5,7 @@
 from flamingoshelf.gateway._admission import AdmittedRequest
 from flamingoshelf.gateway._backend_response import NotRunError, ServerPausedError
 from flamingoshelf.gateway._plain_attempt import PlainAttempt
+from flamingoshelf.gateway._refusals import SHUTTING_DOWN
 from flamingoshelf.http1 import Exchange, NoFreeConnectionError
 from flamingoshelf.refusals import Refusal, RefusalReason
 from flamingoshelf.utils import now_s
@@ -29,6 +30,8 @@
         Number of servers that refused the request without running it.
     is_out_of_time : bool
         Whether too little time is left for another attempt.
+    is_too_late : bool
+        Whether this node stops before another attempt would probably end.
     failure : PlainAttempt or None
         Call with a failure status, which the caller gets if no other server answers.
     last_error : Exception or None
@@ -46,6 +49,7 @@
     sent: int = 0
     rejections: int = 0
     is_out_of_time: bool = False
+    is_too_late: bool = False
     failure: PlainAttempt | None = None
     last_error: Exception | None = None
     pause_s: float | None = None
@@ -63,8 +67,8 @@
 
     @property
     def remaining_s(self) -> float:
-        """Seconds until the deadline."""
-        return self.request.deadline_s - now_s()
+        """Seconds until the caller must have an answer."""
+        return self.request.answer_by_s - now_s()
 
     @property
     def may_have_run(self) -> int:
@@ -83,6 +87,8 @@
     """Return the refusal of a request that no server answered."""
     if state.sent:
         return _no_answer_refusal(state)
+    if state.is_too_late:
+        return SHUTTING_DOWN
     if state.is_out_of_time:
         return _not_run_refusal(RefusalReason.DEADLINE_UNREACHABLE, "There is no time left.", None)
     if state.pause_s is not None:
--- a/flamingoshelf/gateway/_request_path.py
+++ b/flamingoshelf/gateway/_request_path.py
@@ -5,6 +5,7 @@
 
 from flamingoshelf.gateway._active_configuration import ActiveConfiguration
 from flamingoshelf.gateway._admission import Admission
+from flamingoshelf.gateway._answer_limit import AnswerLimit
 from flamingoshelf.gateway._app import Gateway
 from flamingoshelf.gateway._backend_client import BackendClient
 from flamingoshelf.gateway._crash_detector import CrashDetector
@@ -47,7 +48,7 @@
     metrics: Metrics,
     random_source: random.Random,
     pacer: Pacer,
-    answer_by_s: Callable[[], float] = lambda: float("inf"),
+    answer_limit: AnswerLimit,
 ) -> Gateway:
     """Return the handler of callers' requests; the parameters are those of its parts."""
     targets = TargetSelector(
@@ -85,7 +86,7 @@
     )
     return Gateway(
         configuration=configuration,
-        admission=Admission(configuration=configuration, wire=wire, answer_by_s=answer_by_s),
+        admission=Admission(configuration=configuration, wire=wire, answer_limit=answer_limit),
         plain=plain,
         streams=streams,
         metrics=metrics,
--- a/flamingoshelf/gateway/_shutdown.py
+++ b/flamingoshelf/gateway/_shutdown.py
@@ -14,9 +14,9 @@
 _BALANCER_NOTICE_S = 2.6
 _KILL_MARGIN_S = 0.25  # part of the grace period reserved for ending the process
 _POLL_INTERVAL_S = 0.02  # between checks for unfinished requests
-_ANSWER_MARGIN_S = (
-    0.04  # for what can't be answered to be refused before the connections are closed
-)
+# For what can't be answered to be refused before the connections are closed; hundreds of requests
+# may end at the same time.
+_ANSWER_MARGIN_S = 0.1
 
 
 class ShutdownPlan:
@@ -29,11 +29,13 @@
     Parameters
     ----------
     grace_s : float
-        Seconds from now, when SIGTERM came, until the platform kills the process.
+        Seconds from SIGTERM until the platform kills the process.
+    since_s : float or None
+        Time of SIGTERM by the event loop's clock, now by default.
     """
 
-    def __init__(self, *, grace_s: float) -> None:
-        self._end_s = now_s() + grace_s - _KILL_MARGIN_S
+    def __init__(self, *, grace_s: float, since_s: float | None = None) -> None:
+        self._end_s = (now_s() if since_s is None else since_s) + grace_s - _KILL_MARGIN_S
 
     @property
     def answer_by_s(self) -> float:
--- a/flamingoshelf/gateway/_stream_attempt.py
+++ b/flamingoshelf/gateway/_stream_attempt.py
@@ -10,6 +10,7 @@
 from flamingoshelf.gateway._backend_response import (
     BackendResponse,
     NotRunError,
+    SendProgress,
     ServerPausedError,
     WrongInstanceError,
 )
@@ -19,7 +20,12 @@
 from flamingoshelf.gateway._proxied_calls import ProxiedCall
 from flamingoshelf.gateway._silence_watch import SilenceWatch
 from flamingoshelf.gateway._stream_relay import RelayResult, RunRelay
-from flamingoshelf.gateway._stream_state import AttemptTools, StreamState, origin_of
+from flamingoshelf.gateway._stream_state import (
+    AttemptTools,
+    StreamState,
+    expected_output_tokens,
+    origin_of,
+)
 from flamingoshelf.gateway._wire import BackendCall, KvHandle
 from flamingoshelf.http1 import BackendConnection, NoFreeConnectionError
 from flamingoshelf.placement import FailureKind, RunOutcome, Turn
@@ -72,6 +78,7 @@
         self._tools = tools
         self._silent = tuple(silent)
         self._number = state.turns
+        self._began_s = now_s()
         self._engine: BackendInstance | None = None
         self._has_run = False  # whether a decode engine may have run the request
         self._is_replaced = False
@@ -265,14 +272,21 @@
             pacer=self._tools.pacer,
         )
         sent_s = now_s()
+        progress = SendProgress()
         self._set_has_run(True)
         state.has_called_decode = True
         self._limit_overlap()
         try:
             async with self._tools.client.send(
-                state.request, call, on_sent=lambda sent: self._check_run(engine, sent)
+                state.request,
+                call,
+                on_sent=lambda sent: self._check_run(engine, sent),
+                progress=progress,
             ) as response:
                 return await self._relay(self._run, engine, response, call)
+        except asyncio.CancelledError:
+            self._set_has_run(progress.may_have_arrived)
+            raise
         except WrongInstanceError as error:
             log.info("decode not run: {}", error.message)
             self._record_failure(engine, FailureKind.REPLACED, error.message)
@@ -338,6 +352,13 @@
             return RelayResult.BROKEN
         self._state.relay.backend_server = engine.key
         result = await run.relay(response)
+        if result is RelayResult.COMPLETE and call.resume_after is None:
+            self._tools.durations.record(
+                self._state.request.route.name,
+                first_event_s=now_s() - self._began_s - run.seconds,
+                seconds=run.seconds,
+                tokens=expected_output_tokens(self._state.request.caller),
+            )
         if result is RelayResult.FAILED and response.head.status >= _SERVER_ERROR_STATUS:
             detail = f"status {response.head.status}"
             self._record_failure(engine, FailureKind.BROKE_OFF, detail)
@@ -416,7 +437,7 @@
 
     @property
     def _remaining_s(self) -> float:
-        return self._state.request.deadline_s - now_s()
+        return self._state.request.answer_by_s - now_s()
 
     def _set_has_run(self, has_run: bool) -> None:
         self._state.sent += int(has_run) - int(self._has_run)
--- a/flamingoshelf/gateway/_stream_forwarder.py
+++ b/flamingoshelf/gateway/_stream_forwarder.py
@@ -7,15 +7,19 @@
 from loguru import logger
 
 from flamingoshelf.gateway._admission import AdmittedRequest
+from flamingoshelf.gateway._answer_limit import AnswerLimitError
 from flamingoshelf.gateway._backend_client import BackendClient
 from flamingoshelf.gateway._crash_detector import CrashDetector
+from flamingoshelf.gateway._durations import StreamDurations
 from flamingoshelf.gateway._engine_failures import EngineFailures
 from flamingoshelf.gateway._engine_runs import EngineRuns
+from flamingoshelf.gateway._refusals import SHUTTING_DOWN
 from flamingoshelf.gateway._stream_attempt import StreamAttempt
 from flamingoshelf.gateway._stream_relay import StreamRelay
 from flamingoshelf.gateway._stream_state import (
     AttemptTools,
     StreamState,
+    expected_output_tokens,
     final_refusal,
     pause_refusal,
     unknown_origin_refusal,
@@ -42,7 +46,6 @@
 _MIN_WAIT_S = 0.001  # the event loop may call a timer a little early
 _ASK_AGAIN_INTERVAL_S = 0.4  # between two requests for a turn in place of a silent attempt
 _DEFAULT_PROMPT_TOKENS = 1000  # if the caller states no size; a third of the usual size
-_DEFAULT_OUTPUT_TOKENS = 500  # if the caller states no size; about the mean size of an answer (590)
 
 
 class StreamForwarder:
@@ -105,6 +108,7 @@
             failures=failures,
             metrics=metrics,
             pacer=pacer,
+            durations=StreamDurations(),
         )
 
     async def forward(self, exchange: Exchange, request: AdmittedRequest) -> Refusal | None:
@@ -112,6 +116,8 @@
         refusal = self._crash_detector.check(request)
         if refusal is not None:
             return refusal
+        if now_s() > self._begin_by_s(request):
+            return SHUTTING_DOWN
         origin: StreamOrigin | None = None
         if request.is_take_up:
             origin = await self._find_origin(request)
@@ -128,7 +134,12 @@
         )
         try:
             with self._crash_detector.watch(request, state.refuse):
-                refusal = await self._serve(state)
+                async with request.answer_limit.enforce():
+                    refusal = await self._serve(state)
+        except AnswerLimitError:
+            for attempt in state.attempts:
+                await attempt.stop()
+            refusal = final_refusal(state, remaining_s=0.0)
         finally:
             for attempt in state.attempts:
                 await attempt.stop()
@@ -207,6 +218,8 @@
     ) -> Refusal | None:
         """Begin an attempt with the next turn, or return a refusal if there is no turn."""
         while state.turns < _MAX_TURNS:
+            if now_s() > self._begin_by_s(state.request):
+                return SHUTTING_DOWN
             pause_s = self._pause_s(state)
             if pause_s is not None:
                 return pause_refusal(state.service, pause_s)
@@ -214,7 +227,8 @@
                 return version_gone_refusal(state.origin)
             turn = await self._placer.acquire(self._placement_request(state, silent))
             if isinstance(turn, Refusal):
-                return turn
+                has_waited_less = self._begin_by_s(state.request) < state.request.deadline_s
+                return SHUTTING_DOWN if has_waited_less and not state.sent else turn
             state.is_charged = True
             state.turns += 1
             if self._release_if_unlisted(state, turn):
@@ -287,8 +301,9 @@
         request, caller = state.request, state.request.caller
         now = now_s()
         prompt = caller.prompt_tokens or _DEFAULT_PROMPT_TOKENS
-        max_output = caller.max_output_tokens or _DEFAULT_OUTPUT_TOKENS
-        expected_output = min(caller.expected_output_tokens or max_output, max_output)
+        expected_output = expected_output_tokens(caller)
+        deadline_s = request.answer_by_s if state.relay.is_started else request.abandoned_s
+        wait_until_s = min(deadline_s, self._begin_by_s(request))
         return PlacementRequest(
             turn_id=new_turn_id(request.request_id, state.placements),
             service=state.service,
@@ -299,9 +314,8 @@
             resumed_events=state.relay.event_count + min(expected_output, request.events_before),
             charge_tokens=0.0 if state.is_charged else self._charged_tokens(request),
             goal_left_s=request.goal_s - now,
-            wait_left_s=(request.deadline_s if state.relay.is_started else request.abandoned_s)
-            - now,
-            deadline_left_s=request.deadline_s - now,
+            wait_left_s=wait_until_s - now,
+            deadline_left_s=request.answer_by_s - now,
             avoid=tuple(state.avoid | exclude),
             exclude=tuple(exclude),
             repeat_cost=state.repeat_cost,
@@ -347,4 +361,10 @@
         return refusal
 
     def _remaining_s(self, state: StreamState) -> float:
-        return state.request.deadline_s - now_s()
+        return state.request.answer_by_s - now_s()
+
+    def _begin_by_s(self, request: AdmittedRequest) -> float:
+        """Return the time by which a stream must begin to end before this node stops."""
+        tokens = expected_output_tokens(request.caller)
+        expected_s = self._tools.durations.expected_s(request.route.name, tokens=tokens)
+        return request.answer_limit.at_s - expected_s
--- a/flamingoshelf/gateway/_stream_state.py
+++ b/flamingoshelf/gateway/_stream_state.py
@@ -8,9 +8,11 @@
 from flamingoshelf.gateway._admission import AdmittedRequest
 from flamingoshelf.gateway._backend_client import BackendClient
 from flamingoshelf.gateway._crash_detector import BEGUN_EVENTS, CrashDetector
+from flamingoshelf.gateway._durations import StreamDurations
 from flamingoshelf.gateway._engine_failures import EngineFailures
 from flamingoshelf.gateway._engine_runs import EngineRuns
 from flamingoshelf.gateway._stream_relay import StreamRelay
+from flamingoshelf.gateway._wire import CallerRequest
 from flamingoshelf.placement import Placer
 from flamingoshelf.refusals import Refusal, RefusalReason
 from flamingoshelf.routing import BackendInstance, InstanceDirectory
@@ -24,6 +26,7 @@
 __all__ = [
     "AttemptTools",
     "StreamState",
+    "expected_output_tokens",
     "final_refusal",
     "origin_of",
     "pause_refusal",
@@ -31,6 +34,7 @@
     "version_gone_refusal",
 ]
 
+_DEFAULT_OUTPUT_TOKENS = 500  # if the caller states no size; about the mean size of an answer (590)
 _UNKNOWN_ORIGIN_RETRY_S = 1.0  # the store or the coordinator may answer again
 _VERSION_GONE_RETRY_S = 2.0  # a crashed engine starts again within seconds
 _FULL_RETRY_AFTER_S = 0.4  # about the interval at which a decode engine finishes a run
@@ -49,6 +53,7 @@
     failures: EngineFailures
     metrics: Metrics
     pacer: Pacer
+    durations: StreamDurations
 
 
 @attrs.define(kw_only=True)
@@ -135,6 +140,12 @@
         return int(self.has_called_prefill) + int(self.has_called_decode)
 
 
+def expected_output_tokens(caller: CallerRequest) -> int:
+    """Return the size of an answer in tokens, as its caller states or estimates it."""
+    max_output = caller.max_output_tokens or _DEFAULT_OUTPUT_TOKENS
+    return min(caller.expected_output_tokens or max_output, max_output)
+
+
 def origin_of(engine: BackendInstance) -> StreamOrigin:
     """Return the origin of streams that an engine begins."""
     return StreamOrigin(service=engine.service, version=engine.software_version)
--- a/flamingoshelf/gateway/tests/conftest.py
+++ b/flamingoshelf/gateway/tests/conftest.py
@@ -162,8 +162,8 @@
     """Fake servers; each gives its queued answers in order, then default answers.
 
     `prefills` holds the queued outcomes of prefills by engine: an error, a handle, the seconds
-    until a handle comes, or `SILENT`. `spans` holds server, begin and end of each ended call,
-    prefills excepted.
+    until a handle comes, or `SILENT`. While `is_connecting`, no call arrives at its server. `spans`
+    holds server, begin and end of each ended call, prefills excepted.
     """
 
     def __init__(self):
@@ -173,6 +173,7 @@
         self.freed = []
         self.prefills = {}
         self.spans = []
+        self.is_connecting = False
 
     def queue_answers(self, server, *answers):
         self.answers.setdefault(server, []).extend(answers)
@@ -181,8 +182,10 @@
         return [call.instance.key for call in self.calls]
 
     @asynccontextmanager
-    async def send(self, request, call, *, fresh=False, on_sent=None):
+    async def send(self, request, call, *, fresh=False, on_sent=None, progress=None):
         began_s = now_s()
+        if progress is not None:
+            progress.may_have_arrived = not self.is_connecting
         try:
             async with self._send(call) as response:
                 yield response
--- a/flamingoshelf/gateway/tests/test_changed_configuration.py
+++ b/flamingoshelf/gateway/tests/test_changed_configuration.py
@@ -9,6 +9,7 @@
 
 from flamingoshelf.cluster import MemberList
 from flamingoshelf.gateway import CallerRequest, GatewaySettings
+from flamingoshelf.gateway._answer_limit import AnswerLimit
 from flamingoshelf.gateway._node_limits import NodeLimits
 from flamingoshelf.gateway._request_path import new_gateway
 from flamingoshelf.gateway.tests.conftest import ENGINE, Answer, FakeOutput, lost, route, server
@@ -130,6 +131,7 @@
             metrics=metrics,
             random_source=random.Random(1),
             pacer=Pacer(),
+            answer_limit=AnswerLimit(),
         )
         self.gateway = self._new_gateway(RefusingPlacer())
 
--- a/flamingoshelf/gateway/tests/test_plain_faults.py
+++ b/flamingoshelf/gateway/tests/test_plain_faults.py
@@ -67,11 +67,12 @@
         self.running: Counter[str] = Counter()
 
     @asynccontextmanager
-    async def send(self, request, call, *, fresh=False):
+    async def send(self, request, call, *, fresh=False, progress):
         key = call.instance.key
         if self.running[key] >= self.max_connections:
             raise NoFreeConnectionError("all connections are in use", step="connect", peer=key)
         self.calls.append((key, now_s()))
+        progress.may_have_arrived = True
         self.running[key] += 1
         try:
             await asyncio.sleep(WORK_S)
@@ -190,10 +191,10 @@
         super().__init__()
         self.started_s = {}
 
-    def send(self, request, call, *, fresh=False, on_sent=None):
+    def send(self, request, call, *, fresh=False, on_sent=None, progress=None):
         assert call.instance.key not in self.started_s, "a server is called twice"
         self.started_s[call.instance.key] = now_s()
-        return super().send(request, call)
+        return super().send(request, call, progress=progress)
 
 
 @attrs.frozen(kw_only=True)
--- a/flamingoshelf/gateway/tests/test_silent_engines.py
+++ b/flamingoshelf/gateway/tests/test_silent_engines.py
@@ -6,6 +6,7 @@
 import pytest
 
 from flamingoshelf.gateway import Admission
+from flamingoshelf.gateway._answer_limit import AnswerLimit
 from flamingoshelf.gateway._shutdown import ShutdownPlan
 from flamingoshelf.gateway.tests.conftest import (
     CALLER,
@@ -233,7 +234,9 @@
 
 
 def new_admission(configuration, wire, plan):
-    return Admission(configuration=configuration, wire=wire, answer_by_s=lambda: plan.answer_by_s)
+    limit = AnswerLimit()
+    limit.set(plan.answer_by_s)
+    return Admission(configuration=configuration, wire=wire, answer_limit=limit)
 
 
 class OpenWire:
--- a/flamingoshelf/platform/_main.py
+++ b/flamingoshelf/platform/_main.py
@@ -91,14 +91,18 @@
         metrics_address=None if metrics_port is None else f"{ip}:{metrics_port}",
         dropped_log_lines=lambda: log_output.dropped,
     )
-    stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
-    loop.add_signal_handler(signal.SIGINT, stop_requested.set)
+    stop_requested: asyncio.Future[float] = loop.create_future()
+
+    def request_stop() -> None:
+        if not stop_requested.done():
+            stop_requested.set_result(loop.time())
+
+    loop.add_signal_handler(signal.SIGTERM, request_stop)
+    loop.add_signal_handler(signal.SIGINT, request_stop)
     watch = SettingsWatch(path=path, load=load_settings, apply=node.apply_settings)
     loop.add_signal_handler(signal.SIGHUP, lambda: watch.reload(reason="SIGHUP"))
     await watch.start()
     await node.start()
-    await stop_requested.wait()
-    await node.stop()
+    await node.stop(since_s=await stop_requested)
     await watch.stop()
