A stop waits for the first requests of new connections

Cause: a connection without a request counted as idle from its first moment on, though a caller that connects sends its request at once. And a connection that the kernel had established, but the process not accepted, was reset with the listening socket.

Now a new connection is waited for 0.5 s, and what waits at the listening socket is accepted before it is closed. Two tests closed a connection as idle that had just been opened; theirs has now carried a request.

Evidence: the new tests fail before (an answer that never comes; no connection accepted).

--- a/flamingoshelf/gateway/_shutdown.py
+++ b/flamingoshelf/gateway/_shutdown.py
@@ -53,6 +53,7 @@
         end_s = self._end_s
         server.drain()
         await asyncio.sleep(min(_BALANCER_NOTICE_S, max(0.0, end_s - now_s())))
+        await server.accept_waiting()
         server.stop_accepting()
         while server.unfinished_connections and now_s() < end_s:
             await asyncio.sleep(_POLL_INTERVAL_S)
--- a/flamingoshelf/gateway/tests/test_shutdown.py
+++ b/flamingoshelf/gateway/tests/test_shutdown.py
@@ -105,6 +105,43 @@
     writer.close()
 
 
+# A connection that was opened just before the stop closed idle ones was closed before its first
+# request had arrived.
+async def test_first_request_of_a_new_connection_is_answered():
+    server = await start(echo)
+    stopping = asyncio.create_task(ShutdownPlan(grace_s=5.0).run(server))
+    await asyncio.sleep(0.08)  # shortly before idle connections are closed
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    await asyncio.sleep(0.1)
+    writer.write(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\na")
+    assert (await reader.read()).endswith(b"echo a")
+    await stopping
+    writer.close()
+
+
+# The close of the listening socket resets connections that wait there.
+async def test_waiting_connection_is_accepted_before_the_listening_socket_closes():
+    server = await start(echo)
+    with socket.create_connection(("127.0.0.1", server.port)) as caller:
+        await server.accept_waiting()
+        server.stop_accepting()
+        assert server.connections == 1
+        caller.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(caller, GET)
+        assert (await loop.sock_recv(caller, 4096)).startswith(b"HTTP/1.1 200")
+    await server.stop()
+
+
+async def test_connection_on_which_nothing_comes_holds_up_no_stop():
+    server = await start(echo)
+    _, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    began_s = asyncio.get_running_loop().time()
+    await ShutdownPlan(grace_s=10.0).run(server)
+    assert asyncio.get_running_loop().time() - began_s < 3.0
+    writer.close()
+
+
 async def test_stop_names_the_requests_that_it_cuts_within_a_bound():
     """The log says which requests were cut, and a stop with many of them writes few lines."""
 
--- a/flamingoshelf/http1/_linger.py
+++ b/flamingoshelf/http1/_linger.py
@@ -5,11 +5,13 @@
 import select
 import struct
 import termios
+from asyncio.trsock import TransportSocket
 from collections.abc import Callable
+from socket import socket
 
 from flamingoshelf.utils import now_s
 
-__all__ = ["Linger", "has_unread_bytes", "unsent_bytes"]
+__all__ = ["Linger", "has_input", "has_unread_bytes", "unsent_bytes"]
 
 _STALL_TIMEOUT_S = 5.0  # longest time in which a caller acknowledges nothing
 # After the last byte of a request that crossed the close: its caller must learn soon that it gets
@@ -24,6 +26,11 @@
     raw = None if transport is None else transport.get_extra_info("socket")
     if transport is None or raw is None or raw.fileno() < 0 or not transport.is_reading():
         return False
+    return has_input(raw)
+
+
+def has_input(raw: TransportSocket | socket) -> bool:
+    """Return whether a socket has something to read or to accept, or has failed."""
     poll = select.poll()
     poll.register(raw.fileno(), select.POLLIN)
     return bool(poll.poll(0))
--- a/flamingoshelf/http1/_server.py
+++ b/flamingoshelf/http1/_server.py
@@ -7,12 +7,14 @@
 
 from flamingoshelf.http1._connection_log import CloseReason
 from flamingoshelf.http1._exchange import Exchange
+from flamingoshelf.http1._linger import has_input
 from flamingoshelf.http1._server_connection import ServerConnection
 from flamingoshelf.utils import Pacer
 
 __all__ = ["ConnectionLimits", "HttpServer"]
 
 _BACKLOG_CONNECTIONS = 512  # callers that connect at once after a restart
+_MAX_ACCEPT_TURNS = 10  # in each of which the event loop accepts as many as may wait
 _MAX_NAMED_CUTS = 100  # log lines about requests that are cut off at the end of the grace period
 
 
@@ -108,6 +110,15 @@
         for connection in self._connections:
             connection.close_after_response()
 
+    async def accept_waiting(self) -> None:
+        """Accept the connections that wait at the listening socket; its close would reset them."""
+        sockets = () if self._server is None else self._server.sockets
+        for _ in range(_MAX_ACCEPT_TURNS):
+            has_waiting = any(has_input(listener) for listener in sockets)
+            await asyncio.sleep(0)  # an accepted connection gets its protocol in the next turn
+            if not has_waiting:
+                return
+
     def stop_accepting(self) -> None:
         """Close the listening socket and the idle connections."""
         if self._server is not None:
--- a/flamingoshelf/http1/_server_connection.py
+++ b/flamingoshelf/http1/_server_connection.py
@@ -34,6 +34,7 @@
 # Of a refused body at least so much is read, and as much as a body may have: a caller that is cut
 # off while it sends may never read its refusal.
 _MIN_DISCARDED_BYTES = 256 * 1024
+_FIRST_REQUEST_WAIT_S = 0.5  # a caller that connects sends its request at once
 _MAX_PIPELINED_BYTES = 64 * 1024  # behind a request that is being answered
 
 
@@ -85,6 +86,8 @@
         self._linger: Linger | None = None
         self._close_reason: CloseReason | None = None
         self._last_request_id: str | None = None
+        self._connected_s = 0.0
+        self._has_carried = False  # whether the head of any request was read
         self._discarded_bytes = 0
         self._ignores_input = False  # once a refused body has grown too large
         self._unread_bytes = 0  # discarded because the connection is closing
@@ -96,17 +99,28 @@
 
     @property
     def is_unfinished(self) -> bool:
-        """Whether a request has begun, or a response is not wholly sent."""
-        return self.is_busy or self._has_begun or self._has_arrived or self._unsent_bytes > 0
+        """Whether a request has begun or will soon, or a response is not wholly sent."""
+        return (
+            self.is_busy
+            or self._has_begun
+            or self._has_arrived
+            or self._first_request_wait_s > 0
+            or self._unsent_bytes > 0
+        )
 
     def close_after_response(self) -> None:
         """Announce the close in the next response that no request which was read follows."""
         self._is_draining = True
 
     def close_if_idle(self) -> None:
-        """Close the connection when no request has begun."""
+        """Close the connection when no request has begun, or is on its way as the first one."""
         self._closes_when_idle = True
-        if not self.is_busy and not self._has_begun and not self._has_arrived:
+        if self.is_busy or self._has_begun or self._has_arrived:
+            return
+        wait_s = self._first_request_wait_s
+        if wait_s > 0:
+            self._timer.start(lambda: wait_s, self.close_if_idle)
+        else:
             self._close(CloseReason.DRAIN)
 
     def abort(self, reason: CloseReason | None = None) -> None:
@@ -124,6 +138,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options and start the idle timeout."""
         self._transport = cast(asyncio.Transport, transport)
+        self._connected_s = now_s()
         raw = transport.get_extra_info("socket")
         if raw is not None:
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -222,6 +237,13 @@
             and bool(self._parser.trailing_data[0])
         )
 
+    @property
+    def _first_request_wait_s(self) -> float:
+        """Seconds for which the first request of a new connection is still waited for."""
+        if self._has_carried or self._is_lingering:
+            return 0.0
+        return max(0.0, self._connected_s + _FIRST_REQUEST_WAIT_S - now_s())
+
     @property
     def _has_arrived(self) -> bool:
         """Whether bytes, or the end of the stream, have arrived and were not read yet."""
@@ -301,6 +323,7 @@
 
     def _begin_request(self, event: h11.Request) -> None:
         self._timer.cancel()
+        self._has_carried = True
         head = request_head(event)
         self._exchange = Exchange(head=head, output=self, arrived_s=now_s())
         status = refusal_status(event, head, max_header_bytes=self._limits().max_header_bytes)
--- a/flamingoshelf/http1/tests/test_closing.py
+++ b/flamingoshelf/http1/tests/test_closing.py
@@ -174,6 +174,7 @@
         raise OSError(107, "Transport endpoint is not connected")
 
     server.transport.write_eof = write_eof
+    assert await server.receive(GET)
     server.connection.close_if_idle()
     await run_pending_callbacks()
     assert server.transport.is_aborted
--- a/flamingoshelf/http1/tests/test_server.py
+++ b/flamingoshelf/http1/tests/test_server.py
@@ -6,7 +6,7 @@
 import pytest
 
 from flamingoshelf.http1 import BodyTooLargeError, Headers, ResponseHead
-from flamingoshelf.http1.tests.conftest import run_pending_callbacks
+from flamingoshelf.http1.tests.conftest import Server, run_pending_callbacks
 
 pytestmark = pytest.mark.looptime
 
@@ -166,10 +166,26 @@
 
 
 async def test_idle_connection_is_closed_when_the_server_stops(server):
+    assert await server.receive(GET)
     server.connection.close_if_idle()
     assert server.transport.has_eof
 
 
+# A new connection was closed before its first request had arrived.
+async def test_first_request_of_a_connection_is_waited_for_when_the_server_stops(server):
+    server.connection.close_if_idle()
+    assert server.connection.is_unfinished and not server.transport.has_eof
+    assert (await server.receive(GET)).startswith(b"HTTP/1.1 200")
+    assert server.transport.has_eof
+
+
+async def test_first_request_of_a_connection_is_waited_for_a_short_time_only():
+    server = Server()  # whose connection begins now
+    server.connection.close_if_idle()
+    await asyncio.sleep(0.6)
+    assert server.transport.has_eof and not server.connection.is_unfinished
+
+
 async def test_expect_100_continue_is_answered(server):
     head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n"
     assert await server.receive(head) == b"HTTP/1.1 100 \r\n\r\n"
