--- a/flamingoshelf/gateway/_stream_attempt.py
+++ b/flamingoshelf/gateway/_stream_attempt.py
@@ -2,16 +2,13 @@
 
 import asyncio
 from collections.abc import Sequence
-from typing import TYPE_CHECKING
-
-from loguru import logger
 
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
+from flamingoshelf.gateway._attempt_reports import AttemptReports
 from flamingoshelf.gateway._backend_response import (
     BackendResponse,
     NotRunError,
     SendProgress,
-    ServerPausedError,
     WrongInstanceError,
 )
 from flamingoshelf.gateway._crash_detector import BEGUN_EVENTS
@@ -23,7 +20,6 @@
 from flamingoshelf.gateway._stream_state import (
     AttemptTools,
     StreamState,
-    expected_output_tokens,
     origin_of,
 )
 from flamingoshelf.gateway._wire import BackendCall, KvHandle
@@ -33,9 +29,6 @@
 from flamingoshelf.stream_origins import stream_key
 from flamingoshelf.utils import now_s
 
-if TYPE_CHECKING:
-    from loguru import Logger
-
 __all__ = ["StreamAttempt"]
 
 _SERVER_ERROR_STATUS = 500  # from here on, the status blames the server
@@ -77,7 +70,7 @@
         self._turn = turn
         self._tools = tools
         self._silent = tuple(silent)
-        self._number = state.turns
+        self._reports = AttemptReports(state=state, turn=turn, tools=tools)
         self._began_s = now_s()
         self._engine: BackendInstance | None = None
         self._has_run = False  # whether a decode engine may have run the request
@@ -188,7 +181,7 @@
         """Return the KV cache handle of the processed prompt, or None if the prefill failed."""
         state = self._state
         engine = self._tools.directory.get(engine_id)
-        log = self._log("prefill", engine_id)
+        log = self._reports.log("prefill", engine_id)
         if engine is None:
             state.avoid.add(engine_id)
             log.info("prefill engine not listed at this node")
@@ -205,22 +198,22 @@
                 )
         except WrongInstanceError as error:
             log.info("prefill not run: {}", error.message)
-            self._record_failure(engine, FailureKind.REPLACED, error.message)
+            self._reports.report_failure(engine, FailureKind.REPLACED, error.message)
         except NotRunError as error:
             log.info("prefill not run: {}", error.message)
-            self._record_rejection(engine, error)
+            self._reports.report_rejection(engine, error)
         except NoFreeConnectionError as error:  # says nothing about the engine's health
             log.info("prefill not sent: {}", error.message)
             state.avoid.add(engine_id)
         except PeerUnreachableError as error:
             log.warning("prefill not sent: {}", error.message)
-            self._record_failure(engine, FailureKind.UNREACHABLE, error.message)
+            self._reports.report_failure(engine, FailureKind.UNREACHABLE, error.message)
         except OutcomeUnknownError as error:
             log.warning("prefill failed: {}", error.message)
             self._tools.crash_detector.record_lost_run(state.request, engine, sent_s=began_s)
-            self._record_failure(engine, FailureKind.BROKE_OFF, error.message)
+            self._reports.report_failure(engine, FailureKind.BROKE_OFF, error.message)
         except TimeoutError:
-            self._report_slow_prefill(now_s() - began_s)
+            self._reports.report_slow_prefill(engine, seconds=now_s() - began_s)
         else:
             seconds = now_s() - began_s
             log.debug("prefill done in {:.3f} s", seconds)
@@ -231,7 +224,7 @@
 
     async def _choose_decode(self) -> BackendInstance | None:
         decode_id = await self._tools.placer.confirm(self._turn)
-        log = self._log("place", decode_id)
+        log = self._reports.log("place", decode_id)
         if decode_id is None:
             self._count_wasted_prefill()
             log.warning("no decode engine has room for the processed prompt")
@@ -254,7 +247,7 @@
     async def _decode(self, engine: BackendInstance) -> RelayResult:
         """Run the request at a decode engine, and relay its events to the caller."""
         state = self._state
-        log = self._log("decode", engine.key)
+        log = self._reports.log("decode", engine.key)
         if not state.may_run:  # the silent attempt has run meanwhile
             return RelayResult.NOT_RUN
         call = self._call(engine, kv_handle=self._handle)
@@ -265,7 +258,7 @@
             engine=engine,
             on_first_event=lambda: self._record_first_event(engine),
             on_begin=lambda: self._tools.crash_detector.record_begin(state.request),
-            on_suspicion=lambda silent_s: self._report_silence(
+            on_suspicion=lambda silent_s: self._reports.report_silence(
                 engine, "no event for a time", silent_s=silent_s
             ),
             watch=self._watch,
@@ -289,23 +282,23 @@
             raise
         except WrongInstanceError as error:
             log.info("decode not run: {}", error.message)
-            self._record_failure(engine, FailureKind.REPLACED, error.message)
+            self._reports.report_failure(engine, FailureKind.REPLACED, error.message)
         except NotRunError as error:
             log.info("decode not run: {}", error.message)
-            self._record_rejection(engine, error)
+            self._reports.report_rejection(engine, error)
             self._count_wasted_prefill()
         except NoFreeConnectionError as error:
             log.info("decode not sent: {}", error.message)
             state.avoid.add(engine.key)
         except PeerUnreachableError as error:
             log.warning("decode not sent: {}", error.message)
-            self._record_failure(engine, FailureKind.UNREACHABLE, error.message)
+            self._reports.report_failure(engine, FailureKind.UNREACHABLE, error.message)
         except OutcomeUnknownError as error:
             log.warning("broke off after event {}: {}", state.relay.last_event_id, error.message)
             self._tools.crash_detector.record_lost_run(
                 state.request, engine, sent_s=sent_s, events=self._run.event_count
             )
-            self._record_failure(engine, FailureKind.BROKE_OFF, error.message)
+            self._reports.report_failure(engine, FailureKind.BROKE_OFF, error.message)
             return RelayResult.BROKEN
         self._set_has_run(False)
         return RelayResult.NOT_RUN
@@ -346,22 +339,21 @@
             return RelayResult.BROKEN
         if self._state.origin is not None and not await self._run_check.is_confirmed():
             self._state.unlisted.add(engine.key)
-            self._log("decode", engine.key).warning("engine may run another software version")
+            self._reports.log("decode", engine.key).warning(
+                "engine may run another software version"
+            )
             return RelayResult.BROKEN
         if not self._take_over(self._silent):
             return RelayResult.BROKEN
         self._state.relay.backend_server = engine.key
         result = await run.relay(response)
         if result is RelayResult.COMPLETE and call.resume_after is None:
-            self._tools.durations.record(
-                self._state.request.route.name,
-                first_event_s=now_s() - self._began_s - run.seconds,
-                seconds=run.seconds,
-                tokens=expected_output_tokens(self._state.request.caller),
+            self._reports.record_duration(
+                first_event_s=now_s() - self._began_s - run.seconds, seconds=run.seconds
             )
         if result is RelayResult.FAILED and response.head.status >= _SERVER_ERROR_STATUS:
             detail = f"status {response.head.status}"
-            self._record_failure(engine, FailureKind.BROKE_OFF, detail)
+            self._reports.report_failure(engine, FailureKind.BROKE_OFF, detail)
         return result
 
     def _take_over(self, attempts: "Sequence[StreamAttempt]") -> bool:
@@ -381,43 +373,38 @@
     def _on_deadline(self) -> RelayResult:
         if self._run is None:
             return RelayResult.NOT_RUN
-        self._log("decode", self.engine_id).warning(
+        self._reports.log("decode", self.engine_id).warning(
             "no time left after event {}", self._state.relay.last_event_id
         )
         if self._run.is_suspect:
-            self._record_failure(self._run.engine, FailureKind.BROKE_OFF, "stalled")
+            self._reports.report_failure(self._run.engine, FailureKind.BROKE_OFF, "stalled")
         return RelayResult.BROKEN
 
     def _on_silence(self) -> None:
         self._state.changed.set()
-        self._log("silence", self.engine_id).info(
+        self._reports.log("silence", self.engine_id).info(
             "engine silent for {:.3f} s after event {}",
             self._watch.pause_s,
             self._state.relay.last_event_id,
         )
         if self._run is None and self._engine is not None:
-            self._report_silence(self._engine, "prefill overdue", silent_s=self._watch.pause_s)
+            self._reports.report_silence(
+                self._engine, "prefill overdue", silent_s=self._watch.pause_s
+            )
 
     def _on_progress(self, silent_s: float) -> None:
         self._state.changed.set()
-        self._log("silence", self.engine_id).info("engine goes on after {:.3f} s", silent_s)
+        self._reports.log("silence", self.engine_id).info("engine goes on after {:.3f} s", silent_s)
 
     def _report_replaced(self) -> None:
         if self._run is None:
-            self._report_slow_prefill(self._watch.pause_s)
+            assert self._engine is not None
+            self._reports.report_slow_prefill(self._engine, seconds=self._watch.pause_s)
             return
-        self._log("decode", self.engine_id).warning(
+        self._reports.log("decode", self.engine_id).warning(
             "stalled after event {}; another run has taken over", self._state.relay.last_event_id
         )
-        self._record_failure(self._run.engine, FailureKind.BROKE_OFF, "stalled")
-
-    def _report_slow_prefill(self, seconds: float) -> None:
-        assert self._engine is not None
-        self._log("prefill", self._engine.key).bind(
-            expected_s=round(self._turn.prefill_s, 3)
-        ).warning("prefill timed out after {:.3f} s", seconds)
-        self._tools.failures.report_slow_prefill(self._engine, self._turn, seconds=seconds)
-        self._record_failure(self._engine, FailureKind.BROKE_OFF, "no answer to a prefill")
+        self._reports.report_failure(self._run.engine, FailureKind.BROKE_OFF, "stalled")
 
     def _call(
         self,
@@ -446,19 +433,3 @@
     def _count_wasted_prefill(self) -> None:
         if self._handle is not None:
             self._tools.metrics.count_event("prefills_wasted")
-
-    def _record_failure(self, engine: BackendInstance, kind: FailureKind, detail: str) -> None:
-        self._state.avoid.add(engine.key)
-        self._tools.failures.report(engine, kind, detail=detail)
-
-    def _report_silence(self, engine: BackendInstance, detail: str, *, silent_s: float) -> None:
-        self._tools.failures.report_silence(engine, since_s=now_s() - silent_s, detail=detail)
-
-    def _record_rejection(self, engine: BackendInstance, error: NotRunError) -> None:
-        self._state.avoid.add(engine.key)
-        if not isinstance(error, ServerPausedError):  # it has room, but not for this node
-            self._tools.placer.record_rejection(self._state.service, engine.key)
-
-    def _log(self, step: str, peer: str | None) -> "Logger":
-        request_id = self._state.request.request_id
-        return logger.bind(request_id=request_id, step=step, peer=peer, turn=self._number)
--- a/flamingoshelf/http1/_server_connection.py
+++ b/flamingoshelf/http1/_server_connection.py
@@ -280,8 +280,8 @@
         try:
             has_more = self._take_events()
         except h11.RemoteProtocolError as error:
+            has_more = False
             self._reject_input(error)
-            return
         if has_more:
             self._is_parse_queued = True
             self._pacer.schedule(self._parse_queued)
