--- a/lab/tests/test_cut_nodes.py
+++ b/lab/tests/test_cut_nodes.py
@@ -7,7 +7,7 @@
 from flamingoshelf.utils import now_s
 from lab.gateway._checks import is_served
 from lab.gateway._cut_load import CutLoad, served_share
-from lab.gateway._paths import CutForm, PathSite
+from lab.gateway._paths import CutForm
 from lab.gateway._site import NOTES
 
 pytestmark = [pytest.mark.processes, pytest.mark.timeout(90)]
@@ -25,22 +25,6 @@
 MIN_SERVED = 0.98  # at nodes that reach all servers, and at all in calm times
 
 
-@pytest.fixture
-async def new_path_site(tmp_path):
-    sites = []
-
-    async def start(node_count):
-        site = PathSite(folder=tmp_path, node_count=node_count, prefill_count=2, decode_count=3)
-        sites.append(site)
-        await site.start()
-        await asyncio.sleep(2.5)  # for the initial changes of engine roles
-        return site
-
-    yield start
-    for site in sites:
-        await site.stop()
-
-
 async def cut_under_load(site, nodes, form):
     """Cut nodes for a time; return the load, and the time at which the cut began."""
     load = CutLoad(site, interval_s=INTERVAL_S)
--- a/lab/tests/test_slow_paths.py
+++ b/lab/tests/test_slow_paths.py
@@ -6,7 +6,7 @@
 
 from flamingoshelf.utils import now_s
 from lab.gateway._cut_load import CutLoad, served_share
-from lab.gateway._paths import CutForm, PathSite
+from lab.gateway._paths import CutForm
 from lab.tests.test_cut_nodes import CONTACT_S, INTERVAL_S, coordinator_of
 
 pytestmark = [pytest.mark.processes, pytest.mark.timeout(90)]
@@ -17,23 +17,6 @@
 MIN_SERVED = 0.9
 
 
-@pytest.fixture
-async def new_slow_site(tmp_path):
-    sites = []
-
-    async def start(node_count):
-        site = PathSite(folder=tmp_path, node_count=node_count, prefill_count=2, decode_count=3)
-        sites.append(site)
-        await site.start()
-        await asyncio.sleep(2.5)  # for the initial changes of engine roles
-        site.accept_queue.per_s = CONNECTIONS_PER_S
-        return site
-
-    yield start
-    for site in sites:
-        await site.stop()
-
-
 # The nodes that were cut off opened so many connections, and all nodes gave so many up, that none
 # was answered in time: nodes that reached every server believed that nobody did, refused all, and
 # went on to do so after the end of the cut.
@@ -42,9 +25,10 @@
     [(6, 4, CutForm.RESET), (6, 4, CutForm.HANG), (4, 2, CutForm.RESET)],
 )
 async def test_slow_connections_and_cut_nodes_keep_nobody_from_the_servers(
-    new_slow_site, node_count, cut_count, form
+    new_path_site, node_count, cut_count, form
 ):
-    site = await new_slow_site(node_count)
+    site = await new_path_site(node_count)
+    site.accept_queue.per_s = CONNECTIONS_PER_S
     numbers = [(coordinator_of(site) + 1 + step) % node_count for step in range(node_count)]
     nodes, others = numbers[:cut_count], numbers[cut_count:]
     load = CutLoad(site, interval_s=INTERVAL_S)
