A stopping node answers what is left 0.3 s before the end of its grace period, as before

What callers saw: of streams that ran at the end of a planned stop while their engines were silent, some were broken off 0.35 s before the end of the grace period, which could have ended in the 0.05 s that followed.

Cause: gave the refusals of hundreds of requests 0.1 s rather than 0.04 s, and kept 0.25 s for the end of the process, so that the sum grew from 0.29 s to 0.35 s.

Now 0.2 s are kept for the end of the process, 0.3 s in all. The soak is as it was.

Ruled out: another bound of the check.

--- a/flamingoshelf/gateway/_shutdown.py
+++ b/flamingoshelf/gateway/_shutdown.py
@@ -12,7 +12,7 @@
 
 # The load balancer checks readiness once a second and stops sending connections after two failures.
 _BALANCER_NOTICE_S = 2.6
-_KILL_MARGIN_S = 0.25  # part of the grace period reserved for ending the process
+_KILL_MARGIN_S = 0.2  # part of the grace period reserved for ending the process
 _POLL_INTERVAL_S = 0.02  # between checks for unfinished requests
 # For what can't be answered to be refused before the connections are closed; hundreds of requests
 # may end at the same time.
