A plain call waits for a connection if new ones to all servers of its service are slow

What callers saw: in a silence of all servers of a plain service, of 1 s, calls that had time to wait were refused within 0.1 s: 503, "All connections of this node to the servers are in use".

A probe that is silent for 0.3 s bounds new connections to its server; a call that finds neither an open one nor one that comes back within 0.1 s goes to another server. With all servers bounded none was left, and that was taken for a lack of connections.

Now a call for which no other server is left goes back to one of these and waits, as long as its caller does, until a connection comes back or may be opened; each answer wakes as many calls as can be sent then, those that have waited longest first. Every 0.1 s it asks whether other nodes reach the server, and goes through one of them once they do. If its time ends before it was written to a server, it was not run (503). The pool asks for the bound itself, so that it can tell how many to wake.

Ruled out: opening connections beyond the bound for such calls (the loop that ended); waiting at the first slow server (a booking would wait while a sound server is there).

The new tests of the forwarder, the client and the pool fail without the change.

--- a/flamingoshelf/gateway/_backend_client.py
+++ b/flamingoshelf/gateway/_backend_client.py
@@ -39,6 +39,7 @@
 # A failed connection attempt leaves time for another server; a check takes milliseconds if
 # connections are refused.
 _VERDICT_WAIT_S = 0.05
+_CONNECTION_WAIT_S = 0.1  # before a waiting call asks again whether other nodes reach the server
 _MAX_PEERS_PER_CALL = 2  # nodes that a call is offered to, of which one at most sends it
 
 OnSent = Callable[[BackendConnection | ProxiedCall], None]
@@ -100,17 +101,21 @@
         fresh: bool = False,
         on_sent: OnSent = lambda connection: None,
         progress: SendProgress | None = None,
+        is_patient: bool = False,
     ) -> AsyncGenerator[BackendResponse, None]:
         """Send a request; leaving the context before the end of the body cancels it at the server.
 
         With `fresh`, a new connection is opened even if there are idle ones. `on_sent` is called
         with the connection that the request was written to. `progress` tells, also after a
-        cancellation, whether a server may have received the request.
+        cancellation, whether a server may have received the request. With `is_patient`, it waits as
+        long as its caller does while new connections are slow and all open ones are in use.
 
         Raises
         ------
         NotRunError
             The server did not run the request.
+        SlowConnectionError
+            New connections are slow, and all open ones are in use; nothing was sent.
         PeerUnreachableError
             Nothing was sent.
         OutcomeUnknownError
@@ -132,6 +137,7 @@
                 fresh=fresh,
                 on_sent=on_sent,
                 progress=progress or SendProgress(),
+                is_patient=is_patient,
             )
 
     async def prefill(self, request: AdmittedRequest, call: BackendCall) -> KvHandle:
@@ -234,6 +240,7 @@
         fresh: bool = False,
         on_sent: OnSent = lambda connection: None,
         progress: SendProgress,
+        is_patient: bool = False,
     ) -> BackendResponse:
         """Return the response to a request, which ends with the `stack`."""
 
@@ -241,28 +248,18 @@
             progress.may_have_arrived = True
             on_sent(connection)
 
-        if self._uses_own_path(instance.key):
-            try:
-                return await stack.enter_async_context(
-                    self._direct.exchange(
-                        instance,
-                        encode(),
-                        body,
-                        request_id=request_id,
-                        fresh=fresh,
-                        on_sent=record_sent,
-                    )
-                )
-            except SlowConnectionError:  # others may have open connections
-                if not await self._is_found_cut(instance):
-                    raise
-            except (NotRunError, NoFreeConnectionError):
-                raise
-            except PeerUnreachableError:  # nothing was sent
-                if not await self._is_found_cut(instance):
-                    raise
-        elif self._path_table.state(instance.key) is PathState.CUT:
-            await self._is_found_cut(instance)  # no wait while a node is known that reaches it
+        response = await self._open_directly(
+            stack,
+            instance,
+            encode,
+            body,
+            request_id=request_id,
+            fresh=fresh,
+            on_sent=record_sent,
+            is_patient=is_patient,
+        )
+        if response is not None:
+            return response
         failure: PeerUnreachableError | None = None
         for peer in self._choose_peers(instance.key):
             head = encode()
@@ -288,6 +285,41 @@
             "no node reaches the server", step="proxy", peer=instance.key
         )
 
+    async def _open_directly(
+        self,
+        stack: AsyncExitStack,
+        instance: BackendInstance,
+        encode: Callable[[], RequestHead],
+        body: bytes,
+        *,
+        request_id: str | None,
+        fresh: bool,
+        on_sent: OnSent,
+        is_patient: bool,
+    ) -> BackendResponse | None:
+        """Return the response over this node's own path, or None if that path is cut."""
+        while self._uses_own_path(instance.key):
+            exchange = self._direct.exchange(
+                instance, encode(), body, request_id=request_id, fresh=fresh, on_sent=on_sent
+            )
+            try:
+                return await stack.enter_async_context(exchange)
+            except SlowConnectionError:  # others may have open connections
+                if await self._is_found_cut(instance):
+                    return None
+                if not is_patient:
+                    raise
+                await self._direct.wait_for_connection(instance.key, _CONNECTION_WAIT_S)
+            except (NotRunError, NoFreeConnectionError):
+                raise
+            except PeerUnreachableError:  # nothing was sent
+                if await self._is_found_cut(instance):
+                    return None
+                raise
+        if self._path_table.state(instance.key) is PathState.CUT:
+            await self._is_found_cut(instance)  # no wait while a node is known that reaches it
+        return None
+
     def _uses_own_path(self, key: str) -> bool:
         """Return whether a server is called over this node's own path."""
         state = self._path_table.state(key)
--- a/flamingoshelf/gateway/_direct_calls.py
+++ b/flamingoshelf/gateway/_direct_calls.py
@@ -1,7 +1,6 @@
 """Calls to backend servers over this node's own connections."""
 
 import asyncio
-import math
 from collections.abc import AsyncGenerator, Callable
 from contextlib import asynccontextmanager
 
@@ -71,6 +70,10 @@
         """Return whether a connection to a server is open and idle."""
         return self._pool.has_idle(key)
 
+    async def wait_for_connection(self, key: str, timeout_s: float) -> None:
+        """Wait until a connection to a server may be used or opened, or for a time at most."""
+        await self._pool.wait_for_connection(key, timeout_s)
+
     @asynccontextmanager
     async def exchange(
         self,
@@ -114,10 +117,10 @@
         """
         self._check_pause(instance)
         sent_s = now_s()
-        self._limits.count_request(instance.run)
         pooled_call = await self._send(
             instance, head, body, request_id=request_id, fresh=fresh, is_probe=is_probe
         )
+        self._limits.count_request(instance.run)
         async with pooled_call as pooled:
             connection = pooled.connection
             is_fresh = connection.calls == 1
@@ -154,7 +157,6 @@
                 body,
                 request_id=request_id,
                 fresh=fresh,
-                max_opening=math.inf if fresh else self._paths.max_opening(instance.key),
             )
         except NoFreeConnectionError:  # says nothing about the path
             raise
--- a/flamingoshelf/gateway/_plain_attempt.py
+++ b/flamingoshelf/gateway/_plain_attempt.py
@@ -57,6 +57,8 @@
         Server and time left.
     overdue_after_s : float
         Seconds after which the call is overdue.
+    is_patient : bool
+        Whether the call waits for a connection while new ones are slow.
 
     Attributes
     ----------
@@ -70,6 +72,8 @@
         Whether the call was found overdue.
     is_ended : bool
         Whether the outcome of the call was recorded.
+    found_no_connection : bool
+        Whether the call was not sent as new connections were slow.
     """
 
     def __init__(
@@ -79,16 +83,19 @@
         request: AdmittedRequest,
         call: BackendCall,
         overdue_after_s: float,
+        is_patient: bool = False,
     ) -> None:
         self._client = client
         self._request = request
         self._call = call
+        self._is_patient = is_patient
         self._open_response = AsyncExitStack()
         self._progress = SendProgress()
         self.started_s = now_s()
         self.overdue_s = self.started_s + overdue_after_s
         self.is_overdue = False
         self.is_ended = False
+        self.found_no_connection = False
         self.task = asyncio.create_task(self._receive(), name=f"plain_call.{self.key}")
 
     @property
@@ -140,7 +147,12 @@
         """Return the answer once it is complete or fills the buffer."""
         async with AsyncExitStack() as stack:
             response = await stack.enter_async_context(
-                self._client.send(self._request, self._call, progress=self._progress)
+                self._client.send(
+                    self._request,
+                    self._call,
+                    progress=self._progress,
+                    is_patient=self._is_patient,
+                )
             )
             if response.head.is_success and not response.is_signed:
                 raise OutcomeUnknownError("no signature", step="answer", peer=self.key)
--- a/flamingoshelf/gateway/_plain_forwarder.py
+++ b/flamingoshelf/gateway/_plain_forwarder.py
@@ -23,12 +23,12 @@
 from flamingoshelf.gateway._refusals import SHUTTING_DOWN
 from flamingoshelf.gateway._target_selector import TargetSelector
 from flamingoshelf.gateway._wire import BackendCall
-from flamingoshelf.http1 import Exchange, NoFreeConnectionError
+from flamingoshelf.http1 import Exchange, NoFreeConnectionError, SlowConnectionError
 from flamingoshelf.paths import PathReports
 from flamingoshelf.placement import PlainCallMeter
 from flamingoshelf.refusals import Refusal, RetryReason
 from flamingoshelf.retries import RetryBudget
-from flamingoshelf.routing import ServerSelector
+from flamingoshelf.routing import BackendInstance, ServerSelector
 from flamingoshelf.server_limits import LimitService
 from flamingoshelf.telemetry import Metrics
 from flamingoshelf.utils import now_s
@@ -186,7 +186,7 @@
         is_repeat = state.was_sent
         if is_repeat and not self._budget(state.service).try_spend():
             return "the retry budget is spent"
-        instance = await self._servers.choose(state)
+        instance = await self._choose(state)
         if instance is None or state.remaining_s < _MIN_REMAINING_S:
             if is_repeat:
                 self._budget(state.service).refund(1.0)
@@ -206,12 +206,25 @@
             request=state.request,
             call=call,
             overdue_after_s=route.latency_goal_s * _OVERDUE_GOAL_SHARE,
+            is_patient=state.is_patient,
         )
         state.attempts.append(attempt)
         state.exchange.backend_server = attempt.key
         self._selector.start_call(attempt.key)
         return ""
 
+    async def _choose(self, state: PlainState) -> BackendInstance | None:
+        """Return a server to call, or None.
+
+        Servers whose new connections are slow are called again if there is no other one.
+        """
+        instance = await self._servers.choose(state)
+        is_slow = any(attempt.found_no_connection for attempt in state.attempts)
+        if instance is None and is_slow and not state.is_patient:
+            state.is_patient = True
+            instance = await self._servers.choose(state)
+        return instance
+
     def _has_good_answer(self, state: PlainState, attempt: PlainAttempt) -> bool:
         """Return whether a call has a good answer; record how it ended if not."""
         log = self._log(state, attempt)
@@ -239,6 +252,11 @@
             state.last_error = error
             state.rejections += 1
             log.info("call not run: {}", error.message)
+        except SlowConnectionError as error:
+            is_failure = None  # others wait for connections, too
+            attempt.found_no_connection = True
+            state.last_error = error
+            log.info("call not sent: {}", error.message)
         except NoFreeConnectionError as error:
             is_failure = None  # this node's limit says nothing about the server's health
             state.last_error = error
--- a/flamingoshelf/gateway/_plain_state.py
+++ b/flamingoshelf/gateway/_plain_state.py
@@ -32,6 +32,8 @@
         Whether too little time is left for another attempt.
     is_too_late : bool
         Whether this node stops before another attempt would probably end.
+    is_patient : bool
+        Whether further calls wait for connections, as new ones to all servers are slow.
     failure : PlainAttempt or None
         Call with a failure status, which the caller gets if no other server answers.
     last_error : Exception or None
@@ -50,6 +52,7 @@
     rejections: int = 0
     is_out_of_time: bool = False
     is_too_late: bool = False
+    is_patient: bool = False
     failure: PlainAttempt | None = None
     last_error: Exception | None = None
     pause_s: float | None = None
@@ -62,8 +65,12 @@
 
     @property
     def tried(self) -> frozenset[str]:
-        """Keys of the servers called so far."""
-        return frozenset(attempt.key for attempt in self.attempts)
+        """Keys of the servers called so far, except those that a patient call may be sent to."""
+        return frozenset(
+            attempt.key
+            for attempt in self.attempts
+            if not (self.is_patient and attempt.found_no_connection)
+        )
 
     @property
     def remaining_s(self) -> float:
--- a/flamingoshelf/gateway/_server_access.py
+++ b/flamingoshelf/gateway/_server_access.py
@@ -72,7 +72,11 @@
         self._directory = directory
         self._notices = notices
         self._limits = limits
-        self._pool = ConnectionPool(max_connections=max_connections, pacer=pacer)
+        self._pool = ConnectionPool(
+            max_connections=max_connections,
+            max_opening=lambda key: self._paths.max_opening(key),
+            pacer=pacer,
+        )
         self._table = PathTable()
         self._paths = PathService(
             table=self._table,
--- a/flamingoshelf/gateway/tests/conftest.py
+++ b/flamingoshelf/gateway/tests/conftest.py
@@ -163,7 +163,8 @@
 
     `prefills` holds the queued outcomes of prefills by engine: an error, a handle, the seconds
     until a handle comes, or `SILENT`. While `is_connecting`, no call arrives at its server. `spans`
-    holds server, begin and end of each ended call, prefills excepted.
+    holds server, begin and end of each ended call, prefills excepted, `patient` the servers of
+    patient calls.
     """
 
     def __init__(self):
@@ -173,6 +174,7 @@
         self.freed = []
         self.prefills = {}
         self.spans = []
+        self.patient = []
         self.is_connecting = False
 
     def queue_answers(self, server, *answers):
@@ -182,8 +184,12 @@
         return [call.instance.key for call in self.calls]
 
     @asynccontextmanager
-    async def send(self, request, call, *, fresh=False, on_sent=None, progress=None):
+    async def send(
+        self, request, call, *, fresh=False, on_sent=None, progress=None, is_patient=False
+    ):
         began_s = now_s()
+        if is_patient:
+            self.patient.append(call.instance.key)
         if progress is not None:
             progress.may_have_arrived = not self.is_connecting
         try:
--- a/flamingoshelf/gateway/tests/test_plain_faults.py
+++ b/flamingoshelf/gateway/tests/test_plain_faults.py
@@ -67,7 +67,7 @@
         self.running: Counter[str] = Counter()
 
     @asynccontextmanager
-    async def send(self, request, call, *, fresh=False, progress):
+    async def send(self, request, call, *, progress, is_patient=False):
         key = call.instance.key
         if self.running[key] >= self.max_connections:
             raise NoFreeConnectionError("all connections are in use", step="connect", peer=key)
@@ -191,7 +191,7 @@
         super().__init__()
         self.started_s = {}
 
-    def send(self, request, call, *, fresh=False, on_sent=None, progress=None):
+    def send(self, request, call, *, fresh=False, on_sent=None, progress=None, is_patient=False):
         assert call.instance.key not in self.started_s, "a server is called twice"
         self.started_s[call.instance.key] = now_s()
         return super().send(request, call, progress=progress)
--- a/flamingoshelf/gateway/tests/test_plain_forwarder.py
+++ b/flamingoshelf/gateway/tests/test_plain_forwarder.py
@@ -16,6 +16,7 @@
     server,
 )
 from flamingoshelf.gateway.tests.fake_paths import FakePaths
+from flamingoshelf.http1 import SlowConnectionError
 from flamingoshelf.placement import PlainCallMeter
 from flamingoshelf.refusals import Refusal, RefusalReason
 from flamingoshelf.retries import RetryBounds, RetryBudget
@@ -89,6 +90,36 @@
     assert client.called_servers() == ["a", "b"]
 
 
+def slow():
+    return Answer(error=SlowConnectionError("slow", step="connect"))
+
+
+# A short silence of all servers made new connections slow, and calls that had time were refused.
+@pytest.mark.parametrize("kind", [SAFE, UNSAFE])
+async def test_call_waits_for_a_connection_while_new_ones_to_all_servers_are_slow(
+    forward, client, kind
+):
+    client.queue_answers("a", slow())
+    client.queue_answers("b", slow())
+    refusal, output = await forward(kind, max_attempts=1)
+    assert refusal is None and output.body == b"ok"
+    assert client.called_servers() == ["a", "b", "a"] and client.patient == ["a"]
+
+
+async def test_call_goes_to_another_server_before_it_waits_for_a_connection(forward, client):
+    client.queue_answers("a", slow())
+    refusal, output = await forward(UNSAFE)
+    assert refusal is None and output.body == b"ok"
+    assert client.called_servers() == ["a", "b"] and not client.patient
+
+
+async def test_call_that_got_no_connection_until_its_deadline_was_not_run(forward, client):
+    client.is_connecting = True
+    client.queue_answers("a", slow(), Answer(after_s=60.0))
+    refusal, _ = await forward(UNSAFE, servers=1)
+    assert (refusal.status, refusal.not_run, client.patient) == (503, True, ["a"])
+
+
 async def test_idempotent_call_is_sent_again_after_a_lost_answer(forward, client):
     client.queue_answers("a", lost())
     refusal, output = await forward(SAFE)
--- a/flamingoshelf/gateway/tests/test_server_paths.py
+++ b/flamingoshelf/gateway/tests/test_server_paths.py
@@ -52,6 +52,11 @@
         self.sent = []
         self.connect_s = 0.0
         self.busy = {}
+        self.waited = 0
+
+    async def wait_for_connection(self, key, timeout_s):
+        self.waited += 1
+        await asyncio.sleep(timeout_s)
 
     def has_open_connection(self, key):
         return key in self.open
@@ -133,9 +138,9 @@
 
 @pytest.fixture
 def send(backend_client, new_request):
-    async def run():
+    async def run(**options):
         call = BackendCall(instance=server("x"), workspace="w", remaining_s=1.0)
-        async with backend_client.send(new_request(), call) as response:
+        async with backend_client.send(new_request(), call, **options) as response:
             return response.head.status
 
     return run
@@ -251,6 +256,29 @@
     assert checks.asked == 1
 
 
+@pytest.mark.looptime
+async def test_patient_call_waits_for_a_connection(send, ways):
+    ways.errors[None] = SlowConnectionError("slow", step="connect")
+    sending = asyncio.ensure_future(send(is_patient=True))
+    await asyncio.sleep(0.45)
+    del ways.errors[None]
+    assert await sending == 200
+    assert ways.waited == 5 and ways.sent[-1] == (None, "0.50")
+
+
+# A call that waits for the server here would wait until its end, though others reach it.
+@pytest.mark.looptime
+async def test_patient_call_goes_through_another_node_once_the_path_is_found_cut(
+    send, ways, checks
+):
+    ways.errors[None] = SlowConnectionError("slow", step="connect")
+    sending = asyncio.ensure_future(send(is_patient=True))
+    await asyncio.sleep(0.15)
+    checks.verdict = True
+    assert await sending == 200
+    assert ways.waited == 2 and ways.sent[-1][0] in ("b", "c")
+
+
 # Each call to a server that nobody reached waited for its timeouts.
 async def test_server_that_no_node_reaches_is_not_called(send, ways, table):
     table.record_failure(server("x"), since_s=now_s())
--- a/flamingoshelf/http1/_pool.py
+++ b/flamingoshelf/http1/_pool.py
@@ -74,7 +74,7 @@
     idle : list of BackendConnection
         Connections that wait for a call; that used last is the last one.
     waiting : deque of Future
-        Calls that wait for a connection that is lent, in the order in which they began to.
+        Calls that wait for a connection, in the order in which they began to.
     """
 
     calls: int = 0
@@ -93,13 +93,22 @@
         """Whether a connection is lent that has brought answers before."""
         return any(connection.has_answered for connection in self.lent)
 
-    def wake_next(self) -> None:
-        """Wake the call that has waited longest."""
-        while self.waiting:
-            returned = self.waiting.popleft()
-            if not returned.done():
-                returned.set_result(None)
-                return
+    async def wait(self, timeout_s: float) -> None:
+        """Wait until `wake`, or for a time at most."""
+        woken = asyncio.get_running_loop().create_future()
+        self.waiting.append(woken)
+        try:
+            await asyncio.wait({woken}, timeout=timeout_s)
+        finally:
+            woken.cancel()
+
+    def wake(self, count: float) -> None:
+        """Wake the calls that have waited longest."""
+        while self.waiting and count >= 1:
+            woken = self.waiting.popleft()
+            if not woken.done():
+                woken.set_result(None)
+                count -= 1
 
 
 class ConnectionPool:
@@ -109,6 +118,9 @@
     ----------
     max_connections : callable
         ``max_connections(key)`` returns how many connections to a server this node may hold.
+    max_opening : callable, optional
+        ``max_opening(key)`` returns how many new connections to a server may wait for their first
+        answers at a time. Beyond it, calls wait for one that is in use. No bound by default.
     pacer : Pacer, optional
         Shares the event loop among all connections whose bytes take long to parse.
 
@@ -119,9 +131,14 @@
     """
 
     def __init__(
-        self, *, max_connections: Callable[[str], int], pacer: Pacer | None = None
+        self,
+        *,
+        max_connections: Callable[[str], int],
+        max_opening: Callable[[str], float] = lambda key: math.inf,
+        pacer: Pacer | None = None,
     ) -> None:
         self._max_connections = max_connections
+        self._max_opening = max_opening
         self._pacer = pacer or Pacer()
         self._servers: dict[str, _ServerConnections] = {}
         self._opened = 0
@@ -161,7 +178,6 @@
         *,
         request_id: str | None = None,
         fresh: bool = False,
-        max_opening: float = math.inf,
     ) -> PooledCall:
         """Write a request to a server, over a connection that has not carried its id before.
 
@@ -178,13 +194,12 @@
         request_id : str or None
             Id that the response names, None if it names none.
         fresh : bool
-            Whether to open a new connection even if there are idle ones.
-        max_opening : float
-            Number of new connections to the server that may wait for their first answers at a time.
-            Beyond it, the call waits for one that is in use.
+            Whether to open a new connection, even if there are idle ones or many being opened.
 
         Raises
         ------
+        SlowConnectionError
+            No more connections may be opened now, and none has become idle; nothing was written.
         PeerUnreachableError
             Nothing was written.
         """
@@ -193,9 +208,9 @@
         server = self._servers.setdefault(key, _ServerConnections())
         server.calls += 1
         try:
-            connection = None if fresh else self._pop_idle(server, request_id)
-            if connection is None and server.opening >= max_opening:
-                connection = await self._wait_for_idle(server, request_id, peer=address)
+            connection = None
+            if not fresh:
+                connection = await self._find_idle(key, server, request_id, peer=address)
             if connection is None:
                 connection = await self._open(server, address)
             connection.send(head, body, request_id=request_id)
@@ -211,11 +226,21 @@
         server.lent.remove(connection)
         if connection.is_reusable and len(server.idle) < _MAX_IDLE_CONNECTIONS_PER_SERVER:
             server.idle.append(connection)
-            server.wake_next()
         else:
             connection.close()
+        if server.waiting:
+            server.wake(1 + max(0, self._max_opening(key) - server.opening))
         self._end_call(key, server)
 
+    async def wait_for_connection(self, key: str, timeout_s: float) -> None:
+        """Wait until a connection to a server may be used or opened, or for a time at most."""
+        server = self._servers.setdefault(key, _ServerConnections())
+        server.calls += 1
+        try:
+            await server.wait(timeout_s)
+        finally:
+            self._end_call(key, server)
+
     def close_idle(self, key: str) -> None:
         """Close the idle connections to a server."""
         server = self._servers.get(key)
@@ -242,24 +267,26 @@
         self._opened += 1
         return connection
 
-    async def _wait_for_idle(
-        self, server: _ServerConnections, request_id: str | None, *, peer: str
-    ) -> BackendConnection:
-        """Return the next connection that is idle; raise `SlowConnectionError` if none comes."""
+    async def _find_idle(
+        self, key: str, server: _ServerConnections, request_id: str | None, *, peer: str
+    ) -> BackendConnection | None:
+        """Return an idle connection, or None if a new one may be opened.
+
+        Raises `SlowConnectionError` if neither comes in time.
+        """
         until_s = now_s() + _IDLE_WAIT_S
-        while server.may_be_returned and (wait_s := until_s - now_s()) > 0:
-            returned = asyncio.get_running_loop().create_future()
-            server.waiting.append(returned)
-            try:
-                await asyncio.wait({returned}, timeout=wait_s)
-            finally:
-                returned.cancel()
-            connection = self._pop_idle(server, request_id)
-            if connection is not None:
-                return connection
-        raise SlowConnectionError(
-            "new connections are slow, and all open ones are in use", step="connect", peer=peer
-        )
+        while (connection := self._pop_idle(server, request_id)) is None:
+            if server.opening < self._max_opening(key):
+                return None
+            wait_s = until_s - now_s()
+            if wait_s <= 0 or not server.may_be_returned:
+                raise SlowConnectionError(
+                    "new connections are slow, and all open ones are in use",
+                    step="connect",
+                    peer=peer,
+                )
+            await server.wait(wait_s)
+        return connection
 
     def _pop_idle(
         self, server: _ServerConnections, request_id: str | None
--- a/flamingoshelf/http1/tests/test_pool.py
+++ b/flamingoshelf/http1/tests/test_pool.py
@@ -1,6 +1,7 @@
 """Which connection of a pool carries a request, over real connections."""
 
 import asyncio
+import math
 import socket
 
 import pytest
@@ -38,8 +39,16 @@
 
 
 @pytest.fixture
-async def pool():
-    pool = ConnectionPool(max_connections=lambda key: 4)
+def bound():
+    """Return how many connections may be opened at a time, by server."""
+    return {}
+
+
+@pytest.fixture
+async def pool(bound):
+    pool = ConnectionPool(
+        max_connections=lambda key: 4, max_opening=lambda key: bound.get(key, math.inf)
+    )
     yield pool
     await pool.stop()
 
@@ -76,20 +85,22 @@
 
 
 # Each call opened a connection of its own while those before it waited for their first answers.
-async def test_call_beyond_the_bound_of_new_connections_is_not_sent(pool, server):
-    first = await pool.call("x", server.address, GET, b"", max_opening=1)
+async def test_call_beyond_the_bound_of_new_connections_is_not_sent(pool, server, bound):
+    bound["x"] = 1
+    first = await pool.call("x", server.address, GET, b"")
     with pytest.raises(SlowConnectionError):
-        await pool.call("x", server.address, GET, b"", max_opening=1)
+        await pool.call("x", server.address, GET, b"")
     assert pool.opened == 1 and pool.in_use("x") == 1
     async with first:
         pass
     assert pool.in_use("x") == 0
 
 
-async def test_call_beyond_the_bound_uses_a_connection_that_comes_back(pool, ask, server):
+async def test_call_beyond_the_bound_uses_a_connection_that_comes_back(pool, ask, server, bound):
     await ask(is_new=True)
     first = await pool.call("x", server.address, GET, b"")
-    second = asyncio.ensure_future(pool.call("x", server.address, GET, b"", max_opening=0))
+    bound["x"] = 0
+    second = asyncio.ensure_future(pool.call("x", server.address, GET, b""))
     await asyncio.sleep(0.02)
     assert not second.done()
     async with first as call:
@@ -101,17 +112,40 @@
         pass
 
 
-async def test_call_beyond_the_bound_waits_a_short_time_only(pool, ask, server):
+async def test_call_beyond_the_bound_waits_a_short_time_only(pool, ask, server, bound):
     await ask(is_new=True)
     first = await pool.call("x", server.address, GET, b"")
+    bound["x"] = 0
     began_s = asyncio.get_running_loop().time()
     with pytest.raises(SlowConnectionError):
-        await pool.call("x", server.address, GET, b"", max_opening=0)
+        await pool.call("x", server.address, GET, b"")
     assert 0.09 <= asyncio.get_running_loop().time() - began_s < 1.0
     async with first:
         pass
 
 
+# As many calls go on as connections may be used or opened then.
+@pytest.mark.parametrize(("allowed", "woken"), [(0, 1), (2, 3)])
+async def test_answer_wakes_calls_that_wait_for_a_connection(
+    pool, ask, server, bound, allowed, woken
+):
+    bound["x"] = allowed
+    waiting = [asyncio.ensure_future(pool.wait_for_connection("x", 5.0)) for _ in range(3)]
+    await asyncio.sleep(0)
+    async with await pool.call("x", server.address, GET, b"", fresh=True) as call:
+        await server.answer(is_new=True)
+        while await call.connection.read():
+            pass
+        assert not any(wait.done() for wait in waiting)
+    done, _ = await asyncio.wait(waiting, timeout=0.05)
+    assert len(done) == woken
+    for wait in waiting:
+        wait.cancel()
+    await asyncio.gather(*waiting, return_exceptions=True)
+    pool.close_idle("x")
+    assert pool.in_use("x") == 0 and not pool._servers
+
+
 async def test_nothing_is_kept_of_a_server_without_connections(pool, server):
     async with await pool.call("x", server.address, GET, b""):
         pass
