Test of answers that end early: a header of no platform

The test of a module that knows no platform named a header of the users' wire. Any header will do; the name is neutral now.

--- a/flamingoshelf/http1/tests/test_answers_that_end_early.py
+++ b/flamingoshelf/http1/tests/test_answers_that_end_early.py
@@ -9,7 +9,7 @@
 
 pytestmark = pytest.mark.looptime
 
-SEALED = b"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nServer-Seal: s\r\n"
+SEALED = b"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nSeal: s\r\n"
 INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"
 CHUNKED = SEALED + b"Transfer-Encoding: chunked\r\n\r\n"
 LENGTH = SEALED + b"Content-Length: 14\r\n\r\nid: 1\ndata: x\n"
