--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -214,7 +214,11 @@
 
 
 def run_case(
-    folder: Path, case: Callable[[Deployment, Record], Awaitable[list[str]]], **sizes: Any
+    folder: Path,
+    case: Callable[[Any, Record], Awaitable[list[str]]],
+    *,
+    deployment_class: type[Deployment] = Deployment,
+    **sizes: Any,
 ) -> None:
     """Run a case in a new deployment, and exit with its status.
 
@@ -225,7 +229,7 @@
         record = Record(folder / "record.txt")
         record.add(f"trouble={has_trouble()}")
         with tempfile.TemporaryDirectory() as path:
-            deployment = Deployment(folder=Path(path), **sizes)
+            deployment = deployment_class(folder=Path(path), **sizes)
             try:
                 check_free([*deployment.node_addresses, deployment.store_address])
                 async with asyncio.timeout(_MAX_S):
