--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,60 +1,76 @@
-"""Configurations come in quick succession: no node may die of those that aren't in force."""
+"""The last tenant is taken away: no request may run whose key no configuration ever held."""
 
 import asyncio
+import os
 from pathlib import Path
 from typing import Any
 
 from flamingoshelf.utils import now_s
+from lab.gateway._caller import Caller
+from lab.gateway._site import BOOKINGS, HOST, KEY, STOCK
 from review.deployment_2 import Deployment, Record, has_trouble, run_case
-from review.memory_2 import KeptConnections, MemoryLimit
-
-_TENANTS = 2800  # 490 KB, under half of platform.valueBytes
-_STORMS = 6
-_CHANGES, _GAP_S = 23, 0.212  # of one storm, which lasts 4.9 s
-_REST_S = 4.0  # between two storms
-_SETTLE_S = 3.0
-
-
-def _tenants(change: int) -> list[dict[str, Any]]:
-    """Return tenants whose burst is another one after each change."""
-    return [
-        {
-            "name": f"tenant{number:05d}",
-            "apiKeys": [f"key-{number:05d}-{'k' * 12}", f"second-{number:05d}-{'k' * 9}"],
-            "priority": 1,
-            "unit": "generate",
-            "plainTokens": 200,
-            "ratePerS": 1000,
-            "burst": 1000 + change,
-        }
-        for number in range(_TENANTS)
-    ]
+
+_APPLY_S = 2.0  # bounds.configApplyMs
+_UNKNOWN_KEY = "no-configuration-held-this-key"
+_SPAN_S = 12.0
+_CHANGE_S = 4.0  # after the start
+_INTERVAL_S = 0.1
 
 
-async def _change_configuration(deployment: Deployment, record: Record) -> None:
-    own = deployment.configuration()["tenants"]
-    deployment.configure(tenants=own + _tenants(0))
-    await asyncio.sleep(_SETTLE_S)
-    for storm in range(_STORMS if has_trouble() else 0):
-        record.add(f"storm {storm + 1}: {_CHANGES} versions")
-        for change in range(_CHANGES):
-            deployment.configure(tenants=own + _tenants(1 + change + storm * _CHANGES))
-            await asyncio.sleep(_GAP_S)
-        await asyncio.sleep(_REST_S)
+def _remaining_tenants(deployment: Deployment) -> list[dict[str, Any]]:
+    """Return the tenants of the last version: none, or with ``KEEP=1`` the entry without a key."""
+    if os.environ.get("KEEP") == "1":
+        return [{**deployment.configuration()["tenants"][0], "apiKeys": []}]
+    return []
 
 
 async def _case(deployment: Deployment, record: Record) -> list[str]:
-    limit = MemoryLimit(deployment, record)
-    callers = KeptConnections(deployment, record)
-    span_s = _SETTLE_S + _STORMS * (_CHANGES * _GAP_S + _REST_S)
+    keys = {"known": KEY, "unknown": _UNKNOWN_KEY, "none": ""}
+    sent_s: dict[str, float] = {}
+    changed_s = float("inf")
+    begin_s = now_s()
+    number = 0
+
+    async def send(name: str, key: str, path: str, address: str) -> None:
+        sent_s[name] = now_s()
+        answer = await Caller(host=HOST, key=key).call(
+            address, f"{path}{name}", method="GET" if path == STOCK else "POST", request_id=name
+        )
+        record.add(f"{name} answered with {answer.status}")
+
     async with asyncio.TaskGroup() as group:
-        group.create_task(callers.run(now_s() + span_s))
-        group.create_task(_change_configuration(deployment, record))
-    limit.stop()
-    return callers.find_breaches()
+        while now_s() < begin_s + _SPAN_S:
+            if has_trouble() and changed_s == float("inf") and now_s() >= begin_s + _CHANGE_S:
+                deployment.configure(tenants=_remaining_tenants(deployment))
+                changed_s = now_s()
+                record.add("a version without the last tenant is acknowledged")
+            for sort, key in keys.items():
+                number += 1
+                group.create_task(
+                    send(
+                        f"{sort}-{number}",
+                        key,
+                        STOCK if number % 2 else BOOKINGS,
+                        deployment.node_addresses[number % len(deployment.node_addresses)],
+                    )
+                )
+            await asyncio.sleep(_INTERVAL_S)
+    for run in deployment.log.runs:
+        record.add(f"{run.request_id} ran at {run.server} for {run.headers.get('Tenant')}")
+    ran = {run.request_id for run in deployment.log.runs}
+    foreign = [name for name in ran if name.startswith(("unknown-", "none-"))]
+    dropped = [
+        name for name in ran if name.startswith("known-") and sent_s[name] > changed_s + _APPLY_S
+    ]
+    breaches = []
+    if foreign:
+        breaches.append(f"ROUTE: {len(foreign)} requests ran with a key that was never held")
+    if dropped:
+        breaches.append(f"CONFIG: {len(dropped)} requests ran with a key that was dropped")
+    return breaches
 
 
 if __name__ == "__main__":
     run_case(
-        Path(__file__).parent, _case, node_count=3, prefill_count=1, decode_count=1, plain_count=3
+        Path(__file__).parent, _case, node_count=2, prefill_count=1, decode_count=1, plain_count=2
     )
