--- a/review/10/case.py
+++ b/review/10/case.py
@@ -92,9 +92,17 @@
     async def trouble() -> None:
         await asyncio.sleep(_BEGIN_S)
         record.add(f"{leaving.instance_id}, the decode engine of v1, leaves")
-        await deployment.replace_by_version(leaving, "v2", _DRAIN_S)
-        record.add(f"{leaving.instance_id} is there with {leaving.version}")
-
+        deployment.register(deployment.engines[-1])
+        record.add(f"{deployment.engines[-1].instance_id} of v2 takes its place")
+        leaving.state = "draining"
+        deployment.register(leaving)
+        await asyncio.sleep(_DRAIN_S)
+        await leaving.stop()
+        deployment.store.remove("servers", leaving.instance_id)
+        record.add(f"{leaving.instance_id} has left")
+
+    deployment.store.remove("servers", deployment.engines[-1].instance_id)  # not there yet
+    await asyncio.sleep(1.0)
     begin_s = now_s()
     async with asyncio.TaskGroup() as group:
         for _ in range(_FIRST_STREAMS):
@@ -121,7 +129,7 @@
 
 
 class _Versions(Deployment):
-    """Two prefill engines and a decode engine of version v1, and two decode engines of v2."""
+    """Two prefill engines and a decode engine of v1, two decode engines of v2 and one to come."""
 
     def __init__(self, **sizes: Any) -> None:
         EngineStandIn.kv_capacity_tokens = 41_000
@@ -148,6 +156,6 @@
         deployment_class=_Versions,
         node_count=3,
         prefill_count=2,
-        decode_count=3,
+        decode_count=4,
         plain_count=1,
     )
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,10 +8,10 @@
 from review.deployment_2 import Deployment, Record, has_trouble, run_case
 from review.memory_2 import KeptConnections, MemoryLimit
 
-_TENANTS = 2800  # 490 KB, under half of platform.valueBytes
-_STORMS = 7
-_CHANGES, _GAP_S = 23, 0.212  # of one storm, which lasts 4.9 s
-_REST_S = 4.0  # between two storms
+_TENANTS = 4000  # 700 KB, two thirds of platform.valueBytes
+_STORMS = 9
+_CHANGES, _GAP_S = 12, 0.33  # of one storm, which lasts 4.0 s
+_REST_S = 3.0  # between two storms
 _SETTLE_S = 3.0
 
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -13,7 +13,7 @@
 from review.deployment_2 import Deployment, Record, has_trouble, run_case
 
 _ROUNDS = 2
-_STREAMS = 24  # of a round
+_STREAMS = 48  # of a round, some 16 at each decode engine
 _EVENTS = 100
 _EVENT_S = 0.05  # a stream takes 5 s
 _DEADLINE_MS = 14_000
@@ -36,14 +36,13 @@
     async def play(self) -> None:
         """Reload, send streams, add an empty engine, and let both decode engines be silent."""
         deployment, record = self._deployment, self._record
-        first, added = deployment.engines[1], deployment.engines[2]
-        for node in deployment.nodes:
-            node.send(signal.SIGHUP)
-        record.add("SIGHUP at all nodes")
+        first, added = deployment.engines[1], deployment.engines[-1]
+        node, address = deployment.nodes[0], deployment.node_addresses[0]
+        node.send(signal.SIGHUP)
+        record.add(f"SIGHUP at {node.name}")
         async with asyncio.TaskGroup() as group:
-            for number in range(_STREAMS):
-                addresses = deployment.node_addresses
-                group.create_task(self._send(addresses[number % len(addresses)]))
+            for _ in range(_STREAMS):
+                group.create_task(self._send(address))
             await asyncio.sleep(_ADDED_S)
             added.renew()
             deployment.register(added)
@@ -80,7 +79,7 @@
 
 
 async def _case(deployment: Deployment, record: Record) -> list[str]:
-    deployment.store.remove("servers", deployment.engines[2].instance_id)
+    deployment.store.remove("servers", deployment.engines[-1].instance_id)
     numbers = itertools.count()
     cut: list[str] = []
     for _ in range(_ROUNDS):
@@ -94,7 +93,7 @@
 
 
 class _Streams(Deployment):
-    """One prefill engine, two decode engines, and routes whose goal is half a second."""
+    """A prefill engine, three decode engines and one to add; a goal of half a second."""
 
     def __init__(self, **sizes: Any) -> None:
         EngineStandIn.kv_capacity_tokens = 60_000
@@ -118,6 +117,6 @@
         deployment_class=_Streams,
         node_count=3,
         prefill_count=1,
-        decode_count=2,
+        decode_count=4,
         plain_count=2,
     )
