--- a/flamingoshelf/gateway/_direct_calls.py
+++ b/flamingoshelf/gateway/_direct_calls.py
@@ -228,6 +228,7 @@
             answer = self._wire.decode_response_head(head)
             self._record_notices(instance, answer)
             if is_meant(answer.request_id):
+                connection.accept_response()
                 return head, answer
             logger.bind(
                 request_id=request_id,
--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -32,7 +32,7 @@
     new_listeners,
 )
 from flamingoshelf.gateway._wire import WireFormat
-from flamingoshelf.http1 import HttpServer
+from flamingoshelf.http1 import BufferBudget, HttpServer
 from flamingoshelf.nodes import WebsocketNodeLink
 from flamingoshelf.placement import (
     Dispatcher,
@@ -55,6 +55,7 @@
 _ORDER_DUTY = "engine-orders"
 # A stream whose run is to be confirmed may begin, but not be continued elsewhere, before that.
 _REPORT_PERMIT_WAIT_S = 1.0
+_BUFFER_MEMORY_SHARE = 0.1  # of the memory, for answers that callers have not taken yet
 
 
 class GatewayNode:
@@ -146,6 +147,7 @@
         )
         self._access = ServerAccess(
             max_connections=lambda key: self._node_limits.connections(self._directory.get(key)),
+            budget=BufferBudget(max_bytes=_BUFFER_MEMORY_SHARE * settings.memory_bytes),
             wire=wire,
             engine_wire=engine_wire,
             configuration=self._configuration,
--- a/flamingoshelf/gateway/_server_access.py
+++ b/flamingoshelf/gateway/_server_access.py
@@ -12,7 +12,7 @@
 from flamingoshelf.gateway._proxied_calls import ProxiedCalls
 from flamingoshelf.gateway._server_probe import ServerProbe
 from flamingoshelf.gateway._wire import WireFormat
-from flamingoshelf.http1 import ConnectionPool, RequestHead
+from flamingoshelf.http1 import BufferBudget, ConnectionPool, RequestHead
 from flamingoshelf.nodes import WebsocketNodeLink
 from flamingoshelf.paths import PathService, PathTable
 from flamingoshelf.routing import BackendInstance, InstanceDirectory, ServerNotices
@@ -34,6 +34,8 @@
     ----------
     max_connections : callable
         ``max_connections(key)`` returns how many connections to a server this node may hold.
+    budget : BufferBudget
+        Bounds what all these connections together have read ahead of their callers.
     wire : WireFormat
         Encodes and decodes heads.
     engine_wire : EngineWire
@@ -56,6 +58,7 @@
         self,
         *,
         max_connections: Callable[[str], int],
+        budget: BufferBudget,
         wire: WireFormat,
         engine_wire: EngineWire,
         configuration: ActiveConfiguration,
@@ -76,6 +79,7 @@
             max_connections=max_connections,
             max_opening=lambda key: self._paths.max_opening(key),
             pacer=pacer,
+            budget=budget,
         )
         self._table = PathTable()
         self._paths = PathService(
--- a/flamingoshelf/gateway/_settings.py
+++ b/flamingoshelf/gateway/_settings.py
@@ -1,5 +1,6 @@
 """Settings of a gateway node."""
 
+import math
 from typing import Any
 
 import attrs
@@ -21,6 +22,7 @@
         "processor_share",
         "processor_speed",
         "link_mbit_s",
+        "memory_bytes",
         "places_by_cost",
         "cost_placement_min_nodes",
         "evacuation_s",
@@ -61,6 +63,8 @@
         Share of a processor that the VM can use, and its speed relative to a standard core.
     link_mbit_s : float
         Rate of the VM's network link in Mbit/s.
+    memory_bytes : float
+        Memory that the process may use.
     limit_excess, limit_slack_tokens : float
         Tolerated excess over a workspace's limits: a fraction of them, and tokens per window.
     evacuation_s : float or None
@@ -93,6 +97,7 @@
     processor_share: float = 1.0
     processor_speed: float = 1.0
     link_mbit_s: float = 1000.0
+    memory_bytes: float = math.inf
     limit_excess: float = 0.0
     limit_slack_tokens: float = 0.0
     evacuation_s: float | None = None
--- a/flamingoshelf/gateway/tests/test_server_access.py
+++ b/flamingoshelf/gateway/tests/test_server_access.py
@@ -16,6 +16,7 @@
 from flamingoshelf.gateway.tests.fake_origins import may_ask
 from flamingoshelf.gateway.tests.test_backend_client import Wire
 from flamingoshelf.gateway.tests.test_proxied_calls import Pair, Served, chunked
+from flamingoshelf.http1 import BufferBudget
 from flamingoshelf.routing import InstanceDirectory, ServerNotices
 from flamingoshelf.server_limits import LimitService
 from flamingoshelf.utils import Pacer
@@ -46,6 +47,7 @@
         await super().start()
         self.access = ServerAccess(
             max_connections=lambda key: MAX_CONNECTIONS,
+            budget=BufferBudget(),
             wire=self._wire,
             engine_wire=cast(Any, None),
             configuration=ActiveConfiguration(),
--- a/flamingoshelf/http1/__init__.py
+++ b/flamingoshelf/http1/__init__.py
@@ -5,6 +5,7 @@
 while the process runs. See ``docs/design/gateway.md``.
 """
 
+from flamingoshelf.http1._buffer_budget import BufferBudget
 from flamingoshelf.http1._client import BackendConnection
 from flamingoshelf.http1._exchange import BodyTooLargeError, Exchange
 from flamingoshelf.http1._heads import Headers, RequestHead, ResponseHead
@@ -19,6 +20,7 @@
 __all__ = [
     "BackendConnection",
     "BodyTooLargeError",
+    "BufferBudget",
     "ConnectionLimits",
     "ConnectionPool",
     "Exchange",
--- a/flamingoshelf/http1/_client.py
+++ b/flamingoshelf/http1/_client.py
@@ -5,8 +5,10 @@
 from typing import cast
 
 import h11
+from loguru import logger
 
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
+from flamingoshelf.http1._buffer_budget import BufferBudget
 from flamingoshelf.http1._heads import Headers, RequestHead, ResponseHead, keep_alive_s
 from flamingoshelf.http1._linger import has_unread_bytes
 from flamingoshelf.http1._reading import (
@@ -23,6 +25,7 @@
 _MAX_FRAMING_BYTES = 8 * 1024  # the head of a chunk or the trailers, which nobody reads
 _MAX_INFORMATIONAL = 16  # servers send one or two
 _MAX_BUFFERED_BYTES = 256 * 1024  # reading pauses above it if the server outpaces the caller
+_MAX_SKIPPED_BYTES = 1024 * 1024  # of a late response; one of the usual size has some KB
 _JOINED_BODY_BYTES = 64 * 1024  # a larger body is not copied to be written with the head
 _WRITTEN_PART_BYTES = 64 * 1024  # of a larger body, which is written as fast as the server reads
 _MAX_CARRIED_IDS = 1000  # per connection, which is closed then; some 100 KB
@@ -40,17 +43,25 @@
     completely, and if no byte beyond the response has arrived. It carries no request id twice: a
     server may send a response once more, late, and only the id tells which request it answers.
 
+    Bytes behind a response may begin the next one, if the response is a late one. They are not read
+    until `skip_response` asks for them; `accept_response` closes the connection instead.
+
     Parameters
     ----------
     address : str
         ``ip:port`` of the server.
     pacer : Pacer, optional
         Shares the event loop among all connections whose bytes take long to parse.
+    budget : BufferBudget, optional
+        Bounds what all connections together have read ahead of their callers.
     """
 
-    def __init__(self, *, address: str, pacer: Pacer | None = None) -> None:
+    def __init__(
+        self, *, address: str, pacer: Pacer | None = None, budget: BufferBudget | None = None
+    ) -> None:
         self._address = address
         self._pacer = pacer or Pacer()
+        self._budget = budget or BufferBudget()
         self._transport: asyncio.Transport | None = None
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
         self._request: h11.Request | None = None
@@ -58,6 +69,7 @@
         self._buffered_bytes = 0
         self._head: ResponseHead | None = None
         self._is_complete = False
+        self._is_accepted = False  # whether the response is the one that is waited for
         self._is_parse_queued = False  # whether received bytes wait for a turn to be parsed
         self._has_eof = False
         self._informational = 0  # interim responses before the head
@@ -75,7 +87,12 @@
 
     @classmethod
     async def open(
-        cls, address: str, *, timeout_s: float, pacer: Pacer | None = None
+        cls,
+        address: str,
+        *,
+        timeout_s: float,
+        pacer: Pacer | None = None,
+        budget: BufferBudget | None = None,
     ) -> "BackendConnection":
         """Connect to `address`.
 
@@ -89,7 +106,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, protocol = await loop.create_connection(
-                    lambda: cls(address=address, pacer=pacer), host, int(port)
+                    lambda: cls(address=address, pacer=pacer, budget=budget), host, int(port)
                 )
         except (OSError, TimeoutError) as error:
             raise PeerUnreachableError(repr(error), step="connect", peer=address) from error
@@ -191,18 +208,35 @@
                 return b""
             await self._wait_for_data(step="body")
         chunk = self._body.pop(0)
-        self._buffered_bytes -= len(chunk)
+        self._count_buffered(-len(chunk))
         self._update_reading()
         return chunk
 
+    def accept_response(self) -> None:
+        """Take the current response for the last one of the request.
+
+        What follows it belongs to nothing, and ends the connection once the response is complete.
+        """
+        self._is_accepted = True
+        self._close_on_surplus()
+
     async def skip_response(self) -> None:
         """Discard the current response, so that `read_head` returns the one after it.
 
         A server may send a late second response to an earlier request; the response to the
         request that was sent last comes after it.
+
+        Raises
+        ------
+        OutcomeUnknownError
+            The connection ended before the body was complete, or the body is too long.
         """
-        while await self.read():
-            pass
+        skipped_bytes = 0
+        while part := await self.read():
+            skipped_bytes += len(part)
+            if skipped_bytes > _MAX_SKIPPED_BYTES:
+                self._fail(f"a late response has more than {_MAX_SKIPPED_BYTES} bytes")
+                raise OutcomeUnknownError(str(self._failure), step="skip", peer=self._address)
         request = self._request
         assert request is not None
         surplus, _ = self._parser.trailing_data
@@ -220,7 +254,7 @@
         """End the request; close the connection if it can't be reused."""
         self._is_busy = False
         self._idle_since_s = now_s()
-        if not self._is_complete or self._parser.trailing_data[0]:
+        if not self._is_complete or self._has_surplus or self._failure is not None:
             self.close()
             return
         try:
@@ -236,6 +270,7 @@
             self._fail("closed by this node")
         if self._transport is not None:
             self._transport.abort()
+        self._drop_body()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options."""
@@ -260,6 +295,9 @@
             return
         if self._is_complete:
             self._has_surplus = True
+            self._close_on_surplus()
+            if self._failure is not None:
+                return
         self._receive(data)
 
     def eof_received(self) -> bool:
@@ -348,10 +386,13 @@
                     self._on_response_head(event)
                 case h11.Data():
                     append_part(self._body, bytes(event.data))
-                    self._buffered_bytes += len(event.data)
+                    self._count_buffered(len(event.data))
                 case h11.EndOfMessage():
                     self._is_complete = True
                     self._parser.next_event()  # the end of the connection, or more than is due
+                    if self._parser.trailing_data[0]:
+                        self._has_surplus = True
+                        self._close_on_surplus()
                     return False
                 case h11.NEED_DATA:
                     max_bytes = _MAX_HEAD_BYTES if self._head is None else _MAX_FRAMING_BYTES
@@ -370,9 +411,25 @@
     def _reset_response(self) -> None:
         self._informational = 0
         self._head = None
-        self._body.clear()
-        self._buffered_bytes = 0
+        self._drop_body()
         self._is_complete = False
+        self._is_accepted = False
+
+    def _count_buffered(self, change_bytes: int) -> None:
+        self._buffered_bytes += change_bytes
+        self._budget.add(change_bytes)
+
+    def _drop_body(self) -> None:
+        self._body.clear()
+        self._count_buffered(-self._buffered_bytes)
+
+    def _close_on_surplus(self) -> None:
+        """Close the connection if more follows the response; its body can still be read."""
+        if self._has_surplus and self._is_accepted and self._failure is None:
+            logger.bind(step="answer", peer=self._address, calls=self._calls).warning(
+                "connection closed; the server sent bytes behind a complete response"
+            )
+            self._fail("bytes behind a complete response")
 
     def _fail(self, reason: str) -> None:
         self._failure = reason
@@ -391,7 +448,8 @@
         """Read only what can be parsed soon, and no more than the caller takes."""
         if self._transport is None:
             return
-        if self._is_parse_queued or self._buffered_bytes > _MAX_BUFFERED_BYTES:
+        max_bytes = 0 if self._budget.is_exceeded else _MAX_BUFFERED_BYTES
+        if self._is_parse_queued or self._has_surplus or self._buffered_bytes > max_bytes:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
--- a/flamingoshelf/http1/_pool.py
+++ b/flamingoshelf/http1/_pool.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from flamingoshelf.exceptions import PeerUnreachableError
+from flamingoshelf.http1._buffer_budget import BufferBudget
 from flamingoshelf.http1._client import BackendConnection
 from flamingoshelf.http1._heads import RequestHead
 from flamingoshelf.utils import Pacer, TaskGroup, now_s
@@ -123,6 +124,8 @@
         answers at a time. Beyond it, calls wait for one that is in use. No bound by default.
     pacer : Pacer, optional
         Shares the event loop among all connections whose bytes take long to parse.
+    budget : BufferBudget, optional
+        Bounds what all connections together have read ahead of their callers.
 
     Notes
     -----
@@ -136,10 +139,12 @@
         max_connections: Callable[[str], int],
         max_opening: Callable[[str], float] = lambda key: math.inf,
         pacer: Pacer | None = None,
+        budget: BufferBudget | None = None,
     ) -> None:
         self._max_connections = max_connections
         self._max_opening = max_opening
         self._pacer = pacer or Pacer()
+        self._budget = budget or BufferBudget()
         self._servers: dict[str, _ServerConnections] = {}
         self._opened = 0
         self._tasks = TaskGroup(owner="pool")
@@ -268,7 +273,10 @@
         server.connecting += 1
         try:
             connection = await BackendConnection.open(
-                address, timeout_s=_CONNECT_TIMEOUT_S, pacer=self._pacer
+                address,
+                timeout_s=_CONNECT_TIMEOUT_S,
+                pacer=self._pacer,
+                budget=self._budget,
             )
         finally:
             server.connecting -= 1
--- a/flamingoshelf/platform/_settings_file.py
+++ b/flamingoshelf/platform/_settings_file.py
@@ -4,6 +4,7 @@
 with ``#`` are comments. Unknown fields are ignored, because the platform may add fields.
 """
 
+import math
 from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any
@@ -62,6 +63,7 @@
         # Despite its name, a speed relative to a usual core, not a number of cores.
         "processor_speed": fields.optional("limits.cores", _positive, 1.0),
         "link_mbit_s": fields.optional("limits.linkMbps", _positive, 1000.0),
+        "memory_bytes": fields.optional("limits.memoryMb", _megabytes, math.inf),
         "limit_excess": fields.optional("bounds.quotaExcess", _ratio, 0.0),
         "limit_slack_tokens": fields.optional("bounds.quotaSlack", _not_negative, 0.0),
         # Without these fields, data centres are not evacuated and servers are never cold.
@@ -158,5 +160,9 @@
     return number
 
 
+def _megabytes(value: str) -> float:
+    return _positive(value) * 1e6
+
+
 def _milliseconds(value: str) -> float:
     return _not_negative(value) / 1000
--- a/flamingoshelf/platform/tests/test_decoding.py
+++ b/flamingoshelf/platform/tests/test_decoding.py
@@ -126,6 +126,7 @@
     assert settings.is_first_start
     assert settings.shutdown_grace_s == 8.0
     assert settings.limit_slack_tokens == 190_000
+    assert settings.memory_bytes == 150e6
 
 
 def test_every_error_of_settings_is_named():
--- a/lab/gateway/_records.py
+++ b/lab/gateway/_records.py
@@ -75,6 +75,9 @@
         Number of answers that don't end from now on.
     endless_chunk : bytes
         Chunk of the body of such an answer, which is repeated until the caller closes.
+    endless_place : {"chunks", "head", "unframed", "behind"}
+        Where the bytes without end are: in chunks, in the head, in a body without a length, or
+        behind an answer that is whole.
     pause_s : float
         Seconds for which a server that is full wants no more requests, 0 if it doesn't say.
     """
@@ -91,6 +94,7 @@
     repeated_refusals: float = 0.0
     endless_next: int = 0
     endless_chunk: bytes = b"x"
+    endless_place: str = "chunks"
     pause_s: float = 0.0
 
 
--- a/lab/gateway/_server_base.py
+++ b/lab/gateway/_server_base.py
@@ -17,6 +17,7 @@
 _ENDLESS_PIECE_BYTES = 16 * 1024
 _MAX_ENDLESS_UNSENT_BYTES = 256 * 1024
 _ENDLESS_INTERVAL_S = 0.001
+_EVENTS_BEFORE = 20_000  # bytes without end; a node passes them on for about a second
 id_numbers = itertools.count(1)  # of servers and of handles
 
 
@@ -154,14 +155,12 @@
         exchange.respond(head, body)
 
     async def _send_endless(self, exchange: Exchange, *items: tuple[str, str]) -> None:
-        """Send an answer in chunks until the caller closes the connection."""
+        """Send an answer, or what looks like one, until the caller closes the connection."""
         transport = transport_of(exchange)
-        fields = [f"{name}: {value}" for name, value in items]
-        head = ["HTTP/1.1 200 OK", *fields, "Transfer-Encoding: chunked", "", ""]
-        transport.write("\r\n".join(head).encode())
-        chunk = self.faults.endless_chunk
-        framed = b"%x\r\n%s\r\n" % (len(chunk), chunk)
-        piece = framed * (1 + _ENDLESS_PIECE_BYTES // len(framed))
+        begin, unit = _endless_parts(self.faults.endless_place, self.faults.endless_chunk)
+        fields = "".join(f"{name}: {value}\r\n" for name, value in items)
+        transport.write(b"HTTP/1.1 200 OK\r\n" + fields.encode() + begin)
+        piece = unit * (1 + _ENDLESS_PIECE_BYTES // len(unit))
         while not transport.is_closing():
             if transport.get_write_buffer_size() < _MAX_ENDLESS_UNSENT_BYTES:
                 transport.write(piece)
@@ -186,6 +185,19 @@
         return share > 0 and self.random.random() < share
 
 
+def _endless_parts(place: str, chunk: bytes) -> tuple[bytes, bytes]:
+    """Return what ends the head of an answer without end, and what is then repeated."""
+    match place:
+        case "head":
+            return b"", b"More: " + chunk + b"\r\n"
+        case "unframed":
+            return b"\r\n", chunk
+        case "behind":
+            events = b"".join(b"id: %d\n\n" % number for number in range(1, _EVENTS_BEFORE + 1))
+            return b"Content-Length: %d\r\n\r\n" % len(events) + events, chunk
+    return b"Transfer-Encoding: chunked\r\n\r\n", b"%x\r\n%s\r\n" % (len(chunk), chunk)
+
+
 def transport_of(exchange: Exchange) -> Any:
     """Return the transport of an exchange, to write what its framing would refuse."""
     return cast(Any, exchange)._output._transport
