Calls through another node keep a bounded part of the answer while a run is confirmed

Cause: the task that waits for the confirmation of a run reads all messages of the channel, parts of the body too, and kept them however slowly the caller took them: up to two seconds of a link's rate.

Change: beyond 256 KiB nothing is read from the channel until the caller has taken some; its back pressure then holds the other node. The confirmation waits meanwhile, for its two seconds at most.

Test, failing before (16 MB kept): test_body_that_arrives_while_a_run_is_confirmed_is_kept_only_in_part.

--- a/flamingoshelf/gateway/_proxied_calls.py
+++ b/flamingoshelf/gateway/_proxied_calls.py
@@ -41,6 +41,7 @@
 
 _CHUNK_BYTES = 256 * 1024  # of a body, in one frame
 _CONFIRM_TIMEOUT_S = 2.0  # the other node asks the engine a few times
+_MAX_BUFFERED_BYTES = 256 * 1024  # of a body that the caller takes more slowly than it arrives
 
 
 class ChannelLink(Protocol):
@@ -94,6 +95,7 @@
         self._instance = instance
         self._head: ResponseHead | None = None
         self._body: deque[bytes] = deque()
+        self._buffered_bytes = 0
         self._is_complete = False
         self._has_ended = False
         self._is_confirming = False
@@ -121,7 +123,12 @@
     async def read(self) -> bytes:
         """Return the next bytes of the body, or empty bytes at its regular end."""
         await self._wait_until(lambda: bool(self._body) or self._is_complete)
-        return self._body.popleft() if self._body else b""
+        if not self._body:
+            return b""
+        part = self._body.popleft()
+        self._buffered_bytes -= len(part)
+        self._notify()
+        return part
 
     async def confirm_run(self) -> bool:
         """Return whether the server is the run that the call names, as the other node finds."""
@@ -141,7 +148,7 @@
         while not is_ready():
             if self._error is not None:
                 raise self._error
-            if self._is_reading:
+            if self._is_reading or self._buffered_bytes > _MAX_BUFFERED_BYTES:
                 await self._changed.wait()
                 continue
             self._is_reading = True
@@ -153,17 +160,23 @@
                 )
             finally:
                 self._is_reading = False
-                changed, self._changed = self._changed, asyncio.Event()
-                changed.set()
+                self._notify()
+
+    def _notify(self) -> None:
+        """Wake all tasks that wait for a message, or for room in the buffer."""
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
 
     def _take(self, received: Any) -> None:
         match received:
             case bytes():
                 self._body.append(received)
+                self._buffered_bytes += len(received)
             case ProxyHead():
                 self._head = received.head
                 if received.body is not None:
                     self._body.extend([received.body] if received.body else [])
+                    self._buffered_bytes += len(received.body)
                     self._is_complete = self._has_ended = True
             case ProxyEnd():
                 self._is_complete = self._has_ended = True
--- a/flamingoshelf/gateway/tests/test_proxied_calls.py
+++ b/flamingoshelf/gateway/tests/test_proxied_calls.py
@@ -17,7 +17,7 @@
 from flamingoshelf.gateway._call_proxy import CallProxy
 from flamingoshelf.gateway._direct_calls import DirectCalls
 from flamingoshelf.gateway._engine_runs import EngineRuns
-from flamingoshelf.gateway._proxied_calls import PeerPassedError, ProxiedCalls
+from flamingoshelf.gateway._proxied_calls import PeerPassedError, ProxiedCall, ProxiedCalls
 from flamingoshelf.gateway._proxy_messages import ProxyFailureKind
 from flamingoshelf.gateway.tests.conftest import COLD_BOUND, server
 from flamingoshelf.gateway.tests.fake_origins import may_ask
@@ -374,3 +374,35 @@
     served.answers = [[response()]]
     assert (await pair.ask(request_id=None))[1] == b"ok"
     assert not pair.proxied.running("b")
+
+
+class EndlessChannel:
+    """A channel on which a body arrives without end, faster than anybody takes it."""
+
+    peer = "b"
+    is_closed = False
+
+    def __init__(self):
+        self.received = 0
+
+    async def send(self, message):
+        await asyncio.sleep(0)
+
+    async def receive(self):
+        await asyncio.sleep(0)
+        self.received += 16_384
+        return bytes(16_384)
+
+
+# A call whose run was being confirmed kept all that arrived meanwhile, however slow its caller was.
+@pytest.mark.looptime
+async def test_body_that_arrives_while_a_run_is_confirmed_is_kept_only_in_part():
+    channel = EndlessChannel()
+    call = ProxiedCall(channel=cast(Any, channel), instance=server("x"))
+    confirming = asyncio.ensure_future(call.confirm_run())
+    for _ in range(1000):
+        await asyncio.sleep(0)
+    assert channel.received <= 300_000
+    taken = [await call.read() for _ in range(40)]  # a caller that reads goes on
+    assert sum(len(part) for part in taken) == 40 * 16_384
+    assert not await confirming
