--- a/flamingoshelf/gateway/_node.py
+++ b/flamingoshelf/gateway/_node.py
@@ -235,6 +235,7 @@
             metrics=self._metrics,
             by_cost=self._places_by_cost,
             evacuated=self._directory.evacuated,
+            drain_s=lambda: self._settings.drain_s,
         )
         self._store_follower = StoreFollower(
             store=store,
--- a/flamingoshelf/gateway/_role_controller.py
+++ b/flamingoshelf/gateway/_role_controller.py
@@ -18,6 +18,7 @@
 _PLAN_INTERVAL_S = 0.5  # short compared with a role change, which takes seconds
 # When a service starts, its engines are listed one after another; plan only once all are listed.
 _STABLE_LISTING_S = 1.2
+_CONTINUATION_RETRY_S = 2.0  # between two orders for the same version; the first may be lost
 _CHANGE_SLACK_S = 3.0  # beyond the stated duration of a change; then the engine counts as unchanged
 
 
@@ -42,6 +43,8 @@
         Returns whether prefill engines that are not needed change their role at once and together.
     evacuated : callable
         ``evacuated(service)`` returns the engines that only an evacuation keeps from new work.
+    drain_s : callable
+        Returns the seconds for which a leaving engine serves.
     """
 
     def __init__(
@@ -55,9 +58,12 @@
         metrics: Metrics,
         by_cost: Callable[[], bool] = lambda: False,
         evacuated: Callable[[str], Sequence[BackendInstance]] = lambda service: (),
+        drain_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._by_cost = by_cost
         self._evacuated = evacuated
+        self._drain_s = drain_s
+        self._continuations_s: dict[tuple[str, str], float] = {}  # by service and version
         self._dispatchers = dispatchers
         self._control = control
         self._duty = duty
@@ -88,19 +94,20 @@
         """Plan role changes for one service and order them."""
         engines = dispatcher.engines
         engines.refresh(now_s())
-        if not self._is_listing_stable(dispatcher):
-            return
+        is_stable = self._is_listing_stable(dispatcher)
         planner = self._planners.get(dispatcher.service)
         if planner is None:
             planner = RolePlanner(releases_spare=self._by_cost())
             self._planners[dispatcher.service] = planner
-        changes = planner.plan(
-            engines.with_role_changes_applied(),
-            cost=dispatcher.request_cost(),
-            load=engines.memory_load(now_s()),
-            now_s=now_s(),
-            evacuated=self._evacuated(dispatcher.service),
-        )
+        changes = self._plan_continuations(dispatcher, planner)
+        if not changes and is_stable:
+            changes = planner.plan(
+                engines.with_role_changes_applied(),
+                cost=dispatcher.request_cost(),
+                load=engines.memory_load(now_s()),
+                now_s=now_s(),
+                evacuated=self._evacuated(dispatcher.service),
+            )
         if not changes:
             return
         try:
@@ -114,6 +121,39 @@
         for change in changes:
             await self._order(dispatcher, change, token)
 
+    def _plan_continuations(self, dispatcher: Dispatcher, planner: RolePlanner) -> list[RoleChange]:
+        """Return the changes for streams whose software version is losing its decode engines."""
+        now, engines, service = now_s(), dispatcher.engines, dispatcher.service
+        stranded = {
+            version: streams
+            for version, streams in dispatcher.stranded_streams(drain_s=self._drain_s()).items()
+            if now
+            >= self._continuations_s.get((service, version), float("-inf")) + _CONTINUATION_RETRY_S
+        }
+        if not stranded:
+            return []
+        load, cost = engines.memory_load(now), dispatcher.request_cost()
+        changes = planner.plan_continuations(
+            engines.with_role_changes_applied(),
+            stranded,
+            cost=cost,
+            load=load,
+            change_s=engines.role_change_s,
+        )
+        self._continuations_s = {
+            **{key: at_s for key, at_s in self._continuations_s.items() if key[0] != service},
+            **{(service, version): now for version in stranded},
+        }
+        logger.bind(
+            step="plan",
+            service=service,
+            streams=stranded,
+            engines=[change.engine.key for change in changes],
+            load=round(load, 3),
+            cost=cost,
+        ).info("streams have no other decode engine of their version")
+        return changes
+
     def _is_listing_stable(self, dispatcher: Dispatcher) -> bool:
         """Return whether the list of engines is not empty and unchanged for `_STABLE_LISTING_S`."""
         keys = dispatcher.engines.listed_keys()
--- a/flamingoshelf/gateway/_stream_forwarder.py
+++ b/flamingoshelf/gateway/_stream_forwarder.py
@@ -23,7 +23,6 @@
     final_refusal,
     pause_refusal,
     unknown_origin_refusal,
-    version_gone_refusal,
 )
 from flamingoshelf.gateway._target_selector import TargetSelector
 from flamingoshelf.http1 import Exchange
@@ -33,6 +32,7 @@
     RunOutcome,
     Turn,
     new_turn_id,
+    version_gone_refusal,
 )
 from flamingoshelf.refusals import Refusal, RetryReason
 from flamingoshelf.routing import BackendInstance, EngineRole, InstanceDirectory
@@ -124,7 +124,7 @@
             if origin is None:
                 return unknown_origin_refusal(request)
             if origin.service not in {target.service for target in request.route.targets}:
-                return version_gone_refusal(origin)
+                return version_gone_refusal(origin.service, origin.version)
         relay = StreamRelay(exchange=exchange, request=request, metrics=self._metrics)
         state = StreamState(
             request=request,
@@ -225,8 +225,8 @@
                 return pause_refusal(state.service, pause_s)
             if self._targets.are_all_evacuated(state.service):
                 return evacuated_refusal(state.service, step="place")
-            if state.origin is not None and not self._has_decode_engine(state):
-                return version_gone_refusal(state.origin)
+            if state.origin is not None and not self._has_engine(state):
+                return version_gone_refusal(state.service, state.origin.version)
             turn = await self._placer.acquire(self._placement_request(state, silent))
             if isinstance(turn, Refusal):
                 has_waited_less = self._begin_by_s(state.request) < state.request.deadline_s
@@ -240,9 +240,10 @@
             return None
         return final_refusal(state, remaining_s=self._remaining_s(state))
 
-    def _has_decode_engine(self, state: StreamState) -> bool:
-        """Return whether a listed decode engine could continue the stream."""
-        return any(state.may_run_at(engine) for engine in self._decode_engines(state))
+    def _has_engine(self, state: StreamState) -> bool:
+        """Return whether an engine could continue the stream, after a change of its role or not."""
+        engines = [*self._targets.instances(state.service), *self._directory.leaving(state.service)]
+        return any(state.may_run_at(engine) for engine in engines)
 
     def _decode_engines(self, state: StreamState) -> list[BackendInstance]:
         """Return the decode engines in use, and leaving ones that may continue streams."""
@@ -324,6 +325,7 @@
             repeat_cost=state.repeat_cost,
             is_resumed=state.relay.is_started or request.is_take_up,
             content=request.content,
+            version="" if state.origin is None else state.origin.version,
         )
 
     def _charged_tokens(self, request: AdmittedRequest) -> float:
--- a/flamingoshelf/gateway/_stream_state.py
+++ b/flamingoshelf/gateway/_stream_state.py
@@ -31,12 +31,10 @@
     "origin_of",
     "pause_refusal",
     "unknown_origin_refusal",
-    "version_gone_refusal",
 ]
 
 _DEFAULT_OUTPUT_TOKENS = 500  # if the caller states no size; about the mean size of an answer (590)
 _UNKNOWN_ORIGIN_RETRY_S = 1.0  # the store or the coordinator may answer again
-_VERSION_GONE_RETRY_S = 2.0  # a crashed engine starts again within seconds
 _FULL_RETRY_AFTER_S = 0.4  # about the interval at which a decode engine finishes a run
 
 
@@ -198,15 +196,3 @@
         retry_after_s=_UNKNOWN_ORIGIN_RETRY_S,
         step="origin",
     )
-
-
-def version_gone_refusal(origin: StreamOrigin) -> Refusal:
-    """Return the refusal of a stream that no engine in use can continue."""
-    return Refusal(
-        reason=RefusalReason.VERSION_GONE,
-        status=503,
-        detail=f"No engine of {origin.service} runs version {origin.version}, which began it.",
-        not_run=True,
-        retry_after_s=_VERSION_GONE_RETRY_S,
-        step="origin",
-    )
--- a/flamingoshelf/placement/__init__.py
+++ b/flamingoshelf/placement/__init__.py
@@ -4,6 +4,7 @@
 from flamingoshelf.placement._fleet import FleetPlacer
 from flamingoshelf.placement._health import FailureKind
 from flamingoshelf.placement._plain_calls import PlainCallMeter
+from flamingoshelf.placement._refusals import version_gone_refusal
 from flamingoshelf.placement._role_plan import RoleChange, RolePlanner
 from flamingoshelf.placement._service import DispatcherService
 from flamingoshelf.placement._types import (
@@ -32,4 +33,5 @@
     "WorkspaceLimit",
     "WorkspaceLimits",
     "new_turn_id",
+    "version_gone_refusal",
 ]
--- a/flamingoshelf/placement/_decisions.py
+++ b/flamingoshelf/placement/_decisions.py
@@ -48,6 +48,11 @@
     prefilled_s: float | None = None  # end of the prefill, until the first event
     confirm_by_s: float | None = None  # set while the processed prompt waits for room
 
+    def ends_before(self, time_s: float) -> bool:
+        """Return whether the caller waits no longer than until a time, as far as that is known."""
+        left_s = self.request.deadline_left_s
+        return 0 < left_s <= time_s - self.granted_s
+
 
 def with_resumed_tokens(
     request: PlacementRequest, tokens_per_event: float | None
--- a/flamingoshelf/placement/_dispatcher.py
+++ b/flamingoshelf/placement/_dispatcher.py
@@ -21,6 +21,7 @@
 from flamingoshelf.placement._refused_requests import RefusedRequests
 from flamingoshelf.placement._role_plan import RequestCost, throughput
 from flamingoshelf.placement._shortage import ShortageForecast, ShortageMonitor
+from flamingoshelf.placement._stranded import StrandedStreams
 from flamingoshelf.placement._types import (
     DecodeRun,
     PlacementRequest,
@@ -28,6 +29,7 @@
     Turn,
     request_id_of,
 )
+from flamingoshelf.refusals import RefusalReason
 from flamingoshelf.routing import BackendInstance, EngineProfile
 from flamingoshelf.server_limits import LimitKeeper
 from flamingoshelf.utils import now_s
@@ -96,6 +98,7 @@
         self._active_turns: dict[str, ActiveTurn] = {}
         self._owners = OwnerReports(clock=clock)
         self._refused = RefusedRequests()
+        self._stranded = StrandedStreams(engines=self._engines)
         self._feasibility_checked_s = float("-inf")
         self._orphans_checked_s = float("-inf")
 
@@ -274,6 +277,15 @@
                 tokens = held_tokens - request.prompt_tokens
                 self._model.record_counted_run(tokens=tokens, events=events)
 
+    def stranded_streams(self, *, drain_s: float) -> dict[str, int]:
+        """Return how many streams only a change of an engine's role can save, by version.
+
+        `drain_s` is the time in seconds for which a leaving engine serves.
+        """
+        return self._stranded.count(
+            self._active_turns.values(), self._queue, now_s=self._clock(), drain_s=drain_s
+        )
+
     def _release_orphans(self) -> None:
         """Release turns of silent owners once their runs must have ended."""
         now = self._clock()
@@ -344,6 +356,8 @@
             request = queued.request
             self._queue.remove(request.turn_id)
             self._refused.record_goal(request.content, queued.first_event_by_s, now)
+            if refusal.reason is RefusalReason.VERSION_GONE:
+                self._stranded.record_refusal(queued)
             refused.append(
                 TurnDecided(turn_id=request.turn_id, owner=queued.owner, outcome=refusal)
             )
@@ -375,7 +389,13 @@
         if not len(self._queue):
             return None
         now = self._clock()
-        ranked_requests = self._rank_queue(PrefillForecast(engines=self._engines, now_s=now), now)
+        ranked_requests = [
+            (queued, is_on_time)
+            for queued, is_on_time in self._rank_queue(
+                PrefillForecast(engines=self._engines, now_s=now), now
+            )
+            if not self._waits_for_role_change(queued)
+        ]
         blocked: set[str] = set()  # engines reserved for earlier requests that don't fit yet
         for queued, is_on_time in grant_candidates(ranked_requests):
             request = queued.request
@@ -398,6 +418,11 @@
                 break  # all decode engines are reserved
         return None
 
+    def _waits_for_role_change(self, queued: QueuedRequest) -> bool:
+        """Return whether no engine of a stream's software version decodes now."""
+        version = queued.request.version
+        return bool(version) and not self._engines.can_continue(version)
+
     def _grant(
         self, queued: QueuedRequest, prefill_id: str | None, decode_id: str, *, is_late: bool
     ) -> TurnDecided:
--- a/flamingoshelf/placement/_engine_trackers.py
+++ b/flamingoshelf/placement/_engine_trackers.py
@@ -128,6 +128,13 @@
             for run in self._runs.values()
         ]
 
+    def remaining_s(self, turn_id: str, now_s: float) -> float | None:
+        """Return the seconds that a run is expected to last, None if that isn't known."""
+        run, s_per_token = self._runs.get(turn_id), self.s_per_token
+        if run is None or s_per_token is None:
+            return None
+        return _remaining_tokens(run, now_s, s_per_token) * s_per_token
+
     def fits(
         self, prompt_tokens: int, expected_tokens: int, now_s: float, workspace: str = ""
     ) -> bool:
--- a/flamingoshelf/placement/_engines.py
+++ b/flamingoshelf/placement/_engines.py
@@ -14,10 +14,19 @@
 from flamingoshelf.routing import BackendInstance, EngineProfile, EngineRole
 from flamingoshelf.server_limits import LimitKeeper, PermitForecast
 
-__all__ = ["EngineTable"]
+__all__ = ["EngineTable", "LeftEngine"]
 
 
 _SNAPSHOT_INTERVAL_S = 0.1  # short compared with the age of a load report
+_LEFT_KEPT_S = 60.0  # longer than any stream lasts at an engine that has left the list
+
+
+@attrs.frozen(kw_only=True)
+class LeftEngine:
+    """An engine that takes no new work any more, and the time in seconds since when."""
+
+    engine: BackendInstance
+    since_s: float
 
 
 class EngineTable:
@@ -61,7 +70,9 @@
         self._decode_trackers: dict[str, DecodeEngineTracker] = {}
         self._health = HealthTracker()
         self._role_change_until_s: dict[str, float] = {}
+        self._role_change_done_s: dict[str, float] = {}  # expected, without slack
         self._target_role: dict[str, EngineRole] = {}
+        self._left: dict[str, LeftEngine] = {}
         self._now_s = 0.0
         self._snapshot_s = float("-inf")
         self._usable: dict[EngineRole, list[BackendInstance]] = {}
@@ -89,8 +100,10 @@
         for key, until_s in list(self._role_change_until_s.items()):
             if until_s <= now_s:
                 self._end_role_change(key)
+        gone = [engine for key, engine in self._listed.items() if key not in listed]
         self._listed = listed
         self._leaving = {e.key: e for e in self._leaving_engines() if e.key not in listed}
+        self._record_left([*gone, *self._leaving.values()])
         self._usable.clear()
         if self._profile() != self._applied_profile:
             self._applied_profile = self._profile()
@@ -163,12 +176,67 @@
 
         `slack_s` is added to the configured duration of a role change.
         """
-        profile = self._profile()
-        change_s = 0.0 if profile is None else profile.role_change_s
+        change_s = self.role_change_s
+        self._role_change_done_s[key] = self._now_s + change_s
         self._role_change_until_s[key] = self._now_s + change_s + slack_s
         self._target_role[key] = role
         self._usable.clear()
 
+    def left_engine(self, key: str) -> LeftEngine | None:
+        """Return an engine that has left the list lately, or None."""
+        return self._left.get(key)
+
+    def left_decodes(self, version: str) -> list[LeftEngine]:
+        """Return the decode engines of a software version that have left the list lately."""
+        return [
+            left
+            for left in self._left.values()
+            if left.engine.software_version == version and left.engine.role is EngineRole.DECODE
+        ]
+
+    def has_version(self, version: str) -> bool:
+        """Return whether an engine of a software version is listed, in whatever role."""
+        return any(engine.software_version == version for engine in self._listed.values())
+
+    def can_continue(self, version: str) -> bool:
+        """Return whether a decode engine of a software version is listed, or a leaving one is."""
+        engines = [*self._listed.values(), *self._leaving.values()]
+        return any(
+            engine.role is EngineRole.DECODE
+            and engine.software_version == version
+            and not self._is_changing_role(engine.key)
+            for engine in engines
+        )
+
+    def keeps_version(self, version: str) -> bool:
+        """Return whether a software version has a decode engine that stays, or will have one."""
+        return any(
+            engine.role is EngineRole.DECODE
+            and engine.software_version == version
+            and not self._health.is_lost(engine.key, self._now_s)
+            for engine in self.with_role_changes_applied()
+        )
+
+    def role_change_left_s(self, version: str) -> float | None:
+        """Return the seconds until an engine of a version has become a decode engine.
+
+        None if none is changing its role to that.
+        """
+        done_s = [
+            self._role_change_done_s[key]
+            for key, role in self._target_role.items()
+            if role is EngineRole.DECODE
+            and key in self._listed
+            and self._listed[key].software_version == version
+        ]
+        return max(0.0, min(done_s) - self._now_s) if done_s else None
+
+    @property
+    def role_change_s(self) -> float:
+        """Seconds that a role change takes."""
+        profile = self._profile()
+        return 0.0 if profile is None else profile.role_change_s
+
     def usable_prefills(
         self, *, avoid: Iterable[str] = (), exclude: Iterable[str] = ()
     ) -> list[BackendInstance]:
@@ -368,6 +436,14 @@
         others = [engine for engine in listed if engine.key not in exclude]
         return others or [e for e in self._leaving.values() if e.key not in exclude]
 
+    def _record_left(self, engines: Iterable[BackendInstance]) -> None:
+        for engine in engines:
+            if engine.key not in self._left:
+                self._left[engine.key] = LeftEngine(engine=engine, since_s=self._now_s)
+        for key, left in list(self._left.items()):
+            if key in self._listed or self._now_s - left.since_s > _LEFT_KEPT_S:
+                del self._left[key]
+
     def _resize(self, tracker: DecodeEngineTracker) -> None:
         if self._applied_profile is not None:
             tracker.resize(
@@ -376,6 +452,7 @@
 
     def _end_role_change(self, key: str) -> None:
         self._role_change_until_s.pop(key, None)
+        self._role_change_done_s.pop(key, None)
         self._target_role.pop(key, None)
 
     def _is_changing_role(self, key: str) -> bool:
--- a/flamingoshelf/placement/_feasibility.py
+++ b/flamingoshelf/placement/_feasibility.py
@@ -18,6 +18,7 @@
     lost_engines_refusal,
     no_engine_refusal,
     queue_full_refusal,
+    version_gone_refusal,
 )
 from flamingoshelf.placement._shortage import ReturnTimes, ShortageForecast
 from flamingoshelf.placement._types import request_id_of
@@ -30,6 +31,8 @@
 _MIN_RETRY_AFTER_S = 1.0
 _MAX_RETRY_AFTER_S = 3.0
 _MAX_PERMIT_RETRY_AFTER_S = 10.0  # limits of engines may end before
+_ORDER_DELAY_S = 1.0  # until a role change that is needed has been ordered
+_LISTING_DELAY_S = 0.3  # until an engine that has changed its role is listed with it
 
 
 class FeasibilityChecker:
@@ -90,6 +93,8 @@
         that is refused for lack of them.
         """
         request = queued.request
+        if request.version and not self._engines.can_continue(request.version):
+            return self._check_role_change(queued)
         if not self._engines.any_can_ever_fit(
             request.prompt_tokens, request.expected_tokens, exclude=request.exclude
         ):
@@ -150,6 +155,36 @@
             )
         return queue_full_refusal(self._service, retry_after_s=retry_after_s)
 
+    def _check_role_change(self, queued: QueuedRequest) -> Refusal | None:
+        """Return the refusal of a stream that has to wait for an engine to change its role.
+
+        None if the engine will be ready before the caller leaves; nothing is reserved meanwhile.
+        """
+        request = queued.request
+        ready_in_s = self._engines.role_change_left_s(request.version)
+        if ready_in_s is not None:
+            begins_s = self._now_s + max(ready_in_s, _LISTING_DELAY_S)
+            first_event_s = run_s = 0.0
+            if self._prefill.is_measured:
+                first_event_s = self._prefill.first_event_s(request.prompt_tokens)
+                run_s = self._prefill.run_s(request.prompt_tokens, request.expected_tokens)
+            if begins_s + first_event_s <= queued.expires_s and begins_s + run_s <= (
+                queued.deadline_s
+            ):
+                return None
+        elif self._engines.has_version(request.version):
+            ready_in_s = _ORDER_DELAY_S + self._engines.role_change_s
+        logger.bind(
+            request_id=request_id_of(request.turn_id),
+            step="place",
+            peer=queued.owner,
+            version=request.version,
+            ready_in_s=None if ready_in_s is None else round(ready_in_s, 3),
+            leaves_in_s=round(queued.expires_s - self._now_s, 3),
+            deadline_in_s=round(queued.deadline_s - self._now_s, 3),
+        ).info("no decode engine of the stream's version")
+        return version_gone_refusal(self._service, request.version, ready_in_s=ready_in_s)
+
     def _memory_without(self, excluded: frozenset[str]) -> MemoryForecast:
         """Return the forecast for requests that can't use some engines."""
         if not excluded:
--- a/flamingoshelf/placement/_refusals.py
+++ b/flamingoshelf/placement/_refusals.py
@@ -9,9 +9,11 @@
     "no_engine_refusal",
     "no_retry_budget_refusal",
     "queue_full_refusal",
+    "version_gone_refusal",
 ]
 
 _NO_ENGINE_RETRY_S = 1.0  # a replaced engine is listed within about a second
+_CRASHED_ENGINE_RETRY_S = 2.0  # a crashed engine starts again within seconds
 
 
 def no_decision_refusal(service: str) -> Refusal:
@@ -84,3 +86,21 @@
         retry_after_s=retry_after_s,
         step="place",
     )
+
+
+def version_gone_refusal(service: str, version: str, *, ready_in_s: float | None = None) -> Refusal:
+    """Return the refusal of a stream that no engine in use can continue.
+
+    `ready_in_s` tells in how many seconds one is expected, None if only a crashed one may return.
+    """
+    detail = f"No engine of {service} runs version {version}, which began the stream"
+    if ready_in_s is not None:
+        detail += f"; one is expected in {ready_in_s:.1f} s"
+    return Refusal(
+        reason=RefusalReason.VERSION_GONE,
+        status=503,
+        detail=f"{detail}.",
+        not_run=True,
+        retry_after_s=_CRASHED_ENGINE_RETRY_S if ready_in_s is None else ready_in_s,
+        step="origin",
+    )
--- a/flamingoshelf/placement/_role_plan.py
+++ b/flamingoshelf/placement/_role_plan.py
@@ -1,7 +1,7 @@
 """Planning of the split of engines into prefill and decode pools."""
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import attrs
 
@@ -97,6 +97,48 @@
         """Record that a change was ordered."""
         self._changed_s = now_s
 
+    def plan_continuations(
+        self,
+        engines: Sequence[BackendInstance],
+        stranded: Mapping[str, int],
+        *,
+        cost: RequestCost | None,
+        load: float,
+        change_s: float,
+    ) -> list[RoleChange]:
+        """Return the changes that give software versions a decode engine for their streams.
+
+        A prefill engine changes if that saves more streams than can't be served for lack of it
+        while it changes. One prefill engine stays, of whatever version.
+
+        Parameters
+        ----------
+        engines : sequence of BackendInstance
+            Engines that take new work.
+        stranded : mapping
+            Number of streams that no other engine can continue, by version.
+        cost, load
+            As in `plan`.
+        change_s : float
+            Seconds that a change takes.
+        """
+        left = [engine for engine in engines if engine.role is EngineRole.PREFILL]
+        decodes = sum(engine.role is EngineRole.DECODE for engine in engines)
+        changes = []
+        for version, streams in sorted(stranded.items(), key=lambda item: -item[1]):
+            donors = [engine for engine in left if engine.software_version == version]
+            if not donors or len(left) < 2:
+                continue
+            if cost is not None:
+                demand_per_s = load * decodes / cost.decode_s
+                served_per_s = throughput(len(left) - 1, max(decodes, 1), cost)
+                if streams <= (demand_per_s - served_per_s) * change_s:
+                    continue
+            engine = _most_common_data_centre(donors, left)
+            left.remove(engine)
+            changes.append(RoleChange(engine=engine, role=EngineRole.DECODE))
+        return changes
+
     def plan(
         self,
         engines: Sequence[BackendInstance],
@@ -227,11 +269,15 @@
         ]
         if not spare:
             return changes
-        same_centre_counts = {
-            engine.key: sum(other.data_centre == engine.data_centre for other in left)
-            for engine in spare
-        }
-        engine = max(spare, key=lambda item: (same_centre_counts[item.key], item.key))
+        engine = _most_common_data_centre(spare, left)
         left.remove(engine)
         changes.append(RoleChange(engine=engine, role=role))
     return changes
+
+
+def _most_common_data_centre(
+    candidates: Sequence[BackendInstance], engines: Sequence[BackendInstance]
+) -> BackendInstance:
+    """Return the candidate of the data centre that has most of the engines."""
+    counts = Counter(engine.data_centre for engine in engines)
+    return max(candidates, key=lambda engine: (counts[engine.data_centre], engine.key))
--- a/flamingoshelf/placement/_types.py
+++ b/flamingoshelf/placement/_types.py
@@ -77,6 +77,8 @@
         Whether the caller already received a part of the answer.
     content : str
         Digest of the request's content; it identifies a refused request that is sent again.
+    version : str
+        Software version that alone can continue the stream, or an empty string.
     """
 
     turn_id: str
@@ -95,6 +97,7 @@
     repeat_cost: int = 0
     is_resumed: bool = False
     content: str = ""
+    version: str = ""
 
 
 @attrs.frozen(kw_only=True)
--- a/lab/tests/test_software_versions.py
+++ b/lab/tests/test_software_versions.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from flamingoshelf.utils import now_s
 from lab.gateway._records import ServerFaults
+from lab.gateway._servers import EngineStandIn
 from lab.gateway._site import RESUMABLE
 from lab.gateway._versions import ResumedStream, find_joined
 from lab.tests.test_gateway_site import wait_for_initial_roles
@@ -18,6 +20,10 @@
 MIN_SHARE = 0.5  # of the share of new streams that begin
 LEAST_JUDGED = 12
 CUT_SHARE = 0.4  # of the runs of each engine, which it ends in the middle
+DRAIN_S = 2.0
+LONG_CHANGE_S = 2.5  # longer than a leaving engine serves
+LONG_STREAM_S = 4.5
+LONG_DEADLINE_MS = 8000
 STORE_LAG_S = 0.5  # streams that begin as late before all nodes are lost may be forgotten
 
 
@@ -32,11 +38,11 @@
         for engine in site.engines:
             engine.s_per_event = S_PER_EVENT
 
-    async def send(self):
+    async def send(self, **call):
         """Send a new stream."""
         stream = ResumedStream(number=next(self._numbers))
         self.streams.append(stream)
-        await self._try(stream)
+        await self._try(stream, **call)
         return stream
 
     async def take_up(self, stream, **call):
@@ -206,3 +212,54 @@
     broken = [stream for stream in streams.streams if stream.is_broken]
     await asyncio.gather(*(streams.take_up(stream) for stream in broken))
     assert streams.joined() == []
+
+
+# While the last decode engine of a version was replaced, none of its streams went on, though two
+# prefill engines of that version served.
+@pytest.mark.parametrize("is_handed_over", [False, True], ids=["", "coordinator lost"])
+async def test_streams_go_on_when_the_last_decode_engine_of_their_version_leaves(
+    new_site, monkeypatch, is_handed_over
+):
+    monkeypatch.setattr(EngineStandIn, "role_change_s", LONG_CHANGE_S)
+    site = await new_site(node_count=3, prefill_count=2, decode_count=3)
+    for engine in site.engines[3:]:
+        engine.version = "v2"
+        site.register(engine)
+    await asyncio.sleep(0.5)
+    leaving = site.engines[2]
+    streams = Streams(site)
+    for engine in site.engines:
+        engine.s_per_event = LONG_STREAM_S / EVENTS
+
+    async def send():
+        stream = await streams.send(deadline_ms=LONG_DEADLINE_MS)
+        for _ in range(3):
+            if not stream.is_broken:
+                break
+            retry_after = stream.answers[-1].headers.get("Retry-After")
+            await asyncio.sleep(float(retry_after or 0.0))
+            await streams.take_up(stream, deadline_ms=LONG_DEADLINE_MS)
+        return stream
+
+    sending = [asyncio.ensure_future(send()) for _ in range(24)]
+    await asyncio.sleep(0.8)
+    orders = len(site.log.orders)
+    leaving.state = "draining"
+    site.register(leaving)
+    began_s = now_s()
+    while len(site.log.orders) == orders and now_s() < began_s + DRAIN_S:
+        await asyncio.sleep(0.02)
+    if is_handed_over and len(site.log.orders) > orders:
+        holder = str(site.log.orders[-1]["holder"])
+        coordinator = site.nodes[int(holder.rpartition("-")[2])]
+        coordinator.kill()
+        coordinator.start()
+    await asyncio.sleep(max(0.0, began_s + DRAIN_S - now_s()))
+    began = {run.request_id for run in site.log.runs if run.server == leaving.instance_id}
+    await leaving.stop()
+    site.store.remove("servers", leaving.instance_id)
+    new = [asyncio.ensure_future(send()) for _ in range(LEAST_JUDGED)]
+    old = [s for s in await asyncio.gather(*sending) if s.answers[0].request_id in began]
+    assert streams.joined() == []
+    assert len(old) >= 5
+    assert share_that_goes_on(old) >= MIN_SHARE * share_that_goes_on(await asyncio.gather(*new))
