--- a/flamingoshelf/gateway/_admission.py
+++ b/flamingoshelf/gateway/_admission.py
@@ -13,7 +13,7 @@
 from flamingoshelf.http1 import RequestHead
 from flamingoshelf.quarantine import part_key
 from flamingoshelf.refusals import Refusal, RefusalReason
-from flamingoshelf.routing import GatewayConfiguration, Route, Workspace
+from flamingoshelf.routing import Route, Workspace
 
 __all__ = ["Admission", "AdmittedRequest"]
 
@@ -36,8 +36,11 @@
         Matching route.
     workspace : Workspace or None
         Workspace of the API key; None if the route or the configuration requires no key.
-    configuration : GatewayConfiguration
-        Configuration in force at admission.
+    configuration_version : int
+        Version of the configuration in force at admission. The configuration itself is not kept: a
+        long stream would hold one that may have been replaced many times since.
+    ranks_below : int or None
+        As `GatewayConfiguration.ranks_below` returns for the route.
     deadline_s : float
         Time until which the caller waits for an answer, by the event loop's clock.
     arrived_s : float
@@ -52,7 +55,8 @@
     caller: CallerRequest
     route: Route
     workspace: Workspace | None
-    configuration: GatewayConfiguration
+    configuration_version: int
+    ranks_below: int | None = None
     deadline_s: float
     arrived_s: float
     body: bytes = b""
@@ -140,7 +144,7 @@
         streams: the route's priority comes first, and the workspace's ranks equal streams.
         """
         workspace = None if self.workspace is None else self.workspace.priority
-        if self.configuration.ranks_below(self.route) is not None:
+        if self.ranks_below is not None:
             rank = min(max(0, workspace or 0), _MAX_WORKSPACE_PRIORITY)
             return self.route.priority * (_MAX_WORKSPACE_PRIORITY + 1) + rank
         return self.route.priority if workspace is None else workspace
@@ -148,8 +152,8 @@
     @property
     def engine_urgency(self) -> int | None:
         """Priority in the queues of model engines, 0 most urgent; None for the usual one."""
-        ranks_below = self.configuration.ranks_below(self.route)
-        return None if not ranks_below else max(0, _USUAL_ENGINE_URGENCY - ranks_below)
+        below = self.ranks_below
+        return None if not below else max(0, _USUAL_ENGINE_URGENCY - below)
 
 
 class Admission:
@@ -197,7 +201,8 @@
                 caller=caller,
                 route=route,
                 workspace=workspace.ok_value,
-                configuration=self._configuration.current,
+                configuration_version=self._configuration.version,
+                ranks_below=self._configuration.current.ranks_below(route),
                 deadline_s=arrived_s + min(wait_s, route.timeout_s),
                 arrived_s=arrived_s,
                 answer_limit=self._answer_limit,
--- a/flamingoshelf/gateway/_app.py
+++ b/flamingoshelf/gateway/_app.py
@@ -137,7 +137,7 @@
             step="answer",
             peer=exchange.backend_server or None,
             status=exchange.status,
-            version=request.configuration.version,
+            version=request.configuration_version,
             after_s=round(now_s() - exchange.arrived_s, 4),
             goal_s=request.route.latency_goal_s,
         ).info("broken off" if exchange.is_aborted else "answered")
--- a/flamingoshelf/gateway/tests/conftest.py
+++ b/flamingoshelf/gateway/tests/conftest.py
@@ -414,7 +414,7 @@
             caller=caller or CallerRequest(request_id="q1"),
             route=chosen,
             workspace=configuration.current.workspaces["w"],
-            configuration=configuration.current,
+            configuration_version=configuration.version,
             deadline_s=now_s() + chosen.timeout_s,
             arrived_s=now_s(),
             body=b"body",
--- a/flamingoshelf/gateway/tests/test_changed_configuration.py
+++ b/flamingoshelf/gateway/tests/test_changed_configuration.py
@@ -1,14 +1,17 @@
 """Changes of the configuration, servers and settings while requests are read, wait or run."""
 
 import asyncio
+import gc
 import random
+import weakref
 from typing import Any, cast
 
 import attrs
 import pytest
 
 from flamingoshelf.cluster import MemberList
-from flamingoshelf.gateway import CallerRequest, GatewaySettings
+from flamingoshelf.gateway import Admission, CallerRequest, GatewaySettings
+from flamingoshelf.gateway._active_configuration import ActiveConfiguration
 from flamingoshelf.gateway._answer_limit import AnswerLimit
 from flamingoshelf.gateway._node_limits import NodeLimits
 from flamingoshelf.gateway._request_path import new_gateway
@@ -383,3 +386,26 @@
     task, exchange, _ = site.start()
     await task
     assert exchange.request_id == "q1"
+
+
+# Long streams kept each configuration that one of them had begun under: dozens in quick changes.
+def test_request_keeps_no_configuration_that_was_replaced():
+    configuration = ActiveConfiguration()
+    chosen = route(CallKind.STREAM)
+
+    def put_in_force(version):
+        configuration.adopt(
+            GatewayConfiguration(version=version, routes=(chosen,), services={}, workspaces={})
+        )
+
+    put_in_force(1)
+    replaced = weakref.ref(configuration.current)
+    admission = Admission(
+        configuration=configuration, wire=cast(Any, Wire()), answer_limit=AnswerLimit()
+    )
+    head = RequestHead(method="POST", target="/r/1", headers=Headers([("Host", "h")]))
+    request = admission.admit(head, arrived_s=0.0).unwrap()
+    put_in_force(2)
+    gc.collect()
+    assert replaced() is None
+    assert (request.configuration_version, configuration.version) == (1, 2)
--- a/flamingoshelf/gateway/tests/test_plain_faults.py
+++ b/flamingoshelf/gateway/tests/test_plain_faults.py
@@ -273,7 +273,7 @@
         caller=CallerRequest(request_id="q1"),
         route=chosen,
         workspace=None,
-        configuration=active.current,
+        configuration_version=active.version,
         deadline_s=now_s() + TIMEOUT_S,
         arrived_s=now_s(),
         body=b"body",
--- a/flamingoshelf/gateway/tests/test_random_silences.py
+++ b/flamingoshelf/gateway/tests/test_random_silences.py
@@ -141,7 +141,7 @@
         caller=CALLER,
         route=chosen,
         workspace=None,
-        configuration=configuration.current,
+        configuration_version=configuration.version,
         deadline_s=now_s() + TIMEOUT_S,
         arrived_s=now_s(),
     )
--- a/flamingoshelf/gateway/tests/test_ranked_streams.py
+++ b/flamingoshelf/gateway/tests/test_ranked_streams.py
@@ -25,14 +25,16 @@
 
 def new_request(route, workspace_priority, *others):
     workspace = Workspace(name="w", keys=frozenset({"key"}), priority=workspace_priority)
+    configuration = GatewayConfiguration(
+        version=1, routes=(route, *others), services={}, workspaces={"w": workspace}
+    )
     return AdmittedRequest(
         head=RequestHead(method="POST", target="/r/1", headers=Headers([("Host", "h")])),
         caller=CallerRequest(request_id="q1"),
         route=route,
         workspace=workspace,
-        configuration=GatewayConfiguration(
-            version=1, routes=(route, *others), services={}, workspaces={"w": workspace}
-        ),
+        configuration_version=1,
+        ranks_below=configuration.ranks_below(route),
         deadline_s=14.0,
         arrived_s=0.0,
     )
--- a/flamingoshelf/store/_relay.py
+++ b/flamingoshelf/store/_relay.py
@@ -14,6 +14,7 @@
 __all__ = ["FollowKind", "KindAnswer", "StoreRelay"]
 
 _MAX_LOGGED_CHANGES = 256  # a follower that lags by more than this gets the complete list
+_MAX_LOGGED_NAMES = 16_384  # of all these changes together; some MB
 
 
 @message
@@ -109,13 +110,26 @@
         return cache.pack(cache.build_answer_since(request.after_revision), request)
 
 
+@attrs.frozen(kw_only=True)
+class _LoggedChange:
+    """Names of the objects that changed, or were removed, up to a revision."""
+
+    names: tuple[str, ...]
+    revision: int
+    last_change: int
+
+
 class _KindCache:
-    """Cached objects of one kind with a log of the last changes."""
+    """Cached objects of one kind with a log of what changed last.
+
+    The log holds names: followers get the newest content only, which is cached.
+    """
 
     def __init__(self) -> None:
         self._objects: dict[str, StoreObject] = {}
         self._packed: dict[str, tuple[StoreObject, PackedObject | None]] = {}
-        self._change_log: deque[KindChanges] = deque(maxlen=_MAX_LOGGED_CHANGES)
+        self._change_log: deque[_LoggedChange] = deque()
+        self._logged_names = 0
         self._log_start_revision = 0  # the log holds every change after this revision
         self._changed = asyncio.Event()
         self.revision = 0
@@ -125,6 +139,7 @@
         self._objects = dict(snapshot.objects)
         self._packed.clear()
         self._change_log.clear()
+        self._logged_names = 0
         self._log_start_revision = self.revision = snapshot.revision
         newest = max((item.revision for item in self._objects.values()), default=0)
         self.last_change = max(self.last_change, newest)
@@ -134,16 +149,26 @@
         self.revision = max(self.revision, changes.revision)
         if not changes.changed and not changes.removed:
             return
+        names = (*changes.removed, *(item.name for item in changes.changed))
         for name in changes.removed:
             self._objects.pop(name, None)
-            self._packed.pop(name, None)
         self._objects.update((item.name, item) for item in changes.changed)
-        if len(self._change_log) == _MAX_LOGGED_CHANGES:
-            self._log_start_revision = self._change_log[0].revision
-        self._change_log.append(changes)
+        for name in names:  # the compressed form holds an earlier content
+            self._packed.pop(name, None)
+        self._log(
+            _LoggedChange(names=names, revision=changes.revision, last_change=changes.last_change)
+        )
         self.last_change = max(self.last_change, changes.last_change)
         self._wake_waiters()
 
+    def _log(self, change: _LoggedChange) -> None:
+        self._change_log.append(change)
+        self._logged_names += len(change.names)
+        while len(self._change_log) > _MAX_LOGGED_CHANGES or self._logged_names > _MAX_LOGGED_NAMES:
+            dropped = self._change_log.popleft()
+            self._logged_names -= len(dropped.names)
+            self._log_start_revision = dropped.revision
+
     def pack(self, answer: KindAnswer, request: FollowKind) -> KindAnswer:
         """Return an answer with its large objects compressed, if the follower accepts them.
 
@@ -174,24 +199,13 @@
         """Return the changes after `revision`, or all objects if the log starts later."""
         if revision < self._log_start_revision:
             return self.build_full_answer()
-        changed: dict[str, StoreObject] = {}
-        removed: dict[str, None] = {}
-        last_change = 0
-        for entry in self._change_log:
-            if entry.revision <= revision:
-                continue
-            for name in entry.removed:
-                changed.pop(name, None)
-                removed[name] = None
-            for item in entry.changed:
-                removed.pop(item.name, None)
-                changed[item.name] = item
-            last_change = max(last_change, entry.last_change)
+        entries = [entry for entry in self._change_log if entry.revision > revision]
+        names = dict.fromkeys(name for entry in entries for name in entry.names)
         return KindAnswer(
-            objects=tuple(changed.values()),
-            removed=tuple(removed),
+            objects=tuple(self._objects[name] for name in names if name in self._objects),
+            removed=tuple(name for name in names if name not in self._objects),
             revision=max(revision, self.revision),
-            last_change=last_change,
+            last_change=max((entry.last_change for entry in entries), default=0),
         )
 
     async def wait_for_change(self, revision: int, *, wait_s: float) -> None:
