--- a/flamingoshelf/gateway/_engine_runs.py
+++ b/flamingoshelf/gateway/_engine_runs.py
@@ -1,4 +1,4 @@
-"""Confirms which run of an engine a connection leads to.
+"""Confirms which run of an engine a connection leads to, and whether an engine answers.
 
 An engine may start again under its identity with another software version, and a node may learn of
 that late. A connection outlives no run of its engine, so a report that arrives while it is open
@@ -9,6 +9,7 @@
 import weakref
 from collections.abc import Awaitable, Callable
 
+import attrs
 from loguru import logger
 
 from flamingoshelf.exceptions import FlamingoshelfError
@@ -44,9 +45,29 @@
             )
 
 
+@attrs.define(kw_only=True, eq=False)
+class _Question:
+    """A report that is asked for to see whether an engine answers.
+
+    Attributes
+    ----------
+    is_sent : bool
+        Whether the engine's limit has left room for it.
+    answered : asyncio.Future
+        Whether the engine has answered.
+    """
+
+    is_sent: bool = False
+    answered: asyncio.Future[bool] = attrs.field(
+        factory=lambda: asyncio.get_running_loop().create_future()
+    )
+
+
 class EngineRuns:
     """Checks each new connection to an engine once, while its first request is under way.
 
+    Reports tell which run of an engine is at the other end, and that it isn't silent.
+
     Parameters
     ----------
     report : callable
@@ -66,6 +87,7 @@
         self._may_ask = may_ask
         # Reports that are not sent yet; they tell of all connections that are open by then.
         self._queued: dict[ServerRun, asyncio.Task[EngineReport | None]] = {}
+        self._questions: dict[ServerRun, _Question] = {}
         self._confirmed: weakref.WeakKeyDictionary[BackendConnection, ServerRun] = (
             weakref.WeakKeyDictionary()
         )
@@ -89,6 +111,25 @@
             return RunCheck()
         return RunCheck(self._tasks.start(self._confirm(engine, connection), name="check"))
 
+    async def answers(self, engine: BackendInstance, *, timeout_s: float) -> bool:
+        """Return whether an engine answers now; True if its limit leaves no room to ask it."""
+        question = self._questions.get(engine.run)
+        if question is None:
+            question = self._questions[engine.run] = _Question()
+            self._tasks.start(self._find_out(engine, question), name="answers")
+        await asyncio.wait({question.answered}, timeout=timeout_s)
+        return question.answered.result() if question.answered.done() else not question.is_sent
+
+    async def _find_out(self, engine: BackendInstance, question: _Question) -> None:
+        has_answered = True
+        try:
+            if await self._may_ask(engine):
+                question.is_sent = True
+                has_answered = await self._ask_at_once(engine) is not None
+        finally:
+            del self._questions[engine.run]
+            question.answered.set_result(has_answered)
+
     async def _confirm(self, engine: BackendInstance, connection: BackendConnection) -> bool:
         log = logger.bind(step="engine_run", peer=engine.key, started_ms=engine.started_ms)
         for attempt in range(_ATTEMPTS):
@@ -126,8 +167,13 @@
         if not may_ask:
             log.info("run of the engine not confirmed yet; the engine is at its limit")
             return None
+        return await self._ask_at_once(engine)
+
+    async def _ask_at_once(self, engine: BackendInstance) -> EngineReport | None:
         try:
             return await self._report(engine)
         except FlamingoshelfError as error:
-            log.info("run of the engine not confirmed yet: {}", error.message)
+            logger.bind(step="engine_run", peer=engine.key, started_ms=engine.started_ms).info(
+                "no report from the engine: {}", error.message
+            )
             return None
--- a/flamingoshelf/gateway/_stream_attempt.py
+++ b/flamingoshelf/gateway/_stream_attempt.py
@@ -35,6 +35,9 @@
 # Longest time for which a run that resumes a silent one is open beside it before its head arrives;
 # engines are not to work on the same request for longer than 0.4 s.
 _MAX_OVERLAP_S = 0.25
+# Reports take a few milliseconds. An engine that gives none is silent, and so would the run be.
+_ANSWER_TIMEOUT_S = 0.2
+_OVERLAP_ANSWER_TIMEOUT_S = 0.1  # within the overlap that engines allow
 # A sound engine may be silent for about a second; a prefill that takes longer is given up.
 _MAX_PREFILL_SILENCE_S = 1.5
 _ORIGIN_SLACK_S = 2.0  # for a caller whose clock or connection is slower than stated
@@ -79,7 +82,7 @@
         self._prefill_engine: BackendInstance | None = None
         self._run: RunRelay | None = None
         self._run_check = RunCheck()
-        self._overlap_timer: asyncio.TimerHandle | None = None
+        self._overlap: asyncio.Task[None] | None = None
         self._watch = SilenceWatch(on_silence=self._on_silence, on_progress=self._on_progress)
         self._task = asyncio.create_task(self._use_turn(), name="stream.attempt")
         self._task.add_done_callback(lambda task: state.changed.set())
@@ -158,8 +161,8 @@
     def _end(self, result: RelayResult | None) -> None:
         """Release what the attempt holds, and report how its turn ended."""
         self._watch.stop()
-        if self._overlap_timer is not None:
-            self._overlap_timer.cancel()
+        if self._overlap is not None:
+            self._overlap.cancel()
         if self._is_replaced:
             self._report_replaced()
         run = self._run
@@ -250,6 +253,8 @@
         """Run the request at a decode engine, and relay its events to the caller."""
         state = self._state
         log = self._reports.log("decode", engine.key)
+        if not await self._has_answered(engine):
+            return RelayResult.NOT_RUN
         if not state.may_run:  # the silent attempt has run meanwhile
             return RelayResult.NOT_RUN
         call = self._call(engine, kv_handle=self._handle)
@@ -270,7 +275,8 @@
         progress = SendProgress()
         self._set_has_run(True)
         state.has_called_decode = True
-        self._limit_overlap()
+        if self._silent:
+            self._overlap = asyncio.create_task(self._limit_overlap(engine), name="stream.overlap")
         try:
             async with self._tools.client.send(
                 state.request,
@@ -367,10 +373,35 @@
                 attempt.replace()
         return True
 
-    def _limit_overlap(self) -> None:
-        if self._silent:
-            loop = asyncio.get_running_loop()
-            self._overlap_timer = loop.call_later(_MAX_OVERLAP_S, self._take_over, self._silent)
+    async def _has_answered(self, engine: BackendInstance) -> bool:
+        """Return whether an engine may get the request of a silent run that may yet go on.
+
+        An engine without runs may be silent, too, without anybody having noticed.
+        """
+        if not any(attempt.has_run for attempt in self._silent):
+            return True
+        if await self._tools.runs.answers(engine, timeout_s=_ANSWER_TIMEOUT_S):
+            return True
+        self._reports.log("decode", engine.key).info(
+            "decode not sent; the engine is silent like the one that it was to replace"
+        )
+        self._state.avoid.add(engine.key)
+        self._count_wasted_prefill()
+        return False
+
+    async def _limit_overlap(self, engine: BackendInstance) -> None:
+        """End the silent runs some time after this one was sent, or this one if it is silent, too.
+
+        Of two silent runs, the earlier one is kept: its engine has accepted the request.
+        """
+        await asyncio.sleep(_MAX_OVERLAP_S)
+        if await self._tools.runs.answers(engine, timeout_s=_OVERLAP_ANSWER_TIMEOUT_S):
+            self._take_over(self._silent)
+        elif any(attempt.has_run and not attempt.has_ended for attempt in self._silent):
+            self._reports.log("decode", engine.key).info(
+                "run ended; its engine is silent like the one that it was to replace"
+            )
+            self.cancel()
 
     def _on_deadline(self) -> RelayResult:
         if self._run is None:
--- a/flamingoshelf/gateway/tests/conftest.py
+++ b/flamingoshelf/gateway/tests/conftest.py
@@ -443,20 +443,28 @@
     return FakeOrigins()
 
 
+@pytest.fixture
+def silent_until_s():
+    """Return the engines that give no reports, with the times until then."""
+    return {}
+
+
 @pytest.fixture
 def paths():
     return FakePaths()
 
 
 @pytest.fixture
-def forwarder(client, targets, directory, placer, origins, crash_detector, paths, metrics):
+def forwarder(
+    client, targets, directory, placer, origins, crash_detector, paths, metrics, silent_until_s
+):
     return StreamForwarder(
         client=client,
         targets=targets,
         directory=directory,
         placer=placer,
         origins=origins,
-        runs=new_engine_runs(),
+        runs=new_engine_runs(lambda key: silent_until_s.get(key, 0.0)),
         crash_detector=crash_detector,
         failures=new_failures(placer, paths),
         metrics=metrics,
--- a/flamingoshelf/gateway/tests/test_engine_runs.py
+++ b/flamingoshelf/gateway/tests/test_engine_runs.py
@@ -6,23 +6,14 @@
 import pytest
 
 from flamingoshelf.exceptions import OutcomeUnknownError
-from flamingoshelf.gateway import EngineReport
 from flamingoshelf.gateway._engine_runs import EngineRuns
 from flamingoshelf.gateway.tests.conftest import server
+from flamingoshelf.gateway.tests.fake_origins import REPORT
 from flamingoshelf.routing import EngineRole
 
 pytestmark = pytest.mark.looptime
 
 ENGINE = attrs.evolve(server("d1", EngineRole.DECODE), started_ms=100)
-REPORT = EngineReport(
-    role=EngineRole.DECODE,
-    is_changing=False,
-    order_count=0,
-    running=0,
-    waiting=0,
-    held_tokens=0,
-    capacity_tokens=1,
-)
 
 
 class Connection:
@@ -115,3 +106,25 @@
     assert engine.asked == 1
     assert await late.is_confirmed()
     assert engine.asked == 2
+
+
+async def test_engine_that_gives_no_report_in_time_does_not_answer(engine, runs):
+    assert await runs.answers(ENGINE, timeout_s=0.1)
+    assert not await runs.answers(ENGINE, timeout_s=0.001)
+    engine.lost = 10
+    assert not await runs.answers(ENGINE, timeout_s=0.1)
+
+
+async def test_streams_that_ask_at_the_same_time_share_a_report(engine, runs):
+    asked = [runs.answers(ENGINE, timeout_s=0.1) for _ in range(9)]
+    assert all(await asyncio.gather(*asked)) and engine.asked == 1
+    assert await runs.answers(ENGINE, timeout_s=0.1) and engine.asked == 2
+
+
+async def test_engine_at_its_limit_is_not_asked_whether_it_answers(engine, runs):
+    engine.permit_s = 1.0
+    assert await runs.answers(ENGINE, timeout_s=0.1)
+    await asyncio.sleep(2.0)
+    engine.permit_s, engine.may_ask = 0.0, False
+    assert await runs.answers(ENGINE, timeout_s=0.1)
+    assert engine.asked == 1
--- a/flamingoshelf/gateway/tests/test_proxied_calls.py
+++ b/flamingoshelf/gateway/tests/test_proxied_calls.py
@@ -20,9 +20,8 @@
 from flamingoshelf.gateway._proxied_calls import PeerPassedError, ProxiedCall, ProxiedCalls
 from flamingoshelf.gateway._proxy_messages import ProxyFailureKind
 from flamingoshelf.gateway.tests.conftest import COLD_BOUND, server
-from flamingoshelf.gateway.tests.fake_origins import may_ask
+from flamingoshelf.gateway.tests.fake_origins import REPORT, may_ask
 from flamingoshelf.gateway.tests.test_backend_client import Wire, response
-from flamingoshelf.gateway.tests.test_engine_runs import REPORT
 from flamingoshelf.http1 import ConnectionPool, Headers, RequestHead
 from flamingoshelf.nodes.tests.test_link import Links
 from flamingoshelf.paths import PathService, PathTable, ProbeResult
--- a/flamingoshelf/gateway/tests/test_silent_engines.py
+++ b/flamingoshelf/gateway/tests/test_silent_engines.py
@@ -1,6 +1,7 @@
 """Engines that send nothing for a time, with their connections open, and then go on."""
 
 import asyncio
+from contextlib import asynccontextmanager
 
 import attrs
 import pytest
@@ -244,3 +245,49 @@
 
     def decode_request(self, head):
         return attrs.evolve(CALLER, key="key")
+
+
+# Guards against: a run is ended for one at an engine that is silent, too, and turns it away later.
+@pytest.mark.parametrize("may_turn_away", [False, True])
+async def test_silent_run_is_not_replaced_by_one_at_a_silent_engine(
+    forward, client, placer, silent_until_s, may_turn_away
+):
+    placer.later_refusals = [] if may_turn_away else [FULL] * 100
+    client.queue_answers("d1", Answer(body=events(1, 9), silences={2: 2.4}))
+    client.queue_answers("d2", not_run(after_s=1.0))
+    client.queue_answers("d3", not_run(after_s=1.0))
+    silent_until_s.update({"d2": 60.0, "d3": 60.0})
+    _, output = await forward(may_resume=True)
+    assert output.is_complete and output.body == b"".join(events(1, 9))
+    assert [key for key, _, _ in client.spans] == ["d1"]
+
+
+async def test_silent_run_is_replaced_at_an_engine_that_answers(forward, client, silent_until_s):
+    client.queue_answers("d1", Answer(body=events(1, 9), silences={2: 60.0}))
+    client.queue_answers("d3", Answer(body=events(3, 9)))
+    silent_until_s["d2"] = 60.0
+    _, output = await forward(may_resume=True)
+    assert output.is_complete and output.body == b"".join(events(1, 9))
+    assert "d2" not in client.called_servers()
+
+
+# Guards against: the engine that takes over falls silent in that moment, and both runs are lost.
+async def test_run_whose_engine_falls_silent_as_it_is_sent_is_ended_in_place_of_the_first(
+    forward, client, silent_until_s
+):
+    client.queue_answers("d1", Answer(body=events(1, 9), silences={2: 2.4}))
+    client.queue_answers("d2", not_run(after_s=1.0))
+    send = client._send
+
+    @asynccontextmanager
+    async def fall_silent(call):
+        if call.instance.key == "d2":
+            silent_until_s["d2"] = 60.0
+        async with send(call) as response:
+            yield response
+
+    client._send = fall_silent
+    _, output = await forward(may_resume=True)
+    assert output.is_complete and output.body == b"".join(events(1, 9))
+    (_, _, ended_s), (key, resumed_s, second_ended_s) = sorted(client.spans, key=lambda s: s[1])
+    assert key == "d2" and second_ended_s - resumed_s < 0.4 < ended_s - resumed_s
--- a/lab/tests/test_silent_servers.py
+++ b/lab/tests/test_silent_servers.py
@@ -153,3 +153,41 @@
     await asyncio.gather(*silences)
     assert answer.is_complete, (answer, logs_of(site))
     assert answer.status in (200, 503)
+
+
+# Streams of a silent engine were ended for runs at an empty engine that was silent, too, and turned
+# them away later.
+@pytest.mark.parametrize("silent", ["one and an added one", "all"])
+async def test_streams_go_on_if_the_engine_in_place_of_a_silent_one_is_silent_too(
+    new_site, monkeypatch, silent
+):
+    monkeypatch.setattr(EngineStandIn, "kv_capacity_tokens", 60_000)
+    monkeypatch.setattr(EngineStandIn, "s_per_event", 0.05)
+    site = await new_site(node_count=2, decode_count=4)
+    added = site.engines[-1]
+    site.store.remove("servers", added.instance_id)
+    site.configure(
+        routes=[
+            {**route, "latencyGoalMs": 500, "gapAimMs": 200} if route["canResume"] else route
+            for route in site.configuration()["routes"]
+        ]
+    )
+    await asyncio.sleep(1.0)
+    streams = [
+        asyncio.ensure_future(
+            site.caller.call(
+                site.node_addresses[number % 2], f"{RESUMABLE}{number}", tokens=(500, 480)
+            )
+        )
+        for number in range(24)
+    ]
+    await asyncio.sleep(0.5)
+    site.register(added)
+    await asyncio.sleep(0.4)
+    for node in site.nodes:
+        node.send(signal.SIGHUP)
+    engines = [site.engines[1], added] if silent != "all" else site.engines
+    await asyncio.gather(*(engine.freeze(1.3) for engine in engines))
+    answers = await asyncio.gather(*streams)
+    broken = [answer for answer in answers if not answer.is_complete or len(answer.events) != 60]
+    assert not broken, (len(broken), broken[0], logs_of(site))
