A response without a length proves nothing before the request is sent; no status above 599

What callers saw: a server answered a large upload with a 200 without a length, a part of its body, ended its side and then reset the connection: the part came as a whole answer, for plain calls and streams. Statuses 600 to 999 were passed on.

Cause: the end of the connection ended such a response whether or not the request had been sent; the parser allows statuses up to 999. With a reset alone, and with statuses 000 and 042, callers got an error before, too.

Change: a response without a length or chunks that ends while bytes of the request are not written or not acknowledged is an error, in the connection that calls, passed-on calls, probes and the store's client share. A status above 599 is no answer, also in the product's own kind of node, which refuses replies without a length anyway.

--- a/flamingoshelf/backends/_plain.py
+++ b/flamingoshelf/backends/_plain.py
@@ -22,6 +22,7 @@
 _MAX_CONNECTIONS = 1024
 _MAX_REPLY_BYTES = 8 * 1024 * 1024
 _MAX_CHUNKS_PER_TURN = 32  # each takes some 10 us
+_MAX_STATUS = 599  # codes above have no meaning in HTTP
 _BODILESS_STATUSES = frozenset({204, 304})
 _CALL_ERRORS = (AiosonicError, OSError, asyncio.IncompleteReadError, ValueError, TimeoutError)
 
@@ -142,8 +143,8 @@
 
     async def _read_body(self, response: aiosonic.HttpResponse, *, method: str) -> bytes:
         status = response.status_code
-        if status < 200:
-            raise ValueError(f"interim status {status} instead of a final reply")
+        if not 200 <= status <= _MAX_STATUS:
+            raise ValueError(f"status {status} instead of that of a final reply")
         if method == "HEAD" or status in _BODILESS_STATUSES:
             return b""
         length = response.headers.get("content-length")
--- a/flamingoshelf/backends/tests/test_plain.py
+++ b/flamingoshelf/backends/tests/test_plain.py
@@ -123,6 +123,14 @@
     assert len(server.requests) == 1
 
 
+# A status outside the range of HTTP was passed on to callers.
+@pytest.mark.parametrize("status", [b"000", b"600", b"999"])
+async def test_status_outside_the_range_of_http_is_no_reply(start_server, client, status):
+    _, address = await start_server("whole", REPLY.replace(b"201", status))
+    with pytest.raises(OutcomeUnknownError):
+        await client.call(address, call_of("POST"), timeout_s=1.0)
+
+
 @pytest.mark.parametrize("raw", [REPLY, CHUNKED])
 async def test_whole_reply(start_server, client, raw):
     server, address = await start_server("answer", raw)
--- a/flamingoshelf/http1/_client.py
+++ b/flamingoshelf/http1/_client.py
@@ -10,7 +10,7 @@
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
 from flamingoshelf.http1._buffer_budget import BufferBudget
 from flamingoshelf.http1._heads import Headers, RequestHead, ResponseHead, keep_alive_s
-from flamingoshelf.http1._linger import has_unread_bytes
+from flamingoshelf.http1._linger import has_unread_bytes, unsent_bytes
 from flamingoshelf.http1._reading import (
     MAX_EVENTS_PER_TURN,
     BoundedReader,
@@ -23,6 +23,7 @@
 
 _MAX_HEAD_BYTES = 64 * 1024  # twice the largest limit that is common among servers
 _MAX_FRAMING_BYTES = 8 * 1024  # the head of a chunk or the trailers, which nobody reads
+_MAX_STATUS = 599  # codes above have no meaning in HTTP
 _MAX_INFORMATIONAL = 16  # servers send one or two
 _MAX_BUFFERED_BYTES = 256 * 1024  # reading pauses above it if the server outpaces the caller
 _MAX_SKIPPED_BYTES = 1024 * 1024  # of a late response; one of the usual size has some KB
@@ -388,6 +389,9 @@
                     append_part(self._body, bytes(event.data))
                     self._count_buffered(len(event.data))
                 case h11.EndOfMessage():
+                    if self._is_end_unproven:
+                        self._fail("its answer without a length ends before the request was sent")
+                        return False
                     self._is_complete = True
                     self._parser.next_event()  # the end of the connection, or more than is due
                     if self._parser.trailing_data[0]:
@@ -402,7 +406,20 @@
                     return False
         return True
 
+    @property
+    def _is_end_unproven(self) -> bool:
+        """Whether only the end of the connection ends the response, before the request was sent.
+
+        A server that fails may close its side first and reset the connection then.
+        """
+        assert self._head is not None and self._transport is not None
+        if self._head.headers.get("Content-Length") or self._head.headers.get("Transfer-Encoding"):
+            return False
+        return self._has_eof and (bool(self._unwritten) or unsent_bytes(self._transport) > 0)
+
     def _on_response_head(self, event: h11.Response) -> None:
+        if event.status_code > _MAX_STATUS:
+            raise h11.RemoteProtocolError(f"status {event.status_code}")
         raw = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in event.headers.raw_items()]
         self._has_answered = True
         self._head = ResponseHead(status=event.status_code, headers=Headers(raw))
--- a/flamingoshelf/http1/tests/test_answers_that_end_early.py
+++ b/flamingoshelf/http1/tests/test_answers_that_end_early.py
@@ -70,3 +70,33 @@
         assert await receive(UNFRAMED[:end], **options, is_reset=True) is None
         answer = await receive(UNFRAMED[:end], **options, is_reset=False)
         assert (answer is None) == (end < head_bytes), UNFRAMED[:end]
+
+
+# A part of an answer was taken for a whole one: the server had ended its side before the request
+# was written, and reset the connection then. A length or chunks prove the end.
+@pytest.mark.parametrize(
+    ("answer", "is_whole"), [(UNFRAMED, False), (LENGTH, True), (CHUNKS, True), (NO_BODY, True)]
+)
+async def test_answer_without_a_length_is_not_whole_before_the_request_is_written(answer, is_whole):
+    connection = Connection()
+    connection.send(GET, b"")
+    connection.transport.unsent_bytes = 1
+    connection.data_received(answer)
+    connection.eof_received()
+    assert (await connection.read_head()).status == 200
+    if is_whole:
+        await read_all(connection)
+    else:
+        with pytest.raises(OutcomeUnknownError, match="before the request was sent"):
+            await read_all(connection)
+
+
+# Statuses outside the range of HTTP were passed on to callers.
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+async def test_status_outside_the_range_of_http_is_no_answer(status):
+    connection = Connection()
+    connection.send(GET, b"")
+    connection.data_received(LENGTH.replace(b"200", status, 1))
+    with pytest.raises(OutcomeUnknownError):
+        await connection.read_head()
+    assert connection.transport.is_aborted
--- a/lab/gateway/_records.py
+++ b/lab/gateway/_records.py
@@ -78,6 +78,13 @@
     endless_place : {"chunks", "head", "unframed", "behind"}
         Where the bytes without end are: in chunks, in the head, in a body without a length, or
         behind an answer that is whole.
+    early_next : int
+        Number of requests that are answered next before their body is read: with a part of an
+        answer that has no length, before the connection is reset.
+    early_status : int
+        Status of such an answer.
+    ends_side : bool
+        Whether the server ends its side of the connection before it resets it.
     pause_s : float
         Seconds for which a server that is full wants no more requests, 0 if it doesn't say.
     """
@@ -95,6 +102,9 @@
     endless_next: int = 0
     endless_chunk: bytes = b"x"
     endless_place: str = "chunks"
+    early_next: int = 0
+    early_status: int = 200
+    ends_side: bool = True
     pause_s: float = 0.0
 
 
--- a/lab/gateway/_server_base.py
+++ b/lab/gateway/_server_base.py
@@ -17,6 +17,7 @@
 _ENDLESS_PIECE_BYTES = 16 * 1024
 _MAX_ENDLESS_UNSENT_BYTES = 256 * 1024
 _ENDLESS_INTERVAL_S = 0.001
+_EARLY_RESET_S = 0.1
 _EVENTS_BEFORE = 20_000  # bytes without end; a node passes them on for about a second
 id_numbers = itertools.count(1)  # of servers and of handles
 
@@ -95,6 +96,10 @@
         }
 
     async def _handle(self, exchange: Exchange) -> None:
+        if self.faults.early_next > 0 and exchange.head.headers.get("Request-Id"):
+            self.faults.early_next -= 1
+            await self._answer_early(exchange)
+            return
         body = await exchange.read_body(limit=_MAX_BODY_BYTES)
         transport = transport_of(exchange)
         transport.write(self._late_copies.pop(transport, b""))
@@ -166,6 +171,23 @@
                 transport.write(piece)
             await asyncio.sleep(_ENDLESS_INTERVAL_S)
 
+    async def _answer_early(self, exchange: Exchange) -> None:
+        """Send a part of an answer before the request's body is read; then reset the connection."""
+        transport = transport_of(exchange)
+        request_id = exchange.head.headers.get("Request-Id") or ""
+        head = [
+            f"HTTP/1.1 {self.faults.early_status:03} X",
+            f"Request-Id: {request_id}",
+            f"Server-Seal: seal-{self.instance_id}",
+            "Content-Type: text/event-stream",
+        ]
+        transport.pause_reading()
+        transport.write("\r\n".join([*head, "", "id: 1\n\n"]).encode())
+        if self.faults.ends_side:
+            transport.write_eof()
+        await asyncio.sleep(_EARLY_RESET_S)
+        exchange.abort()
+
     def _draws_endless(self) -> bool:
         """Return whether the next answer doesn't end."""
         if self.faults.endless_next <= 0:
