Clients of the own kind of node bound heads, chunks and bodies of answers

Report of other operators: bytes without end in a head or a body filled the memory of the machine that had called. In the product's own kind of node the HTTP library reads any number of header lines, and a chunk or a body as large as its server says; a first line without end raised an error that nobody handled.

Change: a connection that gives up a head above 64 KiB, and parts above 8 MiB, for all clients; answers in chunks are read up to 8 MiB.

--- a/flamingoshelf/backends/_engine.py
+++ b/flamingoshelf/backends/_engine.py
@@ -18,7 +18,7 @@
 from aiosonic.timeout import Timeouts
 
 from flamingoshelf.exceptions import EngineError, ProtocolError
-from flamingoshelf.http_client import new_http_client
+from flamingoshelf.http_client import new_http_client, read_content
 from flamingoshelf.utils import Pacer
 
 __all__ = [
@@ -269,7 +269,7 @@
                 json=dict(body),
                 timeouts=_timeouts(timeout_s, request_timeout_s=timeout_s),
             )
-            content = await response.content()
+            content = await read_content(response)
         except (BaseTimeout, TimeoutError) as error:
             raise EngineError("timeout", step=step, peer=address) from error
         except _CONNECTION_ERRORS as error:
--- a/flamingoshelf/backends/_plain.py
+++ b/flamingoshelf/backends/_plain.py
@@ -6,13 +6,13 @@
 
 import aiosonic
 import attrs
-from aiosonic.connection import Connection
 from aiosonic.connectors import TCPConnector
 from aiosonic.exceptions import AiosonicError
 from aiosonic.pools import PoolConfig
 from aiosonic.timeout import Timeouts
 
 from flamingoshelf.exceptions import OutcomeUnknownError, PeerUnreachableError
+from flamingoshelf.http_client import MAX_ANSWER_BYTES, BoundedConnection
 from flamingoshelf.utils import Pacer
 
 __all__ = ["PlainCall", "PlainReply", "PlainServiceClient"]
@@ -20,7 +20,6 @@
 _CONNECT_TIMEOUT_S = 1.0
 _POOL_TIMEOUT_S = 1.0
 _MAX_CONNECTIONS = 1024
-_MAX_REPLY_BYTES = 8 * 1024 * 1024
 _MAX_CHUNKS_PER_TURN = 32  # each takes some 10 us
 _MAX_STATUS = 599  # codes above have no meaning in HTTP
 _BODILESS_STATUSES = frozenset({204, 304})
@@ -56,7 +55,7 @@
 _send_state: ContextVar[_SendState] = ContextVar("_send_state")
 
 
-class _SingleUseConnection(Connection):
+class _SingleUseConnection(BoundedConnection):
     """Connection that serves one call, even if the server offers to keep it alive."""
 
     def reuse(self, urlparsed: object, verify: bool) -> bool:
@@ -89,7 +88,7 @@
     A flag that is set before the first write decides which of its two errors `call` raises.
     """
 
-    def __init__(self, *, max_reply_bytes: int = _MAX_REPLY_BYTES) -> None:
+    def __init__(self, *, max_reply_bytes: int = MAX_ANSWER_BYTES) -> None:
         self._max_reply_bytes = max_reply_bytes
         self._pacer = Pacer()
         connector = TCPConnector(
--- a/flamingoshelf/cli/_fleet.py
+++ b/flamingoshelf/cli/_fleet.py
@@ -9,7 +9,7 @@
 from aiosonic.exceptions import AiosonicError, BaseTimeout
 from aiosonic.timeout import Timeouts
 
-from flamingoshelf.http_client import new_http_client
+from flamingoshelf.http_client import new_http_client, read_content
 from flamingoshelf.object_service import HttpVmList
 from flamingoshelf.utils import now_s
 
@@ -73,7 +73,7 @@
     )
     try:
         response = await client.get(f"http://{address}/status", timeouts=timeouts)
-        document = json.loads(await response.content())
+        document = json.loads(await read_content(response))
         return NodeStatus(
             address=address,
             revision=int(document["revision"]),
--- a/flamingoshelf/object_service/_http.py
+++ b/flamingoshelf/object_service/_http.py
@@ -13,7 +13,7 @@
 from aiosonic.timeout import Timeouts
 
 from flamingoshelf.exceptions import ObjectServiceError, OutcomeUnknownError
-from flamingoshelf.http_client import new_http_client
+from flamingoshelf.http_client import new_http_client, read_content
 
 __all__ = ["HttpAnswer", "PlatformHttpClient"]
 
@@ -81,7 +81,7 @@
                     request_timeout=timeout_s,
                 ),
             )
-            content = await response.content()
+            content = await read_content(response)
         except (ConnectTimeout, ConnectionPoolAcquireTimeout, ConnectionRefusedError) as error:
             raise ObjectServiceError(repr(error), step=step, peer=self._address) from error
         except (AiosonicError, BaseTimeout, OSError, asyncio.IncompleteReadError) as error:
--- a/flamingoshelf/orders/_client.py
+++ b/flamingoshelf/orders/_client.py
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 
 from flamingoshelf.exceptions import EngineError
-from flamingoshelf.http_client import new_http_client
+from flamingoshelf.http_client import new_http_client, read_content
 
 __all__ = ["HttpOrderClient", "ObservedServer", "OrderClient", "ServerOrder"]
 
@@ -99,7 +99,7 @@
                     request_timeout=_REQUEST_TIMEOUT_S,
                 ),
             )
-            content = await response.content()
+            content = await read_content(response)
             if response.status_code not in (200, _STALE_FENCING_NUMBER_STATUS):
                 raise EngineError(f"status {response.status_code}", step="order", peer=address)
             return response.status_code, json.loads(content)
