--- a/flamingoshelf/placement/_engines.py
+++ b/flamingoshelf/placement/_engines.py
@@ -10,23 +10,15 @@
 from flamingoshelf.placement._engine_model import EngineModel
 from flamingoshelf.placement._engine_trackers import DecodeEngineTracker, PrefillEngineTracker
 from flamingoshelf.placement._health import FailureKind, HealthTracker
+from flamingoshelf.placement._role_changes import LeftEngine, LeftEngines, RoleChanges
 from flamingoshelf.placement._types import PlacementRequest
 from flamingoshelf.routing import BackendInstance, EngineProfile, EngineRole
 from flamingoshelf.server_limits import LimitKeeper, PermitForecast
 
-__all__ = ["EngineTable", "LeftEngine"]
+__all__ = ["EngineTable"]
 
 
 _SNAPSHOT_INTERVAL_S = 0.1  # short compared with the age of a load report
-_LEFT_KEPT_S = 60.0  # longer than any stream lasts at an engine that has left the list
-
-
-@attrs.frozen(kw_only=True)
-class LeftEngine:
-    """An engine that takes no new work any more, and the time in seconds since when."""
-
-    engine: BackendInstance
-    since_s: float
 
 
 class EngineTable:
@@ -69,10 +61,8 @@
         self._prefill_trackers: dict[str, PrefillEngineTracker] = {}
         self._decode_trackers: dict[str, DecodeEngineTracker] = {}
         self._health = HealthTracker()
-        self._role_change_until_s: dict[str, float] = {}
-        self._role_change_done_s: dict[str, float] = {}  # expected, without slack
-        self._target_role: dict[str, EngineRole] = {}
-        self._left: dict[str, LeftEngine] = {}
+        self._role_changes = RoleChanges()
+        self._left = LeftEngines()
         self._now_s = 0.0
         self._snapshot_s = float("-inf")
         self._usable: dict[EngineRole, list[BackendInstance]] = {}
@@ -96,14 +86,12 @@
                 self.prefill_tracker(key).clear()
                 self.decode_tracker(key).clear()
                 self._health.remove(key)
-                self._end_role_change(key)
-        for key, until_s in list(self._role_change_until_s.items()):
-            if until_s <= now_s:
-                self._end_role_change(key)
+                self._role_changes.end(key)
+        self._role_changes.drop_overdue(now_s)
         gone = [engine for key, engine in self._listed.items() if key not in listed]
         self._listed = listed
         self._leaving = {e.key: e for e in self._leaving_engines() if e.key not in listed}
-        self._record_left([*gone, *self._leaving.values()])
+        self._left.record([*gone, *self._leaving.values()], listed=listed, now_s=now_s)
         self._usable.clear()
         if self._profile() != self._applied_profile:
             self._applied_profile = self._profile()
@@ -160,7 +148,7 @@
     def with_role_changes_applied(self) -> list[BackendInstance]:
         """Return the listed engines, with pending role changes applied."""
         return [
-            attrs.evolve(engine, role=self._target_role.get(key, engine.role))
+            attrs.evolve(engine, role=self._role_changes.target(key) or engine.role)
             for key, engine in self._listed.items()
         ]
 
@@ -176,10 +164,9 @@
 
         `slack_s` is added to the configured duration of a role change.
         """
-        change_s = self.role_change_s
-        self._role_change_done_s[key] = self._now_s + change_s
-        self._role_change_until_s[key] = self._now_s + change_s + slack_s
-        self._target_role[key] = role
+        self._role_changes.record(
+            key, role=role, done_s=self._now_s + self.role_change_s, slack_s=slack_s
+        )
         self._usable.clear()
 
     def left_engine(self, key: str) -> LeftEngine | None:
@@ -188,11 +175,7 @@
 
     def left_decodes(self, version: str) -> list[LeftEngine]:
         """Return the decode engines of a software version that have left the list lately."""
-        return [
-            left
-            for left in self._left.values()
-            if left.engine.software_version == version and left.engine.role is EngineRole.DECODE
-        ]
+        return self._left.decodes(version)
 
     def has_version(self, version: str) -> bool:
         """Return whether an engine of a software version is listed, in whatever role."""
@@ -223,11 +206,10 @@
         None if none is changing its role to that.
         """
         done_s = [
-            self._role_change_done_s[key]
-            for key, role in self._target_role.items()
-            if role is EngineRole.DECODE
-            and key in self._listed
-            and self._listed[key].software_version == version
+            self._role_changes.done_s(key)
+            for key, engine in self._listed.items()
+            if engine.software_version == version
+            and self._role_changes.target(key) is EngineRole.DECODE
         ]
         return max(0.0, min(done_s) - self._now_s) if done_s else None
 
@@ -436,24 +418,11 @@
         others = [engine for engine in listed if engine.key not in exclude]
         return others or [e for e in self._leaving.values() if e.key not in exclude]
 
-    def _record_left(self, engines: Iterable[BackendInstance]) -> None:
-        for engine in engines:
-            if engine.key not in self._left:
-                self._left[engine.key] = LeftEngine(engine=engine, since_s=self._now_s)
-        for key, left in list(self._left.items()):
-            if key in self._listed or self._now_s - left.since_s > _LEFT_KEPT_S:
-                del self._left[key]
-
     def _resize(self, tracker: DecodeEngineTracker) -> None:
         if self._applied_profile is not None:
             tracker.resize(
                 capacity_tokens=self._applied_profile.kv_tokens, slots=self._applied_profile.slots
             )
 
-    def _end_role_change(self, key: str) -> None:
-        self._role_change_until_s.pop(key, None)
-        self._role_change_done_s.pop(key, None)
-        self._target_role.pop(key, None)
-
     def _is_changing_role(self, key: str) -> bool:
-        return self._role_change_until_s.get(key, 0.0) > self._now_s
+        return self._role_changes.is_changing(key, self._now_s)
--- a/flamingoshelf/placement/_stranded.py
+++ b/flamingoshelf/placement/_stranded.py
@@ -6,8 +6,9 @@
 import attrs
 
 from flamingoshelf.placement._decisions import ActiveTurn
-from flamingoshelf.placement._engines import EngineTable, LeftEngine
+from flamingoshelf.placement._engines import EngineTable
 from flamingoshelf.placement._queue import QueuedRequest
+from flamingoshelf.placement._role_changes import LeftEngine
 
 __all__ = ["StrandedStreams"]
 
