Review: the harness uses the zones of the dealer's desk

Cause: the claims name that site, and the scripts used the zones of another one. Done: zones and region in review/tools3/harness.py.

--- a/review/tools3/harness.py
+++ b/review/tools3/harness.py
@@ -47,7 +47,7 @@
 KEY = "3d3zji9n73hh2b9wu3fe"
 TENANT = "huka270"
 _ROOT = Path(__file__).resolve().parents[2]
-_ZONES = ("zone-worcester", "zone-portland", "zone-hartford")
+_ZONES = ("bagmati-a", "bagmati-b", "bagmati-c")
 _START_TIMEOUT_S = 20.0
 _CASE_TIMEOUT_S = 110.0
 _PASSED_VARIABLES = ("PATH", "HOME", "LANG")
@@ -56,7 +56,7 @@
     "role": "gateway",
     "machineClass": "front",
     "serves": "front,control",
-    "region": "new-england",
+    "region": "bagmati",
     "bootstrap": "true",
     "lossCounts": "false",
     "limits.cpuShare": "0.537",
